Add the workspace, the design page and the shared types

Cause: the parts of the proxy need one set of ids, messages and traits before they can be built side by side.

--- /dev/null
+++ b/crates/siskinhook-catalogue/src/lib.rs
@@ -0,0 +1,1 @@
+//! Catalogue entries, revisions, checks, snapshots and the audit trail.
--- /dev/null
+++ b/crates/siskinhook-fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, ownership of servers and propagation of catalogue revisions between nodes.
--- /dev/null
+++ b/crates/siskinhook-operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' interface of a node and the commands of siskinctl.
--- /dev/null
+++ b/crates/siskinhook-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's table service and object store.
--- /dev/null
+++ b/crates/siskinhook-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Node settings in JSON with comments, checked with line and column.
--- /dev/null
+++ b/crates/siskinhook-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered log events and metrics.
--- /dev/null
+++ b/crates/siskinhook-types/src/lib.rs
@@ -0,0 +1,27 @@
+//! Ids, messages, verdicts and the small traits between the parts of siskinhook.
+
+mod catalogue;
+mod failure;
+mod freshness;
+mod ids;
+mod macros;
+mod platform;
+mod request;
+mod statement;
+mod target;
+mod token;
+
+pub use catalogue::{Database, Entry, Limits, Server};
+pub use failure::{Failure, FailureKind, Verdict, sqlstate};
+pub use freshness::Freshness;
+pub use ids::{
+    CallerId, DatabaseId, ExchangeId, NodeId, PartnerId, Position, Region, RequestId, Revision,
+    ServerId, ServiceId, SessionId, Term, Zone,
+};
+pub use platform::{
+    Batch, CommitOutcome, Condition, Platform, PlatformError, Row, RowWrite, VmRecord,
+};
+pub use request::{Class, Kind, Link, Links, Request};
+pub use statement::{Column, Part, Protocol, Statement};
+pub use target::{Control, Purpose, Role, ServerStatus, TargetSession, Targets};
+pub use token::{LogPoint, ParseTokenError, Token};
--- /dev/null
+++ b/crates/siskinhook-types/src/target.rs
@@ -0,0 +1,206 @@
+//! Database servers: status, control commands and the traits of a connection.
+
+use std::{fmt, future::Future};
+
+use crate::{Failure, LogPoint, NodeId, Part, Server, ServerId, Statement, Term, value_type};
+
+value_type! {
+    /// Role of a server in its group.
+    #[derive(Copy, Hash)]
+    pub enum Role {
+        /// Accepts writes in its term.
+        Primary,
+        /// Applies the log of a primary; read-only.
+        Replica,
+    }
+
+    /// What a server reports about itself.
+    pub struct ServerStatus {
+        /// The server.
+        pub server: ServerId,
+        /// Its role.
+        pub role: Role,
+        /// The highest term it was fenced at or follows.
+        pub term: Term,
+        /// Node that `term` was granted to.
+        pub promoter: Option<NodeId>,
+        /// Last entry of its log that reads on it see.
+        pub last: LogPoint,
+        /// The primary it follows; itself when it is the primary.
+        pub primary: Option<ServerId>,
+        /// Milliseconds since it last heard from its primary; 0 on the primary.
+        pub contact: Option<u64>,
+        /// Open connections of any kind.
+        pub connections: u32,
+        /// Statements running now.
+        pub running: u32,
+        /// Holder of the session lock `siskinhook-owner`.
+        pub holder: Option<NodeId>,
+    }
+
+    /// A command to a server over a control connection.
+    pub enum Control {
+        /// Reports the status.
+        Status,
+        /// Reports the status once the log covers the point, or after the timeout.
+        Wait {
+            /// Point to wait for.
+            point: LogPoint,
+            /// Timeout in milliseconds.
+            timeout: u64,
+        },
+        /// Raises the term for a promoter; a primary becomes a read-only replica.
+        /// Granted when the status in the answer has this term and promoter.
+        Fence {
+            /// The new term.
+            term: Term,
+            /// The node that promotes.
+            promoter: NodeId,
+        },
+        /// Makes the server primary in a term that was granted to the promoter.
+        Promote {
+            /// The granted term.
+            term: Term,
+            /// The node that promotes.
+            promoter: NodeId,
+        },
+        /// Makes the server a replica of a primary.
+        Follow {
+            /// Term of the primary.
+            term: Term,
+            /// The primary.
+            server: ServerId,
+        },
+        /// Takes the session lock `siskinhook-owner` for this connection if it is free.
+        /// Taken when the status in the answer names the node as holder.
+        Lock {
+            /// The node that takes the lock.
+            node: NodeId,
+        },
+        /// Closes all connections of a node, which frees its lock.
+        Terminate {
+            /// The node whose connections are closed.
+            node: NodeId,
+        },
+    }
+
+    /// What a connection to a server is for; the server counts all against its cap.
+    #[derive(Copy, Hash)]
+    pub enum Purpose {
+        /// Control commands only.
+        Control,
+        /// Statements of callers.
+        Data,
+    }
+}
+
+impl fmt::Display for Control {
+    /// Writes the command as sent to a target by simple query.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Status => f.write_str("SHOW GROUP STATUS"),
+            Self::Wait { point, timeout } => write!(
+                f,
+                "SHOW GROUP STATUS WAIT FOR {} {} {timeout}",
+                point.term, point.position
+            ),
+            Self::Fence { term, promoter } => write!(f, "GROUP FENCE {term} {promoter}"),
+            Self::Promote { term, promoter } => write!(f, "GROUP PROMOTE {term} {promoter}"),
+            Self::Follow { term, server } => write!(f, "GROUP FOLLOW {term} {server}"),
+            Self::Lock { node } => write!(f, "OWNER LOCK {node}"),
+            Self::Terminate { node } => write!(f, "OWNER TERMINATE {node}"),
+        }
+    }
+}
+
+impl Control {
+    /// Reads a command as written by `Display`; `None` when the text is no control command.
+    #[must_use]
+    pub fn parse(sql: &str) -> Option<Self> {
+        let words: Vec<&str> = sql.trim_end_matches(';').split_whitespace().collect();
+        Some(match *words.as_slice() {
+            ["SHOW", "GROUP", "STATUS"] => Self::Status,
+            [
+                "SHOW",
+                "GROUP",
+                "STATUS",
+                "WAIT",
+                "FOR",
+                term,
+                position,
+                timeout,
+            ] => Self::Wait {
+                point: LogPoint::new(term.parse().ok()?, position.parse().ok()?),
+                timeout: timeout.parse().ok()?,
+            },
+            ["GROUP", "FENCE", term, promoter] => Self::Fence {
+                term: term.parse().ok()?,
+                promoter: promoter.into(),
+            },
+            ["GROUP", "PROMOTE", term, promoter] => Self::Promote {
+                term: term.parse().ok()?,
+                promoter: promoter.into(),
+            },
+            ["GROUP", "FOLLOW", term, server] => Self::Follow {
+                term: term.parse().ok()?,
+                server: server.into(),
+            },
+            ["OWNER", "LOCK", node] => Self::Lock { node: node.into() },
+            ["OWNER", "TERMINATE", node] => Self::Terminate { node: node.into() },
+            _ => return None,
+        })
+    }
+}
+
+/// An open connection to a server; one statement or command at a time.
+///
+/// Dropping it closes the connection, which rolls back an open transaction.
+pub trait TargetSession: Send + 'static {
+    /// Sends a statement.
+    ///
+    /// # Errors
+    /// Fails with `NotRun` when it is certain that nothing reached the server.
+    fn start(&mut self, statement: &Statement) -> impl Future<Output = Result<(), Failure>> + Send;
+
+    /// Asks for parameter types and columns without running the statement. The answer is
+    /// `Part::Parameters`, `Part::Columns`, `Part::Done`.
+    ///
+    /// # Errors
+    /// As `start`.
+    fn describe(
+        &mut self,
+        statement: &Statement,
+    ) -> impl Future<Output = Result<(), Failure>> + Send;
+
+    /// Waits for the next part of the answer; `Part::Done` is the last one.
+    ///
+    /// # Errors
+    /// The target's error with `Ran`, or `MayHaveRun` when the connection broke after `start`.
+    /// After an error with `Ran` the connection can be used again.
+    fn next(&mut self) -> impl Future<Output = Result<Part, Failure>> + Send;
+
+    /// Runs a control command. The answer of every command is the status after it.
+    ///
+    /// # Errors
+    /// The target's error with `Ran`, or a broken connection.
+    fn control(
+        &mut self,
+        command: &Control,
+    ) -> impl Future<Output = Result<ServerStatus, Failure>> + Send;
+}
+
+/// Opens connections to servers.
+pub trait Targets: Clone + Send + Sync + 'static {
+    /// The connection type.
+    type Session: TargetSession;
+
+    /// Opens a connection to a server for a database, as this node.
+    ///
+    /// # Errors
+    /// Fails with `NotRun`; kind `Overload` when the server's connection cap is reached.
+    fn connect(
+        &self,
+        server: &Server,
+        purpose: Purpose,
+    ) -> impl Future<Output = Result<Self::Session, Failure>> + Send;
+}
--- /dev/null
+++ b/src/bin/siskinhook.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
