--- a/crates/siskinhook-types/src/lib.rs
+++ b/crates/siskinhook-types/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod catalogue;
 mod failure;
+mod fleet;
 mod freshness;
 mod ids;
 mod macros;
@@ -13,6 +14,7 @@
 
 pub use catalogue::{Database, Entry, Limits, Server};
 pub use failure::{Failure, FailureKind, Verdict, sqlstate};
+pub use fleet::{Catalogue, Change, FleetView, Member, MemberState};
 pub use freshness::Freshness;
 pub use ids::{
     CallerId, DatabaseId, ExchangeId, NodeId, PartnerId, Position, Region, RequestId, Revision,
