Start the engine crate

Cause: the request path has no code yet. Change: settings, counters, classification, session and answer, queue and pool of an owner; not compiled yet.

--- /dev/null
+++ b/crates/siskinhook-engine/src/answer.rs
@@ -0,0 +1,209 @@
+//! The answer to a statement, read part by part.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use siskinhook_types::{
+    Failure, FailureKind, Kind, Links, Part, Platform, Targets, Token, sqlstate,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    TransactionState,
+    core::Active,
+    counters::count,
+    engine::Inner,
+    entry::{Pinned, node_lost},
+    session::{SharedConversation, lock},
+};
+
+/// The answer to a statement.
+///
+/// Parts are read from the owner on demand, so that a large result is never held whole.
+/// Dropping an unfinished answer closes its link; the owner rolls back and closes the server
+/// connection.
+pub struct Answer<T: Targets, L: Links, P: Platform> {
+    engine: Arc<Inner<T, L, P>>,
+    shared: SharedConversation<T, L>,
+    kind: Kind,
+    path: Option<Pinned<T, L>>,
+    ready: VecDeque<Result<Part, Failure>>,
+    cancel: CancellationToken,
+    active: Option<Active<T>>,
+}
+
+impl<T: Targets, L: Links, P: Platform> Answer<T, L, P> {
+    /// An answer that is complete from the start.
+    pub(crate) fn completed(
+        engine: Arc<Inner<T, L, P>>,
+        shared: SharedConversation<T, L>,
+        done: Part,
+    ) -> Self {
+        Self {
+            engine,
+            shared,
+            kind: Kind::Rollback,
+            path: None,
+            ready: VecDeque::from([Ok(done)]),
+            cancel: CancellationToken::new(),
+            active: None,
+        }
+    }
+
+    /// An answer in progress on a path.
+    pub(crate) fn open(
+        engine: Arc<Inner<T, L, P>>,
+        shared: SharedConversation<T, L>,
+        kind: Kind,
+        path: Pinned<T, L>,
+        cancel: CancellationToken,
+        active: Active<T>,
+    ) -> Self {
+        lock(&shared).busy = true;
+        Self {
+            engine,
+            shared,
+            kind,
+            path: Some(path),
+            ready: VecDeque::new(),
+            cancel,
+            active: Some(active),
+        }
+    }
+
+    /// Reads the next part; `None` after `Part::Done` or a failure.
+    pub async fn next(&mut self) -> Option<Result<Part, Failure>> {
+        if let Some(part) = self.ready.pop_front() {
+            return Some(part);
+        }
+        let result = self.receive().await?;
+        if let Err(failure) = &result {
+            self.engine.core.record(failure);
+        }
+        Some(result)
+    }
+
+    /// Puts a part back in front of those not read yet.
+    pub(crate) fn keep(&mut self, part: Part) {
+        self.ready.push_back(Ok(part));
+    }
+
+    /// Whether the answer is complete.
+    pub(crate) const fn is_finished(&self) -> bool {
+        self.path.is_none()
+    }
+
+    /// Releases the request's place among those in progress; for an answer given up for a new
+    /// attempt.
+    pub(crate) fn abandon(mut self) -> Option<Active<T>> {
+        self.path = None;
+        lock(&self.shared).busy = false;
+        self.active.take()
+    }
+
+    /// Reads the next part from the owner.
+    pub(crate) async fn receive(&mut self) -> Option<Result<Part, Failure>> {
+        let path = self.path.as_mut()?;
+        let result = tokio::select! {
+            biased;
+            () = self.cancel.cancelled() => Err(cancelled(self.kind)),
+            part = path.path.next() => part,
+            failure = node_lost(&self.engine.core, path.node.clone()) => Err(failure),
+        };
+        match &result {
+            Ok(Part::Done { tag, point }) => {
+                let token = point.map(|point| Token {
+                    database: path.database.clone(),
+                    point,
+                });
+                self.finish(tag == "ROLLBACK", token);
+            }
+            Ok(_) => {}
+            Err(failure) => self.fail(failure),
+        }
+        Some(result)
+    }
+
+    fn finish(&mut self, rolled_back: bool, token: Option<Token>) {
+        let path = self.path.take();
+        let counters = &self.engine.core.counters;
+        let mut shared = lock(&self.shared);
+        shared.busy = false;
+        match self.kind {
+            Kind::Begin | Kind::BeginReadOnly => {
+                shared.transaction = TransactionState::Active;
+                shared.pinned = path.map(|path| Pinned {
+                    term: token.map(|token| token.point.term),
+                    ..path
+                });
+            }
+            Kind::Inner => {
+                shared.transaction = TransactionState::Active;
+                shared.pinned = path;
+                count(&counters.inner_statements);
+            }
+            Kind::Describe if shared.transaction != TransactionState::Idle => {
+                shared.pinned = path;
+            }
+            Kind::Commit | Kind::Rollback => {
+                shared.transaction = TransactionState::Idle;
+                if !rolled_back && let Some(token) = token {
+                    shared.token = Some(token);
+                    count(&counters.writes);
+                }
+            }
+            Kind::Write => {
+                count(&counters.writes);
+                if let Some(token) = token {
+                    shared.token = Some(token);
+                }
+            }
+            Kind::Read | Kind::Describe | Kind::Lookup => {}
+        }
+        self.active = None;
+    }
+
+    fn fail(&mut self, failure: &Failure) {
+        let path = self.path.take();
+        let mut shared = lock(&self.shared);
+        shared.busy = false;
+        match self.kind {
+            Kind::Inner | Kind::Describe if shared.transaction != TransactionState::Idle => {
+                shared.transaction = TransactionState::Failed;
+                // The transaction's link goes on only after an error of the target itself.
+                let intact = failure.kind == FailureKind::Statement
+                    || failure.kind == FailureKind::Overload
+                    || failure.kind == FailureKind::Deadline;
+                if intact && !self.cancel.is_cancelled() {
+                    shared.pinned = path;
+                }
+            }
+            Kind::Commit | Kind::Rollback => shared.transaction = TransactionState::Idle,
+            _ => {}
+        }
+    }
+}
+
+impl<T: Targets, L: Links, P: Platform> Drop for Answer<T, L, P> {
+    fn drop(&mut self) {
+        if self.path.is_none() {
+            return;
+        }
+        let mut shared = lock(&self.shared);
+        shared.busy = false;
+        if shared.transaction != TransactionState::Idle {
+            shared.transaction = TransactionState::Failed;
+        }
+    }
+}
+
+/// The failure of a statement that its caller cancelled after it was sent.
+fn cancelled(kind: Kind) -> Failure {
+    let mut failure = Failure::may_have_run(
+        FailureKind::Deadline,
+        "the statement was cancelled after it had been sent",
+    );
+    if matches!(kind, Kind::Read | Kind::Describe | Kind::Inner) {
+        failure.code = sqlstate::DEADLINE.into();
+    }
+    failure
+}
--- /dev/null
+++ b/crates/siskinhook-engine/src/classify.rs
@@ -0,0 +1,216 @@
+//! Classification of statements, with a cache by text.
+
+use indexmap::IndexMap;
+use siskinhook_types::value_type;
+use smol_str::SmolStr;
+use sqlparser::{
+    ast::{self, TransactionAccessMode, TransactionMode},
+    dialect::PostgreSqlDialect,
+    parser::Parser,
+    tokenizer::{Token, Tokenizer},
+};
+use std::sync::{Mutex, PoisonError};
+
+value_type! {
+    /// What a statement does, as far as routing depends on it.
+    #[derive(Copy, Hash)]
+    pub enum Operation {
+        /// Reads only.
+        Read,
+        /// May write.
+        Write,
+        /// Opens a read-write transaction.
+        Begin,
+        /// Opens a read-only transaction.
+        BeginReadOnly,
+        /// Commits the transaction.
+        Commit,
+        /// Rolls the transaction back.
+        Rollback,
+        /// Changes state of the server connection, which callers share, or mixes transaction
+        /// control with other statements in one text.
+        Unsupported,
+    }
+}
+
+/// Functions without side effects and keywords that an opening parenthesis may follow. Any
+/// other name before a parenthesis may be a function that writes.
+const PURE: &[&str] = &[
+    "abs", "age", "all", "and", "any", "array", "array_agg", "as", "avg", "between", "bigint",
+    "bool_and", "bool_or", "by", "cast", "ceil", "ceiling", "char", "char_length", "coalesce",
+    "concat", "concat_ws", "count", "cume_dist", "current_timestamp", "date", "date_part",
+    "date_trunc", "decimal", "dense_rank", "distinct", "else", "except", "exists", "extract",
+    "filter", "first_value", "floor", "format", "from", "generate_series", "greatest", "having",
+    "ilike", "in", "intersect", "interval", "join", "json_agg", "json_build_object", "jsonb_agg",
+    "jsonb_build_object", "lag", "last_value", "lateral", "lead", "least", "left", "length", "like",
+    "limit", "lower", "lpad", "ltrim", "make_interval", "max", "md5", "min", "mod", "not", "now",
+    "ntile", "nullif", "numeric", "offset", "on", "or", "over", "percent_rank", "pg_sleep",
+    "position", "power", "rank", "replace", "right", "round", "row", "row_number", "rpad", "rtrim",
+    "select", "sign", "some", "split_part", "sqrt", "string_agg", "strpos", "substr", "substring",
+    "sum", "then", "time", "timestamp", "timestamptz", "to_char", "to_date", "to_number",
+    "to_timestamp", "trim", "trunc", "union", "unnest", "upper", "using", "values", "varchar",
+    "when", "where", "width_bucket",
+];
+
+/// Words that make a query a write wherever they stand: locking clauses, `SELECT INTO` and
+/// data-modifying expressions of a `WITH` clause.
+const WRITING: &[&str] = &["delete", "insert", "into", "merge", "share", "update"];
+
+/// First words of statements that control transactions, for texts that do not parse.
+const CONTROL: &[&str] = &[
+    "abort", "begin", "commit", "deallocate", "declare", "discard", "end", "listen", "prepare",
+    "reset", "rollback", "set", "start", "unlisten",
+];
+
+/// Classifies a statement text; a text that does not parse counts as a write.
+#[must_use]
+pub fn classify(sql: &str) -> Operation {
+    let Ok(statements) = Parser::parse_sql(&PostgreSqlDialect {}, sql) else {
+        return unparsed(sql);
+    };
+    let mut operations = statements.iter().map(operation);
+    match (operations.next(), statements.len()) {
+        (None, _) => Operation::Read,
+        (Some(Operation::Read), 1) if !is_pure(sql) => Operation::Write,
+        (Some(first), 1) => first,
+        (Some(first), _) => several(first, operations, sql),
+    }
+}
+
+fn several(first: Operation, rest: impl Iterator<Item = Operation>, sql: &str) -> Operation {
+    let joined = rest.fold(first, |joined, next| match (joined, next) {
+        (Operation::Read, Operation::Read) => Operation::Read,
+        (Operation::Read | Operation::Write, Operation::Read | Operation::Write) => {
+            Operation::Write
+        }
+        _ => Operation::Unsupported,
+    });
+    if joined == Operation::Read && !is_pure(sql) {
+        return Operation::Write;
+    }
+    joined
+}
+
+fn operation(statement: &ast::Statement) -> Operation {
+    use ast::Statement as S;
+    match statement {
+        S::Query(_) | S::ShowVariable { .. } => Operation::Read,
+        S::Explain { analyze, statement, .. } if !analyze => operation(statement),
+        S::StartTransaction { modes, statements, .. } if statements.is_empty() => begin(modes),
+        S::Commit { chain: false, .. } => Operation::Commit,
+        S::Rollback { chain: false, savepoint: None } => Operation::Rollback,
+        S::Rollback { chain: false, savepoint: Some(_) } => Operation::Write,
+        S::Set(set) if is_local(set) => Operation::Write,
+        S::StartTransaction { .. }
+        | S::Commit { .. }
+        | S::Rollback { .. }
+        | S::Set(_)
+        | S::Reset(_)
+        | S::Discard { .. }
+        | S::Declare { .. }
+        | S::Prepare { .. }
+        | S::Deallocate { .. }
+        | S::LISTEN { .. }
+        | S::UNLISTEN { .. } => Operation::Unsupported,
+        _ => Operation::Write,
+    }
+}
+
+/// Returns whether a setting ends with the transaction.
+fn is_local(set: &ast::Set) -> bool {
+    use ast::{ContextModifier, Set};
+    matches!(
+        set,
+        Set::SingleAssignment { scope: Some(ContextModifier::Local), .. }
+            | Set::SetTimeZone { local: true, .. }
+            | Set::SetTransaction { session: false, .. }
+    )
+}
+
+fn begin(modes: &[TransactionMode]) -> Operation {
+    let only = TransactionMode::AccessMode(TransactionAccessMode::ReadOnly);
+    if modes.contains(&only) {
+        Operation::BeginReadOnly
+    } else {
+        Operation::Begin
+    }
+}
+
+fn unparsed(sql: &str) -> Operation {
+    let controls = sql.split(';').any(|part| {
+        let word = part.split_whitespace().next().unwrap_or_default();
+        CONTROL.contains(&word.to_ascii_lowercase().as_str())
+    });
+    if controls {
+        Operation::Unsupported
+    } else {
+        Operation::Write
+    }
+}
+
+/// Returns whether a query calls only known functions, locks nothing and modifies nothing.
+fn is_pure(sql: &str) -> bool {
+    let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize() else {
+        return false;
+    };
+    let mut previous: Option<&Token> = None;
+    for token in &tokens {
+        match token {
+            Token::Whitespace(_) => continue,
+            Token::LParen if !may_precede(previous) => return false,
+            Token::Word(word) if word.quote_style.is_none() => {
+                if WRITING.contains(&word.value.to_ascii_lowercase().as_str()) {
+                    return false;
+                }
+            }
+            _ => {}
+        }
+        previous = Some(token);
+    }
+    true
+}
+
+fn may_precede(previous: Option<&Token>) -> bool {
+    match previous {
+        Some(Token::Word(word)) => {
+            word.quote_style.is_none() && PURE.contains(&word.value.to_ascii_lowercase().as_str())
+        }
+        _ => true,
+    }
+}
+
+/// Classifies statements and keeps the results of the latest texts.
+#[derive(Debug)]
+pub struct Classifier {
+    cache: Mutex<IndexMap<SmolStr, Operation>>,
+    limit: usize,
+}
+
+impl Classifier {
+    /// Creates a classifier that keeps at most `limit` texts.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            cache: Mutex::new(IndexMap::new()),
+            limit: limit.max(2),
+        }
+    }
+
+    /// Classifies a statement text.
+    pub fn classify(&self, sql: &SmolStr) -> Operation {
+        if let Some(known) = self.lock().get(sql) {
+            return *known;
+        }
+        let operation = classify(sql);
+        let mut cache = self.lock();
+        if cache.len() >= self.limit {
+            cache.drain(..self.limit / 2);
+        }
+        cache.insert(sql.clone(), operation);
+        operation
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, IndexMap<SmolStr, Operation>> {
+        self.cache.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/siskinhook-engine/src/lib.rs
+++ b/crates/siskinhook-engine/src/lib.rs
@@ -1,1 +1,26 @@
 //! The node's request path behind the front end: owners, server connections, forwarding, failover.
+//!
+//! [`Engine`] runs on one node. Entry side: a [`Session`] classifies statements, chooses a
+//! server and sends the statement to the server's owner over a link. Owner side: an
+//! [`OwnerLink`] queues the statement, runs it on a server connection and confirms writes.
+
+mod answer;
+mod classify;
+mod clock;
+mod counters;
+mod engine;
+mod entry;
+mod owner;
+mod path;
+mod report;
+mod session;
+mod settings;
+
+pub use answer::Answer;
+pub use classify::{Classifier, Operation, classify};
+pub use counters::{Counters, CountersSnapshot};
+pub use engine::Engine;
+pub use owner::OwnerLink;
+pub use report::{DatabaseReport, EngineReport, ServerReport};
+pub use session::{CancelHandle, Session, SessionOptions, TransactionState};
+pub use settings::{EngineSettings, Identity};
--- /dev/null
+++ b/crates/siskinhook-engine/src/owner/mod.rs
@@ -0,0 +1,102 @@
+//! The owner's side of the request path: one server's queue, connections and lock.
+
+mod execute;
+mod fresh;
+mod link;
+mod lock;
+mod outcome;
+mod pool;
+mod silence;
+mod slots;
+mod transaction;
+mod worker;
+
+use std::sync::Arc;
+
+use siskinhook_types::{Failure, FailureKind, Limits, Server, Targets, sqlstate};
+use tokio::sync::{Semaphore, watch};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::{core::Core, group::Group};
+
+pub use link::OwnerLink;
+pub use pool::{DataConnection, Pool};
+pub use silence::Silence;
+pub use slots::{Slot, Slots};
+
+/// Connections of the limit that are not used for data: the owner's and the watchers' control
+/// connections, and one for a confirmation or a probe.
+pub const RESERVED: u32 = 4;
+
+/// One server that this node owns.
+pub struct Owner<T: Targets> {
+    pub server: Server,
+    pub limits: Limits,
+    pub group: Arc<Group<T>>,
+    pub pool: Arc<Pool<T>>,
+    pub slots: Arc<Slots>,
+    pub silence: Arc<Silence<T>>,
+    /// Transactions that may hold a connection at the same time; the rest of the connections
+    /// stay available to single statements.
+    pub pins: Arc<Semaphore>,
+    retired: watch::Sender<bool>,
+    stop: CancellationToken,
+    _guard: DropGuard,
+}
+
+impl<T: Targets> Owner<T> {
+    /// Starts to own a server.
+    pub fn start(
+        core: &Arc<Core<T>>,
+        server: &Server,
+        limits: &Limits,
+        group: &Arc<Group<T>>,
+    ) -> Arc<Self> {
+        let stop = CancellationToken::new();
+        let data = limits.connections.saturating_sub(RESERVED).max(1) as usize;
+        let pool = Arc::new(Pool::new(core, server.clone(), data, limits.slots as usize));
+        let pins = data.saturating_sub(limits.slots as usize).max(1);
+        let silence = Silence::start(core, pool.clone(), server.clone(), stop.clone());
+        let owner = Arc::new(Self {
+            server: server.clone(),
+            limits: limits.clone(),
+            group: group.clone(),
+            slots: Slots::start(limits, core.counters.clone(), stop.clone()),
+            pool,
+            silence,
+            pins: Arc::new(Semaphore::new(pins)),
+            retired: watch::Sender::new(false),
+            _guard: stop.clone().drop_guard(),
+            stop: stop.clone(),
+        });
+        tokio::spawn(lock::hold(
+            core.clone(),
+            server.clone(),
+            group.clone(),
+            owner.pool.clone(),
+            stop,
+        ));
+        owner
+    }
+
+    /// Stops taking new requests and gives up the lock; work in flight goes on.
+    pub fn retire(&self) {
+        self.retired.send_replace(true);
+        self.stop.cancel();
+        self.pool.forbid();
+    }
+
+    /// Whether the owner was retired.
+    pub fn is_retired(&self) -> bool {
+        *self.retired.borrow()
+    }
+}
+
+/// The failure of a write sent to a server that is not the primary.
+pub fn not_primary(server: &Server) -> Failure {
+    Failure::not_run(
+        FailureKind::NotPrimary,
+        sqlstate::READ_ONLY,
+        format!("server {} is not the primary; retry", server.name),
+    )
+}
--- /dev/null
+++ b/crates/siskinhook-engine/src/session.rs
@@ -0,0 +1,357 @@
+//! A caller's session on its entry node.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering::Relaxed},
+    },
+    time::{Duration, Instant},
+};
+
+use siskinhook_types::{
+    CallerId, Class, DatabaseId, Failure, FailureKind, Kind, Links, Part, Platform, RequestId,
+    SessionId, Statement, Targets, Token, sqlstate, value_type,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    Answer, Operation,
+    clock::now,
+    core::{Route, draining},
+    engine::Inner,
+    entry::{Job, Pinned},
+};
+
+value_type! {
+    /// Whether a session has an open transaction.
+    #[derive(Copy, Default, Hash)]
+    pub enum TransactionState {
+        /// No transaction is open.
+        #[default]
+        Idle,
+        /// A transaction is open.
+        Active,
+        /// The open transaction failed; only its end is accepted.
+        Failed,
+    }
+}
+
+/// Settings that a caller makes for its session.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SessionOptions {
+    /// Name of the session.
+    pub session: SessionId,
+    /// Class of work; the catalogue entry's when absent.
+    pub class: Option<Class>,
+    /// Maximum age of data that reads may see; the catalogue entry's when absent.
+    pub max_age: Option<Duration>,
+    /// Idempotency key of the next write or transaction; that request consumes it.
+    pub request: Option<RequestId>,
+    /// Whether statements may run more than once; reads only when absent.
+    pub repeatable: Option<bool>,
+    /// Time from the arrival of a statement in which it must start.
+    pub deadline: Option<Duration>,
+    /// Token of an earlier write, from this or another session; the next statement takes it
+    /// over into the session.
+    pub token: Option<Token>,
+}
+
+/// State that a session shares with the answer in progress.
+pub struct Conversation<T: Targets, L: Links> {
+    pub transaction: TransactionState,
+    pub pinned: Option<Pinned<T, L>>,
+    pub token: Option<Token>,
+    pub busy: bool,
+}
+
+pub type SharedConversation<T, L> = Arc<Mutex<Conversation<T, L>>>;
+
+/// Locks a conversation.
+pub fn lock<T: Targets, L: Links>(
+    shared: &SharedConversation<T, L>,
+) -> std::sync::MutexGuard<'_, Conversation<T, L>> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Cancels the running statement of a session.
+#[derive(Clone, Debug, Default)]
+pub struct CancelHandle {
+    running: Arc<Mutex<Option<CancellationToken>>>,
+}
+
+impl CancelHandle {
+    /// Cancels the running statement, if there is one: its link is closed, which makes the
+    /// owner roll back. The statement ends with `MayHaveRun` when it had been sent.
+    pub fn cancel(&self) {
+        if let Some(token) = &*self.lock() {
+            token.cancel();
+        }
+    }
+
+    pub(crate) fn begin(&self) -> CancellationToken {
+        let token = CancellationToken::new();
+        *self.lock() = Some(token.clone());
+        token
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Option<CancellationToken>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Numbers sessions that have no name, for logs.
+static UNNAMED: AtomicUsize = AtomicUsize::new(1);
+
+/// A caller's session; one statement at a time.
+pub struct Session<T: Targets, L: Links, P: Platform> {
+    engine: Arc<Inner<T, L, P>>,
+    database: DatabaseId,
+    caller: CallerId,
+    options: SessionOptions,
+    started: Instant,
+    shared: SharedConversation<T, L>,
+    cancel: CancelHandle,
+}
+
+impl<T: Targets, L: Links, P: Platform> Session<T, L, P> {
+    pub(crate) fn new(
+        engine: Arc<Inner<T, L, P>>,
+        database: DatabaseId,
+        caller: CallerId,
+        mut options: SessionOptions,
+    ) -> Self {
+        if options.session.is_empty() {
+            let number = UNNAMED.fetch_add(1, Relaxed);
+            options.session = format!("{}-{number}", engine.core.identity.node).into();
+        }
+        engine.core.sessions.send_modify(|n| *n += 1);
+        Self {
+            engine,
+            database,
+            caller,
+            options,
+            started: now(),
+            shared: Arc::new(Mutex::new(Conversation {
+                transaction: TransactionState::Idle,
+                pinned: None,
+                token: None,
+                busy: false,
+            })),
+            cancel: CancelHandle::default(),
+        }
+    }
+
+    /// Returns the settings of the session.
+    #[must_use]
+    pub const fn options(&self) -> &SessionOptions {
+        &self.options
+    }
+
+    /// Returns the settings of the session for a change; it holds from the next statement on.
+    pub const fn options_mut(&mut self) -> &mut SessionOptions {
+        &mut self.options
+    }
+
+    /// Returns the state of the session's transaction.
+    #[must_use]
+    pub fn transaction(&self) -> TransactionState {
+        lock(&self.shared).transaction
+    }
+
+    /// Returns the token of the session's latest write, or the one it resumed with.
+    #[must_use]
+    pub fn token(&self) -> Option<Token> {
+        lock(&self.shared).token.clone()
+    }
+
+    /// Returns a handle that cancels the running statement from elsewhere.
+    #[must_use]
+    pub fn cancel_handle(&self) -> CancelHandle {
+        self.cancel.clone()
+    }
+
+    /// Runs a statement.
+    ///
+    /// Returns once the first part of the answer is there; for writes once the write is
+    /// acknowledged, unless its rows exceed the buffer.
+    ///
+    /// # Errors
+    /// The failure with the verdict whether the statement ran.
+    pub async fn execute(&mut self, statement: Statement) -> Result<Answer<T, L, P>, Failure> {
+        let result = self.dispatch(statement).await;
+        if let Err(failure) = &result {
+            self.engine.core.record(failure);
+        }
+        result
+    }
+
+    /// Asks for the parameter types and columns of a statement without running it.
+    ///
+    /// # Errors
+    /// As `execute`.
+    pub async fn describe(&mut self, statement: Statement) -> Result<Answer<T, L, P>, Failure> {
+        let route = self.prepare()?;
+        let operation = self.engine.core.classifier.classify(&statement.sql);
+        if self.transaction() != TransactionState::Idle {
+            return self.inner(&route, Kind::Describe, statement).await;
+        }
+        self.admit()?;
+        if operation == Operation::Unsupported {
+            return Err(unsupported(&statement));
+        }
+        let job = self.job(&route, Kind::Describe, statement);
+        job.run().await
+    }
+
+    async fn dispatch(&mut self, statement: Statement) -> Result<Answer<T, L, P>, Failure> {
+        let route = self.prepare()?;
+        let operation = self.engine.core.classifier.classify(&statement.sql);
+        if operation == Operation::Unsupported {
+            return Err(unsupported(&statement));
+        }
+        if self.transaction() != TransactionState::Idle {
+            let kind = match operation {
+                Operation::Commit => Kind::Commit,
+                Operation::Rollback => Kind::Rollback,
+                _ => Kind::Inner,
+            };
+            return self.inner(&route, kind, statement).await;
+        }
+        self.admit()?;
+        let kind = match operation {
+            Operation::Read => Kind::Read,
+            Operation::Begin => Kind::Begin,
+            Operation::BeginReadOnly => Kind::BeginReadOnly,
+            Operation::Commit => return Ok(self.completed("COMMIT")),
+            Operation::Rollback => return Ok(self.completed("ROLLBACK")),
+            Operation::Write | Operation::Unsupported => Kind::Write,
+        };
+        self.job(&route, kind, statement).run().await
+    }
+
+    async fn inner(
+        &mut self,
+        route: &Arc<Route>,
+        kind: Kind,
+        statement: Statement,
+    ) -> Result<Answer<T, L, P>, Failure> {
+        let pinned = lock(&self.shared).pinned.take();
+        let Some(pinned) = pinned else {
+            if matches!(kind, Kind::Commit | Kind::Rollback) {
+                lock(&self.shared).transaction = TransactionState::Idle;
+                return Ok(self.completed("ROLLBACK"));
+            }
+            return Err(Failure::not_run(
+                FailureKind::BadRequest,
+                "25P02",
+                "the transaction was lost and is rolled back; end it with ROLLBACK and repeat it",
+            ));
+        };
+        let job = self.job(route, kind, statement);
+        job.run_pinned(pinned).await
+    }
+
+    /// Checks the session's state and settings before a statement.
+    fn prepare(&mut self) -> Result<Arc<Route>, Failure> {
+        let Some(route) = self.engine.core.route(&self.database) else {
+            return Err(unknown_database(&self.database));
+        };
+        let mut shared = lock(&self.shared);
+        if shared.busy {
+            return Err(Failure::not_run(
+                FailureKind::BadRequest,
+                sqlstate::PROTOCOL,
+                "the previous answer of the session is still open; read or drop it first",
+            ));
+        }
+        if let Some(token) = self.options.token.take() {
+            if token.database != self.database {
+                return Err(Failure::not_run(
+                    FailureKind::BadRequest,
+                    sqlstate::INVALID_VALUE,
+                    format!(
+                        "token {token} belongs to database {:?}, the session to {:?}; \
+                         pass a token of this database",
+                        token.database, self.database
+                    ),
+                ));
+            }
+            shared.token = Some(token);
+        }
+        Ok(route)
+    }
+
+    fn admit(&self) -> Result<(), Failure> {
+        if *self.engine.core.draining.borrow() {
+            return Err(draining());
+        }
+        Ok(())
+    }
+
+    fn job(&mut self, route: &Arc<Route>, kind: Kind, statement: Statement) -> Job<T, L, P> {
+        let arrived = now();
+        let deadline = self
+            .options
+            .deadline
+            .unwrap_or(Duration::from_millis(route.limits.deadline));
+        let id = match kind {
+            Kind::Write | Kind::Begin => self.options.request.take(),
+            _ => None,
+        };
+        Job {
+            engine: self.engine.clone(),
+            route: route.clone(),
+            caller: self.caller.clone(),
+            session: self.options.session.clone(),
+            kind,
+            statement,
+            class: self.options.class.unwrap_or(route.class),
+            max_age: self
+                .options
+                .max_age
+                .or_else(|| route.max_age.map(Duration::from_millis)),
+            since: self.started,
+            deadline: arrived + deadline,
+            id,
+            repeatable: self.options.repeatable,
+            shared: self.shared.clone(),
+            cancel: self.cancel.begin(),
+            active: self.engine.core.track(),
+        }
+    }
+
+    fn completed(&self, tag: &str) -> Answer<T, L, P> {
+        let done = Part::Done {
+            tag: tag.into(),
+            point: None,
+        };
+        Answer::completed(self.engine.clone(), self.shared.clone(), done)
+    }
+}
+
+impl<T: Targets, L: Links, P: Platform> Drop for Session<T, L, P> {
+    fn drop(&mut self) {
+        self.engine.core.sessions.send_modify(|n| *n -= 1);
+    }
+}
+
+fn unsupported(statement: &Statement) -> Failure {
+    let word = statement.sql.split_whitespace().next().unwrap_or_default();
+    Failure::not_run(
+        FailureKind::BadRequest,
+        sqlstate::NOT_SUPPORTED,
+        format!(
+            "{word} changes the state of a connection that callers share, or mixes transaction \
+             control with other statements; use SET LOCAL in a transaction, or one statement \
+             per request"
+        ),
+    )
+}
+
+pub fn unknown_database(database: &str) -> Failure {
+    Failure::not_run(
+        FailureKind::BadRequest,
+        sqlstate::UNKNOWN_DATABASE,
+        format!("database {database:?} is not in the catalogue; check the name or add an entry"),
+    )
+}
