Add the in-process database servers, network and platform stand-ins

Change: servers over in-memory SQLite with terms, fencing, promotion and asynchronous replication; LocalTargets, LocalPlatform, Network, Site::local, Fault with the words of the demo.

--- a/crates/siskinhook-standin/src/lib.rs
+++ b/crates/siskinhook-standin/src/lib.rs
@@ -1,1 +1,27 @@
 //! Small stand-ins for the platform, the database groups and the network, with faults.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+mod database;
+mod fault;
+mod local;
+mod network;
+mod platform;
+mod replication;
+mod server;
+mod site;
+mod sql;
+mod value;
+
+pub use fault::{DEMO_WORDS, Fault, NodeFault};
+pub use local::{LocalSession, LocalTargets};
+pub use network::{Connection, Cut, Endpoint, Latencies, Network};
+pub use platform::{LocalPlatform, PlatformState, PlatformStore};
+pub use server::{Server, ServerOptions};
+pub use site::{Plan, ServerState, Site, SiteState};
+
+/// Locks a mutex; state behind a panic elsewhere stays usable, so that a test shows the first
+/// panic only.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/siskinhook-standin/src/network.rs
@@ -0,0 +1,283 @@
+//! The network: latencies, cuts and connections that stay silent.
+
+use std::{
+    future,
+    sync::{
+        Arc, Mutex, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use indexmap::IndexSet;
+use siskinhook_types::{Zone, value_type};
+use smol_str::SmolStr;
+use tokio::{sync::watch, time::sleep};
+
+use crate::lock;
+
+/// Zone name of callers, who are outside every zone.
+const CLIENT_ZONE: &str = "client";
+/// Name and zone of the platform.
+const PLATFORM: &str = "platform";
+
+value_type! {
+    /// A process that sends and receives messages.
+    #[derive(Hash)]
+    pub struct Endpoint {
+        /// Name, unique in the site.
+        pub name: SmolStr,
+        /// Zone it runs in.
+        pub zone: Zone,
+    }
+
+    /// A cut: messages between the two sides do not arrive.
+    #[derive(Hash)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum Cut {
+        /// A zone from all other zones.
+        Zone(Zone),
+        /// A zone from the platform.
+        Platform(Zone),
+        /// A server or node from everything.
+        Name(SmolStr),
+        /// Two zones, servers or nodes from each other.
+        Pair(SmolStr, SmolStr),
+    }
+}
+
+impl Endpoint {
+    /// Creates the endpoint of a server or node.
+    pub fn new(name: impl Into<SmolStr>, zone: impl Into<Zone>) -> Self {
+        Self {
+            name: name.into(),
+            zone: zone.into(),
+        }
+    }
+
+    /// Creates the endpoint of a caller.
+    pub fn client(name: impl Into<SmolStr>) -> Self {
+        Self::new(name, CLIENT_ZONE)
+    }
+
+    /// Creates the endpoint of the platform.
+    #[must_use]
+    pub fn platform() -> Self {
+        Self::new(PLATFORM, PLATFORM)
+    }
+
+    fn is_inside(&self) -> bool {
+        self.zone != CLIENT_ZONE && self.zone != PLATFORM
+    }
+
+    fn is(&self, name: &str) -> bool {
+        self.name == name || self.zone == name
+    }
+}
+
+impl Cut {
+    /// Returns whether the cut lies between two endpoints.
+    #[must_use]
+    pub fn separates(&self, a: &Endpoint, b: &Endpoint) -> bool {
+        match self {
+            Self::Zone(zone) => {
+                a.is_inside() && b.is_inside() && (a.zone == *zone) != (b.zone == *zone)
+            }
+            Self::Platform(zone) => {
+                (a.zone == PLATFORM && b.zone == *zone) || (b.zone == PLATFORM && a.zone == *zone)
+            }
+            Self::Name(name) => a.name == *name || b.name == *name,
+            Self::Pair(x, y) => (a.is(x) && b.is(y)) || (a.is(y) && b.is(x)),
+        }
+    }
+}
+
+/// One-way latencies; the defaults are those of today's deployments.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Latencies {
+    /// Within a zone.
+    pub local: Duration,
+    /// Between zones.
+    pub zones: Duration,
+    /// To callers.
+    pub clients: Duration,
+    /// To the platform.
+    pub platform: Duration,
+}
+
+impl Default for Latencies {
+    fn default() -> Self {
+        Self {
+            local: Duration::from_micros(100),
+            zones: Duration::from_micros(500),
+            clients: Duration::from_millis(1),
+            platform: Duration::from_millis(1),
+        }
+    }
+}
+
+/// The network between all endpoints of a site.
+#[derive(Clone, Debug)]
+pub struct Network {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    latencies: Latencies,
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    cuts: IndexSet<Cut>,
+    connections: Vec<Weak<Connection>>,
+}
+
+/// A connection between two endpoints.
+#[derive(Debug)]
+pub struct Connection {
+    network: Network,
+    from: Endpoint,
+    to: Endpoint,
+    silent: AtomicBool,
+    /// Latency below a millisecond that was not slept yet.
+    owed: Mutex<Duration>,
+}
+
+impl Network {
+    /// Creates a network without cuts.
+    #[must_use]
+    pub fn new(latencies: Latencies) -> Self {
+        Self {
+            inner: Arc::new(Inner {
+                latencies,
+                state: Mutex::default(),
+                changed: watch::Sender::new(0),
+            }),
+        }
+    }
+
+    /// Returns whether messages pass between two endpoints.
+    #[must_use]
+    pub fn is_open(&self, a: &Endpoint, b: &Endpoint) -> bool {
+        let state = lock(&self.inner.state);
+        !state.cuts.iter().any(|cut| cut.separates(a, b))
+    }
+
+    /// Returns the cuts in force.
+    #[must_use]
+    pub fn cuts(&self) -> Vec<Cut> {
+        lock(&self.inner.state).cuts.iter().cloned().collect()
+    }
+
+    /// Puts a cut in force.
+    pub fn cut(&self, cut: Cut) {
+        lock(&self.inner.state).cuts.insert(cut);
+        self.inner.changed.send_modify(|version| *version += 1);
+    }
+
+    /// Removes a cut. Connections over it resume, or stay silent for good.
+    pub fn heal(&self, cut: &Cut, silent: bool) {
+        if silent {
+            self.silence(cut);
+        }
+        lock(&self.inner.state).cuts.shift_remove(cut);
+        self.inner.changed.send_modify(|version| *version += 1);
+    }
+
+    /// Makes the open connections that a cut would separate silent for good.
+    /// New connections work.
+    pub fn silence(&self, cut: &Cut) {
+        let mut state = lock(&self.inner.state);
+        state.connections.retain(|weak| weak.strong_count() > 0);
+        for connection in state.connections.iter().filter_map(Weak::upgrade) {
+            if cut.separates(&connection.from, &connection.to) {
+                connection.silent.store(true, Ordering::Release);
+            }
+        }
+        drop(state);
+        self.inner.changed.send_modify(|version| *version += 1);
+    }
+
+    /// Creates a connection, which does not yet send anything.
+    #[must_use]
+    pub fn connect(&self, from: Endpoint, to: Endpoint) -> Arc<Connection> {
+        let connection = Arc::new(Connection {
+            network: self.clone(),
+            from,
+            to,
+            silent: AtomicBool::new(false),
+            owed: Mutex::default(),
+        });
+        let mut state = lock(&self.inner.state);
+        if state.connections.len() == state.connections.capacity() {
+            state.connections.retain(|weak| weak.strong_count() > 0);
+        }
+        state.connections.push(Arc::downgrade(&connection));
+        connection
+    }
+
+    fn latency(&self, a: &Endpoint, b: &Endpoint) -> Duration {
+        let latencies = &self.inner.latencies;
+        if a.zone == b.zone {
+            latencies.local
+        } else if a.zone == PLATFORM || b.zone == PLATFORM {
+            latencies.platform
+        } else if a.zone == CLIENT_ZONE || b.zone == CLIENT_ZONE {
+            latencies.clients
+        } else {
+            latencies.zones
+        }
+    }
+}
+
+impl Connection {
+    /// Returns the endpoint that opened the connection.
+    #[must_use]
+    pub fn from(&self) -> &Endpoint {
+        &self.from
+    }
+
+    /// Returns whether a message would pass now.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.silent.load(Ordering::Acquire) && self.network.is_open(&self.from, &self.to)
+    }
+
+    /// Waits while a message cannot pass; forever when the connection is silent for good.
+    pub async fn opened(&self) {
+        let mut changed = self.network.inner.changed.subscribe();
+        while !self.is_open() {
+            if self.silent.load(Ordering::Acquire) || changed.changed().await.is_err() {
+                future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Carries one message: takes the latency, and waits while the network is cut.
+    ///
+    /// A message over a cut arrives after the cut was healed, as TCP sends it again.
+    pub async fn pass(&self) {
+        self.opened().await;
+        let latency = self.network.latency(&self.from, &self.to);
+        pace(&self.owed, latency).await;
+        self.opened().await;
+    }
+}
+
+/// Sleeps whole milliseconds and carries the rest over to the next call, because tokio's timer
+/// rounds every sleep up to a millisecond.
+pub(crate) async fn pace(owed: &Mutex<Duration>, duration: Duration) {
+    let whole = {
+        let mut owed = lock(owed);
+        *owed += duration;
+        let whole = Duration::from_millis(u64::try_from(owed.as_millis()).unwrap_or(u64::MAX));
+        *owed -= whole;
+        whole
+    };
+    if !whole.is_zero() {
+        sleep(whole).await;
+    }
+}
