--- a/crates/siskinhook-engine/src/answer.rs
+++ b/crates/siskinhook-engine/src/answer.rs
@@ -92,14 +92,6 @@
         self.path.is_none()
     }
 
-    /// Releases the request's place among those in progress; for an answer given up for a new
-    /// attempt.
-    pub(crate) fn abandon(mut self) -> Option<Active<T>> {
-        self.path = None;
-        lock(&self.shared).busy = false;
-        self.active.take()
-    }
-
     /// Reads the next part from the owner.
     pub(crate) async fn receive(&mut self) -> Option<Result<Part, Failure>> {
         let path = self.path.as_mut()?;
@@ -170,10 +162,7 @@
             Kind::Inner | Kind::Describe if shared.transaction != TransactionState::Idle => {
                 shared.transaction = TransactionState::Failed;
                 // The transaction's link goes on only after an error of the target itself.
-                let intact = failure.kind == FailureKind::Statement
-                    || failure.kind == FailureKind::Overload
-                    || failure.kind == FailureKind::Deadline;
-                if intact && !self.cancel.is_cancelled() {
+                if failure.kind == FailureKind::Statement {
                     shared.pinned = path;
                 }
             }
--- /dev/null
+++ b/crates/siskinhook-engine/src/controller.rs
@@ -0,0 +1,142 @@
+//! Brings owners and group watches in line with catalogue and fleet.
+
+use std::sync::Arc;
+
+use indexmap::{IndexMap, IndexSet};
+use siskinhook_types::{
+    Catalogue, DatabaseId, FleetView, Links, NodeId, Platform, Server, ServerId, Targets,
+};
+use tokio::sync::watch;
+
+use crate::{
+    core::{Core, Route, View, routes},
+    engine::Inner,
+    group::Group,
+    owner::Owner,
+};
+
+/// What this node should run.
+struct Plan {
+    /// Servers that it owns.
+    owned: IndexMap<ServerId, (Server, Arc<Route>)>,
+    /// Groups that it monitors, and its rank among the watchers.
+    groups: IndexMap<DatabaseId, (Arc<Route>, u32)>,
+}
+
+/// Follows catalogue and fleet until `stop`.
+pub async fn run<T: Targets, L: Links, P: Platform>(
+    inner: Arc<Inner<T, L, P>>,
+    mut catalogue: watch::Receiver<Arc<Catalogue>>,
+    mut fleet: watch::Receiver<Arc<FleetView>>,
+) {
+    let stop = inner.stop.clone();
+    loop {
+        let entries = catalogue.borrow_and_update().clone();
+        let members = fleet.borrow_and_update().clone();
+        apply(&inner, &entries, members);
+        tokio::select! {
+            biased;
+            () = stop.cancelled() => break,
+            changed = catalogue.changed() => if changed.is_err() { stop.cancelled().await; },
+            changed = fleet.changed() => if changed.is_err() { stop.cancelled().await; },
+        }
+        if stop.is_cancelled() {
+            break;
+        }
+    }
+    for owner in std::mem::take(&mut *inner.core.owners()).into_values() {
+        owner.retire();
+    }
+    inner.core.groups().clear();
+}
+
+fn apply<T: Targets, L: Links, P: Platform>(
+    inner: &Inner<T, L, P>,
+    catalogue: &Catalogue,
+    fleet: Arc<FleetView>,
+) {
+    let core = &inner.core;
+    let routes = Arc::new(routes(catalogue));
+    core.set_view(View {
+        routes: routes.clone(),
+        fleet: fleet.clone(),
+    });
+    let plan = plan(core, &routes, &fleet);
+    apply_groups(core, &inner.platform, &plan);
+    apply_owners(core, &plan);
+    core.changes.send_modify(|version| *version += 1);
+}
+
+fn plan<T: Targets>(
+    core: &Core<T>,
+    routes: &IndexMap<DatabaseId, Arc<Route>>,
+    fleet: &Arc<FleetView>,
+) -> Plan {
+    let local = &core.identity.node;
+    let mut plan = Plan {
+        owned: IndexMap::new(),
+        groups: IndexMap::new(),
+    };
+    for (database, route) in routes {
+        let mut watchers: IndexSet<NodeId> = IndexSet::new();
+        for server in &route.servers {
+            let Some(owner) = core.owner_cache.owner(fleet, server) else {
+                continue;
+            };
+            if owner == *local && siskinhook_fleet::owns(fleet, server) {
+                let owned = (server.clone(), route.clone());
+                plan.owned.insert(server.name.clone(), owned);
+            }
+            watchers.insert(owner);
+        }
+        if let Some(rank) = watchers.get_index_of(local) {
+            let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+            plan.groups.insert(database.clone(), (route.clone(), rank));
+        }
+    }
+    plan
+}
+
+fn apply_groups<T: Targets, P: Platform>(core: &Arc<Core<T>>, platform: &P, plan: &Plan) {
+    let mut groups = core.groups();
+    groups.retain(|database, _| plan.groups.contains_key(database));
+    for (database, (route, rank)) in &plan.groups {
+        let same = groups
+            .get(database)
+            .filter(|group| group.serves(&route.servers));
+        if let Some(group) = same {
+            group.update(&route.servers, *rank);
+            continue;
+        }
+        let group = Group::start(core, platform.clone(), database, &route.servers, *rank);
+        groups.insert(database.clone(), group);
+    }
+}
+
+fn apply_owners<T: Targets>(core: &Arc<Core<T>>, plan: &Plan) {
+    let groups = core.groups().clone();
+    let mut owners = core.owners();
+    owners.retain(|name, owner| {
+        let keep = plan.owned.get(name).is_some_and(|(server, route)| {
+            let group = groups.get(&route.database);
+            owner.server.address == server.address
+                && owner.limits == route.limits
+                && group.is_some_and(|group| Arc::ptr_eq(group, &owner.group))
+        });
+        if !keep {
+            owner.retire();
+        }
+        keep
+    });
+    for (name, (server, route)) in &plan.owned {
+        let Some(group) = groups.get(&route.database) else {
+            continue;
+        };
+        if !owners.contains_key(name) {
+            owners.insert(
+                name.clone(),
+                Owner::start(core, server, &route.limits, group),
+            );
+        }
+    }
+}
--- a/crates/siskinhook-engine/src/core.rs
+++ b/crates/siskinhook-engine/src/core.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use siskinhook_fleet::OwnerCache;
 use siskinhook_types::{
     Catalogue, Class, DatabaseId, Failure, FailureKind, FleetView, Limits, NodeId, Server,
     ServerId, Targets, sqlstate,
@@ -41,6 +42,9 @@
     pub draining: watch::Sender<bool>,
     pub active: watch::Sender<usize>,
     pub sessions: watch::Sender<usize>,
+    /// Raised after each change of catalogue or fleet.
+    pub changes: watch::Sender<u64>,
+    pub owner_cache: OwnerCache,
     view: RwLock<View>,
     owners: Mutex<IndexMap<ServerId, Arc<Owner<T>>>>,
     groups: Mutex<IndexMap<DatabaseId, Arc<Group<T>>>>,
@@ -62,6 +66,8 @@
             draining: watch::Sender::new(false),
             active: watch::Sender::new(0),
             sessions: watch::Sender::new(0),
+            changes: watch::Sender::new(0),
+            owner_cache: OwnerCache::new(),
             view: RwLock::new(View {
                 routes: Arc::default(),
                 fleet: Arc::new(fleet),
@@ -113,7 +119,7 @@
 
     /// Returns the node that owns a server.
     pub fn owner_of(&self, server: &Server) -> Option<NodeId> {
-        siskinhook_fleet::owner(&self.view().fleet, server)
+        self.owner_cache.owner(&self.view().fleet, server)
     }
 
     /// Counts a request as in progress until the guard drops.
@@ -173,7 +179,9 @@
     Failure::not_run(
         FailureKind::Deadline,
         sqlstate::DEADLINE,
-        format!("the deadline passed while the statement waited for {what}; raise siskinhook.deadline or retry"),
+        format!(
+            "the deadline passed while the statement waited for {what}; raise siskinhook.deadline or retry"
+        ),
     )
 }
 
--- /dev/null
+++ b/crates/siskinhook-engine/src/entry/choose.rs
@@ -0,0 +1,192 @@
+//! Choice of the server that a request is sent to.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use rand::{SeedableRng, rngs::SmallRng};
+use siskinhook_policy::{Candidate, FreshnessAnswer, SelectSettings, choose_server};
+use siskinhook_types::{DatabaseId, Freshness, Server, ServerId, Targets};
+
+use crate::{
+    clock::now,
+    core::{Core, Route},
+};
+
+/// Time after which an observed wait counts half.
+const HALF_LIFE: Duration = Duration::from_millis(500);
+
+/// What this node observed of a server that it sends requests to.
+#[derive(Clone, Copy, Debug)]
+struct Observed {
+    wait: Duration,
+    at: Instant,
+    /// When it was usable again after a refusal.
+    back: Option<Instant>,
+    /// Last refusal for missing freshness or reachability.
+    refused: Option<Instant>,
+}
+
+struct State {
+    primaries: IndexMap<DatabaseId, ServerId>,
+    observed: IndexMap<ServerId, Observed>,
+    random: SmallRng,
+}
+
+/// What this node knows of the servers it sends requests to.
+pub struct Choices {
+    state: Mutex<State>,
+    settings: SelectSettings,
+}
+
+impl Choices {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            state: Mutex::new(State {
+                primaries: IndexMap::new(),
+                observed: IndexMap::new(),
+                random: SmallRng::seed_from_u64(seed),
+            }),
+            settings: SelectSettings::default(),
+        }
+    }
+
+    /// Returns the primary of a database as far as known here.
+    pub fn primary<T: Targets>(&self, core: &Core<T>, database: &DatabaseId) -> Option<ServerId> {
+        let group = core.groups().get(database).cloned();
+        let monitored = group.and_then(|group| group.primary());
+        let monitored = monitored.map(|(server, _)| server);
+        monitored.or_else(|| self.lock().primaries.get(database).cloned())
+    }
+
+    /// Notes that a server accepted a write.
+    pub fn note_primary(&self, database: &DatabaseId, server: &ServerId) {
+        let mut state = self.lock();
+        if state.primaries.get(database) != Some(server) {
+            state.primaries.insert(database.clone(), server.clone());
+        }
+    }
+
+    /// Notes that a server refused a write because it is not the primary.
+    pub fn forget_primary(&self, database: &DatabaseId, server: &ServerId) {
+        let mut state = self.lock();
+        if state.primaries.get(database) == Some(server) {
+            state.primaries.swap_remove(database);
+        }
+    }
+
+    /// Notes how long a short read took until its first part.
+    pub fn note_wait(&self, server: &ServerId, wait: Duration) {
+        let at = now();
+        let mut state = self.lock();
+        let Some(seen) = state.observed.get_mut(server) else {
+            let seen = Observed {
+                wait,
+                at,
+                back: None,
+                refused: None,
+            };
+            state.observed.insert(server.clone(), seen);
+            return;
+        };
+        seen.wait = (seen.wait * 7 + wait) / 8;
+        seen.at = at;
+        if seen.refused.take().is_some() {
+            seen.back = Some(at);
+        }
+    }
+
+    /// Notes that a server could not serve a read.
+    pub fn note_refusal(&self, server: &ServerId) {
+        let at = now();
+        let mut state = self.lock();
+        let seen = state.observed.entry(server.clone()).or_insert(Observed {
+            wait: Duration::ZERO,
+            at,
+            back: None,
+            refused: None,
+        });
+        seen.refused = Some(at);
+    }
+
+    /// Chooses a server for a read among those not tried yet.
+    pub fn for_read<T: Targets>(
+        &self,
+        core: &Core<T>,
+        route: &Route,
+        freshness: &Freshness,
+        tried: &[ServerId],
+    ) -> Option<Server> {
+        let primary = self.primary(core, &route.database);
+        let usable = |server: &&Server| !server.leaving && !tried.contains(&server.name);
+        let servers: Vec<&Server> = route.servers.iter().filter(usable).collect();
+        let candidates: Vec<Candidate> = servers
+            .iter()
+            .map(|server| self.candidate(core, route, server, primary.as_ref(), freshness))
+            .collect();
+        let mut state = self.lock();
+        let index = choose_server(&candidates, &self.settings, now(), &mut state.random)?;
+        servers.get(index).map(|server| (*server).clone())
+    }
+
+    fn candidate<T: Targets>(
+        &self,
+        core: &Core<T>,
+        route: &Route,
+        server: &Server,
+        primary: Option<&ServerId>,
+        freshness: &Freshness,
+    ) -> Candidate {
+        let group = core.groups().get(&route.database).cloned();
+        let known = group.map_or(FreshnessAnswer::NeedAnchor, |group| {
+            group.freshness(&server.name, freshness)
+        });
+        let owner = core.owners().get(&server.name).cloned();
+        let (observed, back) = self.observed(&server.name);
+        Candidate {
+            server: server.name.clone(),
+            local: server.zone == core.identity.zone,
+            primary: primary == Some(&server.name),
+            freshness: known,
+            wait: owner.map_or(observed, |owner| owner.slots.load().wait),
+            back,
+        }
+    }
+
+    /// Returns the expected wait, which decays while nothing is observed, and when the server
+    /// came back after a refusal.
+    fn observed(&self, server: &ServerId) -> (Duration, Option<Instant>) {
+        let state = self.lock();
+        let Some(seen) = state.observed.get(server) else {
+            return (Duration::ZERO, None);
+        };
+        let age = now().saturating_duration_since(seen.at);
+        let halvings = age.as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let wait = seen.wait.mul_f64(0.5_f64.powf(halvings));
+        (wait, seen.refused.or(seen.back))
+    }
+
+    /// Chooses the server for a request that needs the primary: the known primary first.
+    pub fn for_write<T: Targets>(
+        &self,
+        core: &Core<T>,
+        route: &Route,
+        tried: &[ServerId],
+    ) -> Option<Server> {
+        let untried = |server: &&Server| !tried.contains(&server.name);
+        let primary = self.primary(core, &route.database);
+        let known = primary.and_then(|primary| {
+            let server = route.servers.iter().find(|server| server.name == primary)?;
+            Some(server).filter(untried)
+        });
+        known
+            .or_else(|| route.servers.iter().find(untried))
+            .cloned()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/siskinhook-engine/src/entry/job.rs
@@ -0,0 +1,412 @@
+//! One statement of a session on its way through the entry node.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use siskinhook_types::{
+    CallerId, Class, Failure, FailureKind, Freshness, Kind, Links, NodeId, Part, Platform, Request,
+    RequestId, Server, ServerId, SessionId, Statement, Targets, Verdict,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::Pinned;
+use crate::{
+    Answer, OwnerLink,
+    clock::{now, sleep_until, until},
+    core::{Active, Route, deadline_passed, unavailable},
+    counters::count,
+    engine::Inner,
+    path::Path,
+    session::{SharedConversation, lock},
+};
+
+/// Parts of a write's answer that are held back until the write is acknowledged, so that the
+/// attempt can be repeated.
+const HELD_PARTS: usize = 64;
+/// Bytes of a write's rows that are held back.
+const HELD_BYTES: usize = 64 * 1024;
+/// First pause after every server was tried, for example during a failover.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause between two rounds. A failover takes a few hundred milliseconds at least.
+const LAST_PAUSE: Duration = Duration::from_millis(250);
+
+/// One statement of a session.
+pub struct Job<T: Targets, L: Links, P: Platform> {
+    pub engine: Arc<Inner<T, L, P>>,
+    pub route: Arc<Route>,
+    pub caller: CallerId,
+    pub session: SessionId,
+    pub kind: Kind,
+    pub statement: Statement,
+    pub class: Class,
+    pub max_age: Option<Duration>,
+    /// Start of the session.
+    pub since: Instant,
+    pub deadline: Instant,
+    pub id: Option<RequestId>,
+    pub repeatable: Option<bool>,
+    pub shared: SharedConversation<T, L>,
+    pub cancel: CancellationToken,
+    /// Counts the request as in progress between two attempts.
+    pub _active: Active<T>,
+}
+
+/// What the attempts of one request have shown so far.
+#[derive(Default)]
+struct Attempts {
+    /// Servers that cannot serve the request in this round.
+    tried: Vec<ServerId>,
+    /// Owner named by a node that is not it.
+    hint: Option<NodeId>,
+    reroutes: u32,
+    rounds: u32,
+}
+
+impl<T: Targets, L: Links, P: Platform> Job<T, L, P> {
+    /// Runs the statement outside a transaction.
+    pub async fn run(self) -> Result<Answer<T, L, P>, Failure> {
+        self.engine.budget.on_request();
+        let mut uncertain: Option<Failure> = None;
+        let mut retries = 0;
+        loop {
+            let failure = match self.pursue(self.kind, None).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            if failure.verdict != Verdict::MayHaveRun {
+                // An earlier attempt may have run although this one did not.
+                let earlier = uncertain.filter(|_| failure.verdict == Verdict::NotRun);
+                return Err(earlier.unwrap_or(failure));
+            }
+            if self.cancel.is_cancelled() {
+                return Err(failure);
+            }
+            if let Some(id) = self.id.as_ref().filter(|_| self.kind == Kind::Write) {
+                if let Some(answer) = self.resolve(id, now()).await? {
+                    return Ok(answer);
+                }
+            } else if !self.may_repeat() {
+                return Err(failure);
+            }
+            retries += 1;
+            let Some(at) = self.engine.budget.try_retry(retries) else {
+                count(&self.engine.core.counters.retries_refused);
+                return Err(failure);
+            };
+            if at >= self.deadline {
+                return Err(failure);
+            }
+            count(&self.engine.core.counters.retries);
+            sleep_until(at).await;
+            uncertain = Some(failure);
+        }
+    }
+
+    /// Whether the statement may run more than once.
+    fn may_repeat(&self) -> bool {
+        let harmless = !matches!(self.kind, Kind::Write);
+        self.repeatable.unwrap_or(harmless)
+    }
+
+    /// Sends a request until a server takes it, it may have run, or the deadline passes.
+    /// `since` replaces the session's freshness.
+    pub async fn pursue(
+        &self,
+        kind: Kind,
+        since: Option<Instant>,
+    ) -> Result<Answer<T, L, P>, Failure> {
+        let mut attempts = Attempts::default();
+        loop {
+            if now() >= self.deadline {
+                return Err(deadline_passed("a server"));
+            }
+            let freshness = since.map_or_else(
+                || self.freshness(),
+                |since| Freshness {
+                    point: None,
+                    since: Some(since),
+                },
+            );
+            let Some(server) = self.choose(kind, &freshness, &attempts) else {
+                let failure = unavailable(format!(
+                    "no server of database {} can serve the request now; retry",
+                    self.route.database
+                ));
+                self.next_round(&mut attempts, failure).await?;
+                continue;
+            };
+            match self.attempt(kind, &server, freshness, &mut attempts).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => self.react(kind, &server, &mut attempts, failure).await?,
+            }
+        }
+    }
+
+    fn choose(&self, kind: Kind, freshness: &Freshness, attempts: &Attempts) -> Option<Server> {
+        let (core, choices) = (&self.engine.core, &self.engine.choices);
+        if kind.needs_primary() {
+            choices.for_write(core, &self.route, &attempts.tried)
+        } else {
+            choices.for_read(core, &self.route, freshness, &attempts.tried)
+        }
+    }
+
+    /// Freshness that the session needs now.
+    fn freshness(&self) -> Freshness {
+        let token = lock(&self.shared).token.clone();
+        let since = match (self.max_age, &token) {
+            (Some(age), _) => now().checked_sub(age),
+            (None, None) => Some(self.since),
+            // The token covers what the session has seen of its own writes.
+            (None, Some(_)) => None,
+        };
+        Freshness {
+            point: token.map(|token| token.point),
+            since,
+        }
+    }
+
+    /// Sends the request to a server's owner and waits for the first part of the answer; for
+    /// writes for the acknowledgement.
+    async fn attempt(
+        &self,
+        kind: Kind,
+        server: &Server,
+        freshness: Freshness,
+        attempts: &mut Attempts,
+    ) -> Result<Answer<T, L, P>, Failure> {
+        let started = now();
+        let path = self.open(server, attempts.hint.take()).await?;
+        let mut answer = self.start(kind, path, freshness).await?;
+        if kind == Kind::Write || kind == Kind::Lookup {
+            hold(&mut answer).await?;
+            self.engine
+                .choices
+                .note_primary(&self.route.database, &server.name);
+        } else {
+            let part = answer.receive().await;
+            answer.keep(part.unwrap_or_else(|| Err(ended()))?);
+            if kind == Kind::Read && self.class == Class::Short {
+                let wait = now().saturating_duration_since(started);
+                self.engine.choices.note_wait(&server.name, wait);
+            }
+        }
+        Ok(answer)
+    }
+
+    async fn open(&self, server: &Server, hint: Option<NodeId>) -> Result<Pinned<T, L>, Failure> {
+        let core = &self.engine.core;
+        let Some(owner) = hint.or_else(|| core.owner_of(server)) else {
+            return Err(unavailable(format!(
+                "no node owns server {} now; retry",
+                server.name
+            )));
+        };
+        let local = owner == core.identity.node;
+        let path = if local {
+            Path::Local(OwnerLink::new(core.clone()))
+        } else {
+            let limit = self.deadline.min(now() + core.settings.connect_timeout);
+            let Some(link) = until(limit, self.engine.links.open(&owner)).await else {
+                return Err(unavailable(format!(
+                    "node {owner} did not answer in time; retry"
+                )));
+            };
+            count(&core.counters.forwarded);
+            Path::Remote(link?)
+        };
+        Ok(Pinned {
+            path,
+            database: self.route.database.clone(),
+            server: server.name.clone(),
+            node: (!local).then_some(owner),
+            term: None,
+            id: self.id.clone(),
+        })
+    }
+
+    /// Sends the request on a path.
+    async fn start(
+        &self,
+        kind: Kind,
+        mut path: Pinned<T, L>,
+        freshness: Freshness,
+    ) -> Result<Answer<T, L, P>, Failure> {
+        let request = Request {
+            database: self.route.database.clone(),
+            server: path.server.clone(),
+            caller: self.caller.clone(),
+            session: self.session.clone(),
+            kind,
+            statement: self.statement.clone(),
+            freshness,
+            class: self.class,
+            deadline: self.deadline,
+            id: self.id.clone(),
+        };
+        path.path.start(request).await?;
+        Ok(Answer::open(
+            self.engine.clone(),
+            self.shared.clone(),
+            kind,
+            path,
+            self.cancel.clone(),
+            self.engine.core.track(),
+        ))
+    }
+
+    /// Decides about the next attempt after a failed one; fails when there is none.
+    async fn react(
+        &self,
+        kind: Kind,
+        server: &Server,
+        attempts: &mut Attempts,
+        failure: Failure,
+    ) -> Result<(), Failure> {
+        if failure.verdict != Verdict::NotRun || self.cancel.is_cancelled() {
+            return Err(failure);
+        }
+        let choices = &self.engine.choices;
+        match &failure.kind {
+            FailureKind::NotFresh => {
+                choices.note_refusal(&server.name);
+                attempts.tried.push(server.name.clone());
+            }
+            FailureKind::NotPrimary => {
+                choices.forget_primary(&self.route.database, &server.name);
+                attempts.tried.push(server.name.clone());
+            }
+            FailureKind::NotOwner(owner) => {
+                attempts.hint.clone_from(owner);
+                if owner.is_none() {
+                    attempts.tried.push(server.name.clone());
+                }
+            }
+            FailureKind::Overload if kind.needs_primary() => return Err(failure),
+            FailureKind::Overload
+            | FailureKind::ConnectionLost
+            | FailureKind::Unavailable
+            | FailureKind::NotConfirmed
+            | FailureKind::Draining => {
+                choices.note_refusal(&server.name);
+                attempts.tried.push(server.name.clone());
+            }
+            FailureKind::Deadline | FailureKind::Statement | FailureKind::BadRequest => {
+                return Err(failure);
+            }
+        }
+        attempts.reroutes += 1;
+        count(&self.engine.core.counters.reroutes);
+        let left = self
+            .route
+            .servers
+            .iter()
+            .any(|s| !attempts.tried.contains(&s.name));
+        if left && attempts.reroutes < self.engine.core.settings.reroutes {
+            return Ok(());
+        }
+        self.next_round(attempts, failure).await
+    }
+
+    /// Waits before all servers are tried again: a failover or handover may be in progress.
+    async fn next_round(&self, attempts: &mut Attempts, failure: Failure) -> Result<(), Failure> {
+        // Waiting makes data that is too old for the request older still, and overload is told
+        // at once.
+        let stale = failure.kind == FailureKind::NotFresh && self.max_age.is_some();
+        if stale || failure.kind == FailureKind::Overload {
+            return Err(failure);
+        }
+        let bound = FIRST_PAUSE * 2_u32.saturating_pow(attempts.rounds.min(8));
+        let bound = bound.min(LAST_PAUSE);
+        let micros = u64::try_from(bound.as_micros()).unwrap_or(u64::MAX);
+        let jitter = Duration::from_micros(self.engine.core.random(micros / 2));
+        let at = now() + bound / 2 + jitter;
+        if at >= self.deadline {
+            return Err(failure);
+        }
+        attempts.rounds += 1;
+        attempts.reroutes = 0;
+        attempts.tried.clear();
+        attempts.hint = None;
+        tokio::select! {
+            biased;
+            () = self.cancel.cancelled() => Err(failure),
+            () = sleep_until(at) => Ok(()),
+        }
+    }
+
+    /// Runs a request inside the session's transaction.
+    pub async fn run_pinned(mut self, pinned: Pinned<T, L>) -> Result<Answer<T, L, P>, Failure> {
+        let (term, id) = (pinned.term, pinned.id.clone());
+        let result = self.attempt_pinned(pinned).await;
+        let failure = match result {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        };
+        match (self.kind, failure.verdict) {
+            // The link is gone, and with it the transaction.
+            (Kind::Rollback, Verdict::NotRun | Verdict::MayHaveRun) => Ok(Answer::completed(
+                self.engine.clone(),
+                self.shared.clone(),
+                Part::Done {
+                    tag: "ROLLBACK".into(),
+                    point: None,
+                },
+            )),
+            (Kind::Commit, Verdict::MayHaveRun) => {
+                let Some(id) = id else { return Err(failure) };
+                self.id = Some(id.clone());
+                self.resolve_commit(&id, term, failure).await
+            }
+            _ => Err(failure),
+        }
+    }
+
+    async fn attempt_pinned(&self, pinned: Pinned<T, L>) -> Result<Answer<T, L, P>, Failure> {
+        let started = self.start(self.kind, pinned, Freshness::default()).await;
+        let mut answer = started.inspect_err(|_| self.lose_transaction())?;
+        if self.kind == Kind::Commit {
+            hold(&mut answer).await?;
+        } else {
+            let part = answer.receive().await;
+            answer.keep(part.unwrap_or_else(|| Err(ended()))?);
+        }
+        Ok(answer)
+    }
+
+    /// Notes that the link of the transaction is gone before its request was sent.
+    fn lose_transaction(&self) {
+        use crate::TransactionState;
+        let ended = matches!(self.kind, Kind::Commit | Kind::Rollback);
+        lock(&self.shared).transaction = if ended {
+            TransactionState::Idle
+        } else {
+            TransactionState::Failed
+        };
+    }
+}
+
+/// Holds the parts of an answer back until it is complete or too large.
+async fn hold<T: Targets, L: Links, P: Platform>(
+    answer: &mut Answer<T, L, P>,
+) -> Result<(), Failure> {
+    let (mut parts, mut bytes) = (0, 0);
+    while !answer.is_finished() && parts < HELD_PARTS && bytes < HELD_BYTES {
+        let part = answer.receive().await.unwrap_or_else(|| Err(ended()))?;
+        parts += 1;
+        if let Part::Row { data, .. } = &part {
+            bytes += data.len();
+        }
+        answer.keep(part);
+    }
+    Ok(())
+}
+
+fn ended() -> Failure {
+    Failure::may_have_run(
+        FailureKind::ConnectionLost,
+        "the answer ended before its last part",
+    )
+}
--- /dev/null
+++ b/crates/siskinhook-engine/src/entry/mod.rs
@@ -0,0 +1,52 @@
+//! The entry side of the request path: server choice, forwarding, retries, resolution.
+
+mod budget;
+mod choose;
+mod job;
+mod resolve;
+
+use std::sync::Arc;
+
+use siskinhook_types::{
+    DatabaseId, Failure, FailureKind, Links, MemberState, NodeId, ServerId, Targets, Term,
+};
+
+use crate::{core::Core, path::Path};
+
+pub use budget::Budget;
+pub use choose::Choices;
+pub use job::Job;
+
+/// A path to a server's owner on which a request or transaction is in progress.
+pub struct Pinned<T: Targets, L: Links> {
+    pub path: Path<T, L>,
+    pub database: DatabaseId,
+    pub server: ServerId,
+    /// The owner; `None` when it is this node.
+    pub node: Option<NodeId>,
+    /// Term of the primary when the transaction began.
+    pub term: Option<Term>,
+    /// Id of the transaction, if the caller gave one.
+    pub id: Option<siskinhook_types::RequestId>,
+}
+
+/// Waits until membership holds a node to be gone; never for this node.
+pub async fn node_lost<T: Targets>(core: &Arc<Core<T>>, node: Option<NodeId>) -> Failure {
+    let Some(node) = node else {
+        return std::future::pending().await;
+    };
+    let mut changes = core.changes.subscribe();
+    loop {
+        let view = core.view();
+        let member = view.fleet.members.get(&node);
+        if member.is_none_or(|member| member.state == MemberState::Dead) {
+            return Failure::may_have_run(
+                FailureKind::ConnectionLost,
+                format!("node {node}, which ran the statement, is gone"),
+            );
+        }
+        if changes.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/siskinhook-engine/src/entry/resolve.rs
@@ -0,0 +1,99 @@
+//! Resolution of requests that may have run, by their id.
+
+use std::time::{Duration, Instant};
+
+use siskinhook_types::{
+    Failure, FailureKind, Kind, Links, Part, Platform, RequestId, Targets, Term, Verdict, sqlstate,
+};
+
+use super::Job;
+use crate::{Answer, clock::now, counters::count, session::lock};
+
+/// Pause between two lookups of a commit whose outcome is still open.
+const LOOKUP_PAUSE: Duration = Duration::from_millis(100);
+/// Lookups of a commit while the primary's term stays the same.
+const LOOKUPS: u32 = 5;
+
+impl<T: Targets, L: Links, P: Platform> Job<T, L, P> {
+    /// Looks the outcome of a write up at the current primary, in data as of `since`. Returns
+    /// the answer when the write ran.
+    ///
+    /// When it is not found, the write may be sent again: its outcome record has the same key
+    /// as that of the first attempt, so that at most one of them commits.
+    pub async fn resolve(
+        &self,
+        id: &RequestId,
+        since: Instant,
+    ) -> Result<Option<Answer<T, L, P>>, Failure> {
+        count(&self.engine.core.counters.lookups);
+        let mut answer = match self.pursue(Kind::Lookup, Some(since)).await {
+            Ok(answer) => answer,
+            Err(failure) => {
+                log::debug!(target: "siskinhook::engine", event = 2020, request = id.as_str();
+                    "the outcome could not be looked up: {failure}");
+                return Err(still_open(id));
+            }
+        };
+        let Some(Ok(Part::Done { tag, point })) = answer.next().await else {
+            return Err(still_open(id));
+        };
+        if tag.is_empty() {
+            return Ok(None);
+        }
+        count(&self.engine.core.counters.resolved);
+        count(&self.engine.core.counters.writes);
+        if let Some(point) = point {
+            lock(&self.shared).token = Some(siskinhook_types::Token {
+                database: self.route.database.clone(),
+                point,
+            });
+        }
+        let (engine, shared) = (self.engine.clone(), self.shared.clone());
+        let done = Part::Done { tag, point };
+        Ok(Some(Answer::completed(engine, shared, done)))
+    }
+
+    /// Finds out whether a transaction committed that began in `term`.
+    ///
+    /// When its id is not found in a higher term, the transaction can no longer commit: the log
+    /// of the old term is closed.
+    pub async fn resolve_commit(
+        &self,
+        id: &RequestId,
+        term: Option<Term>,
+        failure: Failure,
+    ) -> Result<Answer<T, L, P>, Failure> {
+        for _ in 0..LOOKUPS {
+            if let Some(answer) = self.resolve(id, now()).await? {
+                return Ok(answer);
+            }
+            let group = self.engine.core.groups().get(&self.route.database).cloned();
+            let known = group.and_then(|group| group.primary());
+            let replaced = known.zip(term).is_some_and(|((_, now), then)| now > then);
+            if replaced {
+                count(&self.engine.core.counters.resolved);
+                return Err(Failure::not_run(
+                    FailureKind::ConnectionLost,
+                    sqlstate::CONNECTION_FAILURE,
+                    "the primary was replaced before the transaction committed; repeat it",
+                ));
+            }
+            if now() + LOOKUP_PAUSE >= self.deadline {
+                break;
+            }
+            tokio::time::sleep(LOOKUP_PAUSE).await;
+        }
+        debug_assert_eq!(failure.verdict, Verdict::MayHaveRun);
+        Err(failure)
+    }
+}
+
+fn still_open(id: &RequestId) -> Failure {
+    Failure::may_have_run(
+        FailureKind::ConnectionLost,
+        format!(
+            "the connection was lost and the outcome of request {id:?} could not be looked up in \
+             time; send the request again with the same id"
+        ),
+    )
+}
--- /dev/null
+++ b/crates/siskinhook-engine/src/group/mod.rs
@@ -0,0 +1,260 @@
+//! One database group as a node that owns one of its servers sees it.
+
+mod confirm;
+mod line;
+mod watcher;
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Instant,
+};
+
+use indexmap::IndexMap;
+use siskinhook_policy::{
+    Anchor, FreshnessAnswer, GroupConfig, GroupWatch, ServerView, WatchSettings,
+};
+use siskinhook_types::{
+    Control, DatabaseId, Failure, Freshness, LogPoint, Platform, Server, ServerId, ServerStatus,
+    Targets, Term,
+};
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::{
+    clock::{now, until},
+    core::{Core, unavailable},
+};
+
+use confirm::Confirmer;
+use line::Line;
+use watcher::Input;
+
+/// Connections of this node to one server, besides those for data.
+struct Lines<T: Targets> {
+    /// Probes, commands and the owner's lock.
+    control: Line<T>,
+    /// Confirmations of writes, which may wait on the server.
+    wait: Line<T>,
+}
+
+/// A database group that this node monitors.
+pub struct Group<T: Targets> {
+    core: Arc<Core<T>>,
+    database: DatabaseId,
+    lines: IndexMap<ServerId, Lines<T>>,
+    watch: Mutex<GroupWatch>,
+    inputs: mpsc::UnboundedSender<Input>,
+    /// The newest anchor, for requests that wait for one.
+    anchor: watch::Sender<Option<Anchor>>,
+    confirmer: Arc<Confirmer>,
+    /// Last log points that were learnt outside the polls.
+    learnt: Mutex<IndexMap<ServerId, LogPoint>>,
+    _guard: DropGuard,
+}
+
+impl<T: Targets> Group<T> {
+    /// Starts to monitor a group.
+    pub fn start<P: Platform>(
+        core: &Arc<Core<T>>,
+        platform: P,
+        database: &DatabaseId,
+        servers: &[Server],
+        rank: u32,
+    ) -> Arc<Self> {
+        let settings = &core.settings;
+        let config = GroupConfig {
+            database: database.clone(),
+            servers: servers.iter().map(|s| s.name.clone()).collect(),
+            leaving: leaving(servers),
+            node: core.identity.node.clone(),
+            rank,
+        };
+        let watch_settings = WatchSettings {
+            interval: settings.poll_interval,
+            idle: settings.idle_interval,
+            timeout: settings.probe_timeout,
+            lease: settings.platform_timeout,
+            stagger: settings.rank_delay,
+            ..WatchSettings::default()
+        };
+        let watch = GroupWatch::new(watch_settings, config, core.random(u64::MAX), now());
+        let lines = |server: &Server| {
+            let lines = Lines {
+                control: Line::new(core.clone(), server.clone()),
+                wait: Line::new(core.clone(), server.clone()),
+            };
+            (server.name.clone(), lines)
+        };
+        let (inputs, receiver) = mpsc::unbounded_channel();
+        let stop = CancellationToken::new();
+        let group = Arc::new(Self {
+            core: core.clone(),
+            database: database.clone(),
+            lines: servers.iter().map(lines).collect(),
+            watch: Mutex::new(watch),
+            inputs,
+            anchor: watch::Sender::new(None),
+            confirmer: Arc::new(Confirmer::new(servers)),
+            learnt: Mutex::default(),
+            _guard: stop.clone().drop_guard(),
+        });
+        tokio::spawn(watcher::run(
+            Arc::downgrade(&group),
+            platform,
+            receiver,
+            stop.clone(),
+        ));
+        tokio::spawn(confirm::run(
+            Arc::downgrade(&group),
+            group.confirmer.clone(),
+            stop,
+        ));
+        group
+    }
+
+    /// Takes over a change of the group's servers' state and of this node's rank.
+    pub fn update(&self, servers: &[Server], rank: u32) {
+        let mut watch = self.watch();
+        watch.set_rank(rank);
+        watch.set_leaving(leaving(servers));
+    }
+
+    /// Whether the group consists of these servers at these addresses.
+    pub fn serves(&self, servers: &[Server]) -> bool {
+        let known = |server: &Server| {
+            let lines = self.lines.get(&server.name);
+            lines.is_some_and(|lines| lines.control.address() == &server.address)
+        };
+        servers.len() == self.lines.len() && servers.iter().all(known)
+    }
+
+    /// Returns the primary and its term, as far as known.
+    pub fn primary(&self) -> Option<(ServerId, Term)> {
+        self.watch().primary()
+    }
+
+    /// Whether the server is known to be the primary.
+    pub fn is_primary(&self, server: &ServerId) -> bool {
+        self.primary()
+            .is_some_and(|(primary, _)| primary == *server)
+    }
+
+    /// Whether the server may be the primary: nothing else is known.
+    pub fn may_be_primary(&self, server: &ServerId) -> bool {
+        match self.primary() {
+            Some((primary, _)) => primary == *server,
+            None => self.views().iter().all(|view| view.role.is_none()),
+        }
+    }
+
+    /// Returns the group's servers as last seen.
+    pub fn views(&self) -> Vec<ServerView> {
+        self.watch().servers(now())
+    }
+
+    /// Returns the newest anchor.
+    pub fn anchor(&self) -> Option<Anchor> {
+        self.watch().anchor()
+    }
+
+    /// Notes that the group is in use.
+    pub fn touch(&self) {
+        self.watch().touch(now());
+    }
+
+    /// Asks for a poll, because what is known of the group may be out of date.
+    pub fn doubt(&self) {
+        let _ = self.inputs.send(Input::Want(now()));
+    }
+
+    /// Returns the last known log point of a server.
+    pub fn last(&self, server: &ServerId) -> Option<LogPoint> {
+        let polled = self.views().into_iter().find(|view| view.server == *server);
+        let polled = polled
+            .filter(|view| view.role.is_some())
+            .map(|view| view.last);
+        let learnt = self.learnt().get(server).copied();
+        polled.max(learnt)
+    }
+
+    /// Whether a server's log is known to cover a point.
+    pub fn covers(&self, server: &ServerId, point: LogPoint) -> bool {
+        self.last(server).is_some_and(|last| last.covers(point))
+    }
+
+    /// Decides whether a server's data is fresh enough.
+    pub fn freshness(&self, server: &ServerId, freshness: &Freshness) -> FreshnessAnswer {
+        let last = self.last(server).unwrap_or_default();
+        self.watch().is_fresh(last, freshness)
+    }
+
+    /// Waits for an anchor that starts at or after `since`; false when there is none in time.
+    pub async fn wait_anchor(&self, since: Instant, deadline: Instant) -> bool {
+        let mut anchor = self.anchor.subscribe();
+        let _ = self.inputs.send(Input::Want(since));
+        let new = anchor.wait_for(|anchor| anchor.is_some_and(|anchor| anchor.at >= since));
+        until(deadline, new).await.is_some_and(|new| new.is_ok())
+    }
+
+    /// Takes over a status that was asked for at `started`.
+    pub fn learn(&self, server: &ServerId, started: Instant, status: ServerStatus) {
+        self.learnt().insert(server.clone(), status.last);
+        let _ = self.inputs.send(Input::Status {
+            server: server.clone(),
+            started,
+            status,
+        });
+    }
+
+    /// Waits until a majority holds a write of a primary; false when the primary was replaced
+    /// or no majority answered in time.
+    pub async fn confirm(&self, primary: &ServerId, point: LogPoint) -> bool {
+        let limit = now() + self.core.settings.confirm_timeout;
+        let confirmed = self.confirmer.confirm(primary, point, limit).await;
+        if !confirmed {
+            self.doubt();
+        }
+        confirmed
+    }
+
+    /// Runs a command on a server over this node's control connection.
+    pub async fn control(
+        &self,
+        server: &ServerId,
+        command: &Control,
+    ) -> Result<ServerStatus, Failure> {
+        let limit = now() + self.core.settings.probe_timeout;
+        self.lines(server)?.control.send(command, limit).await
+    }
+
+    /// Asks a server for its status.
+    pub async fn status(&self, server: &ServerId) -> Result<ServerStatus, Failure> {
+        self.control(server, &Control::Status).await
+    }
+
+    /// Gives up the lock of a server by closing the connection that holds it.
+    pub fn unlock(&self, server: &ServerId) {
+        if let Some(lines) = self.lines.get(server) {
+            lines.control.close();
+        }
+    }
+
+    fn lines(&self, server: &ServerId) -> Result<&Lines<T>, Failure> {
+        self.lines
+            .get(server)
+            .ok_or_else(|| unavailable(format!("server {server} left its group; retry")))
+    }
+
+    fn watch(&self) -> std::sync::MutexGuard<'_, GroupWatch> {
+        self.watch.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn learnt(&self) -> std::sync::MutexGuard<'_, IndexMap<ServerId, LogPoint>> {
+        self.learnt.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn leaving(servers: &[Server]) -> Vec<ServerId> {
+    let leaving = servers.iter().filter(|server| server.leaving);
+    leaving.map(|server| server.name.clone()).collect()
+}
--- a/crates/siskinhook-engine/src/lib.rs
+++ b/crates/siskinhook-engine/src/lib.rs
@@ -7,9 +7,12 @@
 mod answer;
 mod classify;
 mod clock;
+mod controller;
+mod core;
 mod counters;
 mod engine;
 mod entry;
+mod group;
 mod owner;
 mod path;
 mod report;
--- /dev/null
+++ b/crates/siskinhook-engine/src/owner/fresh.rs
@@ -0,0 +1,94 @@
+//! Whether a server's data is fresh enough for a request, decided at execution time.
+
+use std::time::Instant;
+
+use siskinhook_policy::FreshnessAnswer;
+use siskinhook_types::{
+    Control, Failure, FailureKind, Freshness, LogPoint, Request, TargetSession, Targets, sqlstate,
+};
+
+use super::Owner;
+use crate::{
+    clock::{millis, now, until},
+    core::Core,
+    counters::count,
+};
+
+impl<T: Targets> Owner<T> {
+    /// Waits until the server's data meets the freshness of a request.
+    ///
+    /// # Errors
+    /// `NotFresh` when that is not expected in time.
+    pub async fn ensure_fresh(&self, core: &Core<T>, request: &Request) -> Result<(), Failure> {
+        let result = self
+            .freshen(core, &request.freshness, request.deadline)
+            .await;
+        if result.is_err() {
+            count(&core.counters.not_fresh);
+        }
+        result
+    }
+
+    async fn freshen(
+        &self,
+        core: &Core<T>,
+        freshness: &Freshness,
+        deadline: Instant,
+    ) -> Result<(), Failure> {
+        let patience = deadline.min(now() + core.settings.fresh_wait);
+        loop {
+            match self.group.freshness(&self.server.name, freshness) {
+                FreshnessAnswer::Fresh => return Ok(()),
+                FreshnessAnswer::NeedAnchor => {
+                    let since = freshness.since.unwrap_or_else(now);
+                    if !self.group.wait_anchor(since, patience).await {
+                        return Err(self.not_fresh("no majority of its group confirmed its state"));
+                    }
+                }
+                FreshnessAnswer::Wait(point) => {
+                    if !self.wait_for(point, patience).await {
+                        return Err(self.not_fresh("it lags behind"));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits until the server's log covers a point.
+    async fn wait_for(&self, point: LogPoint, patience: Instant) -> bool {
+        // One wait at a time: the next request finds the status that it brings.
+        let Some(_turn) = until(patience, self.catch_up.lock()).await else {
+            return false;
+        };
+        if self.group.covers(&self.server.name, point) {
+            return true;
+        }
+        let started = now();
+        let timeout = millis(patience.saturating_duration_since(started));
+        let command = Control::Wait { point, timeout };
+        let Ok(mut connection) = self.pool.acquire(patience).await else {
+            return false;
+        };
+        // A little longer than the server waits, so that its last answer is not cut off.
+        let limit = patience + std::time::Duration::from_millis(20);
+        let Some(Ok(status)) = until(limit, connection.session.control(&command)).await else {
+            return false;
+        };
+        connection.release();
+        let covered = status.last.covers(point);
+        self.group.learn(&self.server.name, started, status);
+        covered
+    }
+
+    fn not_fresh(&self, reason: &str) -> Failure {
+        Failure::not_run(
+            FailureKind::NotFresh,
+            sqlstate::UNAVAILABLE,
+            format!(
+                "the data of server {} is not fresh enough: {reason}; retry or allow a higher \
+                 siskinhook.max_age",
+                self.server.name
+            ),
+        )
+    }
+}
--- a/crates/siskinhook-engine/src/owner/mod.rs
+++ b/crates/siskinhook-engine/src/owner/mod.rs
@@ -22,7 +22,7 @@
 pub use link::OwnerLink;
 pub use pool::{DataConnection, Pool};
 pub use silence::Silence;
-pub use slots::{Slot, Slots};
+pub use slots::Slots;
 
 /// Connections of the limit that are not used for data: the owner's and the watchers' control
 /// connections, and one for a confirmation or a probe.
@@ -39,6 +39,8 @@
     /// Transactions that may hold a connection at the same time; the rest of the connections
     /// stay available to single statements.
     pub pins: Arc<Semaphore>,
+    /// Held by the request that waits for the server to catch up.
+    catch_up: tokio::sync::Mutex<()>,
     retired: watch::Sender<bool>,
     stop: CancellationToken,
     _guard: DropGuard,
@@ -65,6 +67,7 @@
             pool,
             silence,
             pins: Arc::new(Semaphore::new(pins)),
+            catch_up: tokio::sync::Mutex::default(),
             retired: watch::Sender::new(false),
             _guard: stop.clone().drop_guard(),
             stop: stop.clone(),
--- /dev/null
+++ b/crates/siskinhook-engine/src/owner/outcome.rs
@@ -0,0 +1,213 @@
+//! Outcome records, which make requests with an id idempotent.
+
+use std::sync::Arc;
+
+use siskinhook_types::{
+    Failure, FailureKind, Part, Request, RequestId, Statement, TargetSession, Targets, Verdict,
+    sqlstate,
+};
+use smol_str::SmolStr;
+
+use super::{DataConnection, Owner, execute::Rows, worker::Worker};
+
+/// SQLSTATE of a duplicate key.
+const UNIQUE_VIOLATION: &str = "23505";
+/// SQLSTATE of a statement in a failed transaction.
+const FAILED_TRANSACTION: &str = "25P02";
+
+const INSERT: &str = "INSERT INTO siskinhook_outcome (request_id, tag) VALUES ($1, $2)";
+const UPDATE: &str = "UPDATE siskinhook_outcome SET tag = $2 WHERE request_id = $1";
+const SELECT: &str = "SELECT tag FROM siskinhook_outcome WHERE request_id = $1";
+
+impl<T: Targets> Worker<T> {
+    /// Runs a write together with its outcome record, or answers with the first outcome.
+    pub async fn write_once(
+        &mut self,
+        owner: &Arc<Owner<T>>,
+        request: Request,
+    ) -> Result<(), Failure> {
+        let id = request.id.clone().unwrap_or_default();
+        let slot = owner.slots.acquire(&request, false).await?;
+        let begin = Request {
+            statement: Statement::simple("BEGIN"),
+            ..request.clone()
+        };
+        let mut connection = owner.send(&begin).await.map_err(not_started)?;
+        owner
+            .collect(&mut connection, Rows::Drop)
+            .await
+            .map_err(|failure| owner.translate(not_started(failure)))?;
+        let recorded = owner.record(&mut connection, &id, "").await;
+        if !recorded.map_err(|failure| owner.translate(failure))? {
+            slot.finish();
+            return self.repeat(owner, connection, &id).await;
+        }
+        let (tag, point) = match self.apply(owner, &mut connection, &request, &id).await {
+            Ok(done) => done,
+            Err(failure) => {
+                // Closing the connection would roll back as well, but costs a new one.
+                if failure.verdict == Verdict::Ran {
+                    owner.roll_back(connection).await;
+                }
+                return Err(owner.translate(failure));
+            }
+        };
+        connection.release();
+        slot.finish();
+        owner.confirm(&self.core, point).await?;
+        self.reply.done(tag, point).await;
+        Ok(())
+    }
+
+    /// Runs the statement, stores its tag and commits. Only a failure of the commit can leave
+    /// the outcome open; before it, closing the connection rolls back.
+    async fn apply(
+        &mut self,
+        owner: &Owner<T>,
+        connection: &mut DataConnection<T>,
+        request: &Request,
+        id: &RequestId,
+    ) -> Result<super::execute::Done, Failure> {
+        connection
+            .session
+            .start(&request.statement)
+            .await
+            .map_err(not_committed)?;
+        let rows = Rows::Pass(&self.reply);
+        let (tag, _) = owner
+            .collect(connection, rows)
+            .await
+            .map_err(not_committed)?;
+        let update = Statement::with_text_params(UPDATE, [id.to_string(), tag.to_string()]);
+        owner
+            .own(connection, &update)
+            .await
+            .map_err(not_committed)?;
+        let commit = Statement::simple("COMMIT");
+        let (_, point) = owner.own(connection, &commit).await?;
+        Ok((tag, point))
+    }
+
+    /// Answers a repeated request with its first outcome.
+    pub async fn repeat(
+        &mut self,
+        owner: &Arc<Owner<T>>,
+        connection: DataConnection<T>,
+        id: &RequestId,
+    ) -> Result<(), Failure> {
+        let Some(mut connection) = owner.roll_back(connection).await else {
+            return Err(Failure::may_have_run(
+                FailureKind::ConnectionLost,
+                "the connection was lost while the first outcome of the request was read",
+            ));
+        };
+        let tag = owner.outcome(&mut connection, id).await?;
+        connection.release();
+        let Some(tag) = tag else {
+            // The first attempt rolled back between the two statements.
+            return Err(Failure::not_run(
+                FailureKind::Unavailable,
+                sqlstate::UNAVAILABLE,
+                "the first attempt of the request was just rolled back; retry",
+            ));
+        };
+        let point = owner.confirm_all(&self.core).await?;
+        self.reply.done(tag, point).await;
+        Ok(())
+    }
+
+    /// Looks an outcome up. The answer is a row with the tag, or none.
+    pub async fn lookup(&mut self, owner: &Arc<Owner<T>>, request: Request) -> Result<(), Failure> {
+        let id = request.id.clone().unwrap_or_default();
+        owner.ensure_fresh(&self.core, &request).await?;
+        let mut connection = owner.pool.acquire(request.deadline).await?;
+        let tag = owner.outcome(&mut connection, &id).await?;
+        connection.release();
+        // What was read may not be confirmed yet, and could be lost with the primary.
+        let point = owner.confirm_all(&self.core).await?;
+        if let Some(tag) = tag {
+            self.reply.done(tag, point).await;
+        } else {
+            self.reply.done(SmolStr::default(), point).await;
+        }
+        Ok(())
+    }
+}
+
+impl<T: Targets> Owner<T> {
+    /// Inserts the outcome record; `false` when there is one already.
+    pub async fn record(
+        &self,
+        connection: &mut DataConnection<T>,
+        id: &RequestId,
+        tag: &str,
+    ) -> Result<bool, Failure> {
+        let insert = Statement::with_text_params(INSERT, [id.to_string(), tag.to_string()]);
+        match self.own(connection, &insert).await {
+            Ok(_) => Ok(true),
+            Err(failure) if failure.code == UNIQUE_VIOLATION => Ok(false),
+            // A failed transaction records nothing; its end is passed on to the server.
+            Err(failure) if failure.code == FAILED_TRANSACTION => Ok(true),
+            Err(failure) => Err(not_committed(failure)),
+        }
+    }
+
+    /// Reads the tag of an outcome record.
+    async fn outcome(
+        &self,
+        connection: &mut DataConnection<T>,
+        id: &RequestId,
+    ) -> Result<Option<SmolStr>, Failure> {
+        let select = Statement::with_text_params(SELECT, [id.to_string()]);
+        connection.session.start(&select).await?;
+        let mut tag = None;
+        loop {
+            match connection.session.next().await? {
+                Part::Row { data, .. } => tag = text(&data),
+                Part::Done { .. } => return Ok(tag),
+                _ => {}
+            }
+        }
+    }
+
+    /// Rolls a transaction back; gives the connection back when that worked.
+    async fn roll_back(&self, mut connection: DataConnection<T>) -> Option<DataConnection<T>> {
+        let rollback = Statement::simple("ROLLBACK");
+        self.own(&mut connection, &rollback).await.ok()?;
+        Some(connection)
+    }
+
+    /// Waits until a majority holds all that the primary has committed by now.
+    async fn confirm_all(
+        &self,
+        core: &crate::core::Core<T>,
+    ) -> Result<Option<siskinhook_types::LogPoint>, Failure> {
+        let status = self.group.status(&self.server.name).await?;
+        self.confirm(core, Some(status.last)).await?;
+        Ok(Some(status.last))
+    }
+}
+
+/// Reads the first field of a row as text.
+fn text(data: &[u8]) -> Option<SmolStr> {
+    let (length, rest) = data.split_first_chunk::<4>()?;
+    let length = usize::try_from(i32::from_be_bytes(*length)).ok()?;
+    std::str::from_utf8(rest.get(..length)?)
+        .ok()
+        .map(Into::into)
+}
+
+/// The verdict of a failure before the request's own statement was sent.
+fn not_started(mut failure: Failure) -> Failure {
+    if failure.verdict == Verdict::MayHaveRun {
+        failure.verdict = Verdict::NotRun;
+        failure.code = sqlstate::CONNECTION_FAILURE.into();
+    }
+    failure
+}
+
+/// The verdict of a failure before `COMMIT` was sent: the connection is closed, and the
+/// transaction cannot commit any more.
+fn not_committed(failure: Failure) -> Failure {
+    not_started(failure)
+}
--- a/crates/siskinhook-engine/src/owner/pool.rs
+++ b/crates/siskinhook-engine/src/owner/pool.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::VecDeque,
     sync::{Arc, Mutex, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use siskinhook_types::{Failure, FailureKind, Purpose, Server, Targets};
@@ -15,6 +15,9 @@
     counters::count,
 };
 
+/// Pause before a server that is full is asked again for a connection.
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+
 struct State<S> {
     idle: VecDeque<(S, Instant)>,
     /// Open connections, used and idle, and those being opened.
@@ -36,21 +39,26 @@
 
 /// A data connection in use; dropping it closes it.
 pub struct DataConnection<T: Targets> {
-    session: Option<T::Session>,
-    pool: Arc<Pool<T>>,
-    epoch: u64,
+    /// The connection to the server.
+    pub session: T::Session,
     /// Whether it was idle before, so that it may have broken unnoticed.
     pub reused: bool,
+    epoch: u64,
+    share: Share<T>,
     _permit: OwnedSemaphorePermit,
 }
 
 /// The right to one connection, counted until it drops.
-struct Share<'a, T: Targets>(Option<&'a Pool<T>>);
+struct Share<T: Targets> {
+    pool: Arc<Pool<T>>,
+    /// False once an idle connection carries the count on.
+    counted: bool,
+}
 
-impl<T: Targets> Drop for Share<'_, T> {
+impl<T: Targets> Drop for Share<T> {
     fn drop(&mut self) {
-        if let Some(pool) = self.0 {
-            pool.lock().total -= 1;
+        if self.counted {
+            self.pool.lock().total -= 1;
         }
     }
 }
@@ -103,13 +111,19 @@
     }
 
     /// Takes a connection, waiting for the lock and for a free one.
-    pub async fn acquire(self: &Arc<Self>, deadline: Instant) -> Result<DataConnection<T>, Failure> {
+    pub async fn acquire(
+        self: &Arc<Self>,
+        deadline: Instant,
+    ) -> Result<DataConnection<T>, Failure> {
         let permit = self.permit(deadline).await?;
         let mut allowed = self.allowed.subscribe();
         // Another server or owner may serve the request, so that it does not wait for the lock
         // up to its deadline.
         let patience = deadline.min(now() + self.core.settings.connect_timeout);
-        if until(patience, allowed.wait_for(|allowed| *allowed)).await.is_none() {
+        if until(patience, allowed.wait_for(|allowed| *allowed))
+            .await
+            .is_none()
+        {
             return Err(unavailable(format!(
                 "this node does not hold the lock of server {} yet; retry",
                 self.server.name
@@ -117,32 +131,38 @@
         }
         loop {
             if let Some((session, epoch)) = self.take_idle() {
-                return Ok(self.connection(session, epoch, true, permit));
+                return Ok(DataConnection {
+                    session,
+                    reused: true,
+                    epoch,
+                    share: self.share(),
+                    _permit: permit,
+                });
             }
             match self.connect(Purpose::Data, deadline).await {
-                Ok((session, epoch)) => return Ok(self.connection(session, epoch, false, permit)),
+                Ok((session, epoch, share)) => {
+                    return Ok(DataConnection {
+                        session,
+                        reused: false,
+                        epoch,
+                        share,
+                        _permit: permit,
+                    });
+                }
                 // The server is full while the connections of the previous owner end.
                 Err(failure) if failure.kind == FailureKind::Overload && now() < deadline => {
-                    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                    tokio::time::sleep(FULL_PAUSE).await;
                 }
                 Err(failure) => return Err(failure),
             }
         }
     }
 
-    fn connection(
-        self: &Arc<Self>,
-        session: T::Session,
-        epoch: u64,
-        reused: bool,
-        permit: OwnedSemaphorePermit,
-    ) -> DataConnection<T> {
-        DataConnection {
-            session: Some(session),
+    /// Takes over the count of a connection that was idle.
+    fn share(self: &Arc<Self>) -> Share<T> {
+        Share {
             pool: self.clone(),
-            epoch,
-            reused,
-            _permit: permit,
+            counted: true,
         }
     }
 
@@ -168,8 +188,7 @@
                 state.total -= 1;
             }
         }
-        let (mut session, _) = self.connect(Purpose::Control, deadline).await?;
-        let _share = Share(Some(self.as_ref()));
+        let (mut session, _, _share) = self.connect(Purpose::Control, deadline).await?;
         match until(deadline, use_it(&mut session)).await {
             Some(result) => result,
             None => Err(deadline_passed("the server's status")),
@@ -177,17 +196,17 @@
     }
 
     /// Opens connections ahead of need and closes those unused for long.
-    pub async fn maintain(&self) {
+    pub async fn maintain(self: &Arc<Self>) {
         self.close_idle();
         while self.is_allowed() && self.lacks() {
             let Ok(_permit) = self.permits.clone().try_acquire_owned() else {
                 return;
             };
             let deadline = now() + self.core.settings.connect_timeout;
-            let Ok((session, epoch)) = self.connect(Purpose::Data, deadline).await else {
+            let Ok((session, epoch, share)) = self.connect(Purpose::Data, deadline).await else {
                 return;
             };
-            self.put(session, epoch);
+            self.put(session, epoch, share);
         }
     }
 
@@ -202,7 +221,10 @@
         let unused = self.core.settings.idle_timeout;
         let mut state = self.lock();
         while state.total > self.ready
-            && state.idle.front().is_some_and(|(_, since)| *since + unused < now())
+            && state
+                .idle
+                .front()
+                .is_some_and(|(_, since)| *since + unused < now())
         {
             state.idle.pop_front();
             state.total -= 1;
@@ -215,12 +237,12 @@
         Some((session, state.epoch))
     }
 
-    /// Opens a connection and counts it; the caller gives the count back.
+    /// Opens a connection and counts it.
     async fn connect(
-        &self,
+        self: &Arc<Self>,
         purpose: Purpose,
         deadline: Instant,
-    ) -> Result<(T::Session, u64), Failure> {
+    ) -> Result<(T::Session, u64, Share<T>), Failure> {
         let epoch = {
             let mut state = self.lock();
             if state.total >= self.limit {
@@ -234,7 +256,7 @@
             state.total += 1;
             state.epoch
         };
-        let mut share = Share(Some(self));
+        let share = self.share();
         let limit = deadline.min(now() + self.core.settings.connect_timeout);
         let opening = self.core.targets.connect(&self.server, purpose);
         let Some(session) = until(limit, opening).await else {
@@ -244,19 +266,19 @@
             )));
         };
         let session = session?;
-        share.0 = None;
         count(&self.core.counters.connections_opened);
-        Ok((session, epoch))
+        Ok((session, epoch, share))
     }
 
-    fn put(&self, session: T::Session, epoch: u64) {
+    fn put(&self, session: T::Session, epoch: u64, mut share: Share<T>) {
         let mut state = self.lock();
-        if epoch == state.epoch && self.is_allowed() {
+        let keep = epoch == state.epoch && self.is_allowed();
+        if keep {
             state.idle.push_back((session, now()));
-        } else {
-            state.total -= 1;
-            drop(session);
+            share.counted = false;
         }
+        // The share gives its count back under the same mutex when it drops.
+        drop(state);
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State<T::Session>> {
@@ -265,23 +287,9 @@
 }
 
 impl<T: Targets> DataConnection<T> {
-    /// Returns the connection to the server.
-    pub fn session(&mut self) -> &mut T::Session {
-        self.session.as_mut().expect("present until release")
-    }
-
     /// Gives the connection back for the next statement; the transaction must have ended.
-    pub fn release(mut self) {
-        if let Some(session) = self.session.take() {
-            self.pool.put(session, self.epoch);
-        }
-    }
-}
-
-impl<T: Targets> Drop for DataConnection<T> {
-    fn drop(&mut self) {
-        if self.session.take().is_some() {
-            self.pool.lock().total -= 1;
-        }
+    pub fn release(self) {
+        let pool = self.share.pool.clone();
+        pool.put(self.session, self.epoch, self.share);
     }
 }
--- a/crates/siskinhook-engine/src/owner/slots.rs
+++ b/crates/siskinhook-engine/src/owner/slots.rs
@@ -72,7 +72,11 @@
     }
 
     /// Waits for a slot.
-    pub async fn acquire(self: &Arc<Self>, request: &Request, pinned: bool) -> Result<Slot, Failure> {
+    pub async fn acquire(
+        self: &Arc<Self>,
+        request: &Request,
+        pinned: bool,
+    ) -> Result<Slot, Failure> {
         let started = now();
         let id = self.next.fetch_add(1, Relaxed);
         let ticket = Ticket {
--- /dev/null
+++ b/crates/siskinhook-engine/src/owner/worker.rs
@@ -0,0 +1,111 @@
+//! Runs the requests of one link, one after the other.
+
+use std::sync::Arc;
+
+use siskinhook_types::{Failure, FailureKind, Kind, LogPoint, Part, Request, Targets, sqlstate};
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+
+use super::{Owner, not_primary, transaction::Transaction};
+use crate::{core::Core, counters::count};
+
+/// Sends the parts of an answer to the link.
+pub struct Reply {
+    parts: mpsc::Sender<Result<Part, Failure>>,
+}
+
+impl Reply {
+    /// Passes a part on, waiting for a slow reader. The worker is aborted when the link drops,
+    /// so that a closed channel needs no handling.
+    pub async fn part(&self, part: Part) {
+        let _ = self.parts.send(Ok(part)).await;
+    }
+
+    /// Passes the last part of an answer on.
+    pub async fn done(&self, tag: SmolStr, point: Option<LogPoint>) {
+        self.part(Part::Done { tag, point }).await;
+    }
+
+    /// Passes a part on without waiting; gives it back when the reader is slow.
+    pub fn try_part(&self, part: Part) -> Option<Part> {
+        match self.parts.try_send(Ok(part)) {
+            Err(mpsc::error::TrySendError::Full(Ok(part))) => Some(part),
+            _ => None,
+        }
+    }
+}
+
+/// Runs the requests of one link.
+pub struct Worker<T: Targets> {
+    pub core: Arc<Core<T>>,
+    pub reply: Reply,
+    pub transaction: Option<Transaction<T>>,
+}
+
+impl<T: Targets> Worker<T> {
+    pub const fn new(core: Arc<Core<T>>, parts: mpsc::Sender<Result<Part, Failure>>) -> Self {
+        Self {
+            core,
+            reply: Reply { parts },
+            transaction: None,
+        }
+    }
+
+    /// Runs requests until the link drops.
+    pub async fn run(mut self, mut requests: mpsc::Receiver<Request>) {
+        while let Some(request) = requests.recv().await {
+            let core = self.core.clone();
+            let _active = core.track();
+            count(&core.counters.owned);
+            if let Err(failure) = self.serve(request).await {
+                let _ = self.reply.parts.send(Err(failure)).await;
+            }
+        }
+    }
+
+    async fn serve(&mut self, request: Request) -> Result<(), Failure> {
+        if self.transaction.is_some() {
+            return self.inner(request).await;
+        }
+        if matches!(request.kind, Kind::Inner | Kind::Commit | Kind::Rollback) {
+            return Err(Failure::not_run(
+                FailureKind::BadRequest,
+                sqlstate::PROTOCOL,
+                "no transaction is open on the link; begin one first",
+            ));
+        }
+        let owner = self.owner(&request)?;
+        if request.kind.needs_primary() && !owner.group.may_be_primary(&owner.server.name) {
+            return Err(not_primary(&owner.server));
+        }
+        match request.kind {
+            Kind::Read | Kind::Describe => self.read(&owner, request).await,
+            Kind::Begin | Kind::BeginReadOnly => self.begin(owner, request).await,
+            Kind::Lookup => self.lookup(&owner, request).await,
+            _ if request.id.is_some() => self.write_once(&owner, request).await,
+            _ => self.write(&owner, request).await,
+        }
+    }
+
+    /// Returns the owner of the request's server, if it is this node.
+    fn owner(&self, request: &Request) -> Result<Arc<Owner<T>>, Failure> {
+        let owner = self.core.owners().get(&request.server).cloned();
+        if let Some(owner) = owner.filter(|owner| !owner.is_retired()) {
+            owner.group.touch();
+            return Ok(owner);
+        }
+        let known = self.core.route(&request.database).and_then(|route| {
+            let server = route.servers.iter().find(|s| s.name == request.server)?;
+            self.core.owner_of(server)
+        });
+        let known = known.filter(|node| *node != self.core.identity.node);
+        Err(Failure::not_run(
+            FailureKind::NotOwner(known),
+            sqlstate::UNAVAILABLE,
+            format!(
+                "node {} does not own server {}; retry",
+                self.core.identity.node, request.server
+            ),
+        ))
+    }
+}
--- a/crates/siskinhook-engine/src/session.rs
+++ b/crates/siskinhook-engine/src/session.rs
@@ -316,7 +316,7 @@
             repeatable: self.options.repeatable,
             shared: self.shared.clone(),
             cancel: self.cancel.begin(),
-            active: self.engine.core.track(),
+            _active: self.engine.core.track(),
         }
     }
 
