--- a/crates/siskinhook-engine/src/classify.rs
+++ b/crates/siskinhook-engine/src/classify.rs
@@ -155,6 +155,7 @@
     "when",
     "where",
     "width_bucket",
+    "work_ms",
 ];
 
 /// Words that make a query a write wherever they stand: locking clauses, `SELECT INTO` and
--- a/crates/siskinhook-engine/src/owner/outcome.rs
+++ b/crates/siskinhook-engine/src/owner/outcome.rs
@@ -15,6 +15,9 @@
 /// SQLSTATE of a statement in a failed transaction.
 const FAILED_TRANSACTION: &str = "25P02";
 
+/// SQLSTATE of a transaction that could not be serialized with others.
+const SERIALIZATION_FAILURE: &str = "40001";
+
 const INSERT: &str = "INSERT INTO siskinhook_outcome (request_id, tag) VALUES ($1, $2)";
 const UPDATE: &str = "UPDATE siskinhook_outcome SET tag = $2 WHERE request_id = $1";
 const SELECT: &str = "SELECT tag FROM siskinhook_outcome WHERE request_id = $1";
@@ -42,8 +45,8 @@
             slot.finish();
             return self.repeat(owner, connection, &id).await;
         }
-        let (tag, point) = match self.apply(owner, &mut connection, &request, &id).await {
-            Ok(done) => done,
+        let tag = match self.apply(owner, &mut connection, &request, &id).await {
+            Ok(tag) => tag,
             Err(failure) => {
                 // Closing the connection would roll back as well, but costs a new one.
                 if failure.verdict == Verdict::Ran {
@@ -52,6 +55,17 @@
                 return Err(owner.translate(failure));
             }
         };
+        let commit = Statement::simple("COMMIT");
+        let point = match owner.own(&mut connection, &commit).await {
+            Ok((_, point)) => point,
+            // The server rolled back because another transaction was faster: possibly the
+            // first attempt of this request.
+            Err(failure) if failure.verdict == Verdict::Ran && is_conflict(&failure) => {
+                slot.finish();
+                return self.repeat(owner, connection, &id).await;
+            }
+            Err(failure) => return Err(owner.translate(failure)),
+        };
         connection.release();
         slot.finish();
         owner.confirm(&self.core, point).await?;
@@ -59,15 +73,15 @@
         Ok(())
     }
 
-    /// Runs the statement, stores its tag and commits. Only a failure of the commit can leave
-    /// the outcome open; before it, closing the connection rolls back.
+    /// Runs the statement and stores its tag, without committing. After a failure, closing the
+    /// connection rolls back.
     async fn apply(
         &mut self,
         owner: &Owner<T>,
         connection: &mut DataConnection<T>,
         request: &Request,
         id: &RequestId,
-    ) -> Result<super::execute::Done, Failure> {
+    ) -> Result<SmolStr, Failure> {
         connection
             .session
             .start(&request.statement)
@@ -83,9 +97,7 @@
             .own(connection, &update)
             .await
             .map_err(not_committed)?;
-        let commit = Statement::simple("COMMIT");
-        let (_, point) = owner.own(connection, &commit).await?;
-        Ok((tag, point))
+        Ok(tag)
     }
 
     /// Answers a repeated request with its first outcome.
@@ -104,11 +116,12 @@
         let tag = owner.outcome(&mut connection, id).await?;
         connection.release();
         let Some(tag) = tag else {
-            // The first attempt rolled back between the two statements.
+            // Another transaction was in the way, and it did not carry this request's id.
             return Err(Failure::not_run(
                 FailureKind::Unavailable,
                 sqlstate::UNAVAILABLE,
-                "the first attempt of the request was just rolled back; retry",
+                "a concurrent transaction changed the same rows and this one was rolled back; \
+                 retry",
             ));
         };
         let point = owner.confirm_all(&self.core).await?;
@@ -188,6 +201,10 @@
     }
 }
 
+fn is_conflict(failure: &Failure) -> bool {
+    failure.code == UNIQUE_VIOLATION || failure.code == SERIALIZATION_FAILURE
+}
+
 /// Reads the first field of a row as text.
 fn text(data: &[u8]) -> Option<SmolStr> {
     let (length, rest) = data.split_first_chunk::<4>()?;
