Add the PostgreSQL front end for callers

Cause: callers need a port that speaks the PostgreSQL protocol, streams answers and takes their wishes as ordinary settings.

--- a/crates/siskinhook-frontend/src/lib.rs
+++ b/crates/siskinhook-frontend/src/lib.rs
@@ -1,1 +1,28 @@
 //! The PostgreSQL server that callers connect to: sessions, settings and the filter chain.
+
+mod admit;
+mod backend;
+mod connection;
+mod execute;
+mod extended;
+mod filter;
+mod messages;
+mod options;
+mod portal;
+mod server;
+mod settings;
+mod simple;
+mod split;
+mod startup;
+mod statement_settings;
+mod users;
+
+pub use admit::Admit;
+pub use backend::{Answer, Backend, CallerSession, TransactionState};
+pub use execute::Execute;
+pub use filter::{Filter, Reply};
+pub use options::CallerOptions;
+pub use server::{Frontend, serve};
+pub use settings::FrontendSettings;
+pub use statement_settings::StatementSettings;
+pub use users::Users;
--- /dev/null
+++ b/crates/siskinhook-frontend/src/messages.rs
@@ -0,0 +1,105 @@
+//! Conversion between parts of answers and messages of the PostgreSQL protocol.
+
+use bytes::BytesMut;
+use pgwire::{
+    error::{ErrorInfo, PgWireError},
+    messages::{
+        PgWireBackendMessage,
+        data::{DataRow, FieldDescription, ParameterDescription, RowDescription},
+        response::{CommandComplete, TransactionStatus},
+        startup::ParameterStatus,
+    },
+};
+use siskinhook_types::{Column, Failure, FailureKind, Token, sqlstate};
+use smol_str::SmolStr;
+
+use crate::TransactionState;
+
+/// Parameter status that carries the causal token of the last write.
+const TOKEN_STATUS: &str = "siskinhook.token";
+
+/// Converts a failure; the verdict is its detail, the retry-after its hint.
+pub(crate) fn error(failure: Failure) -> PgWireError {
+    let mut info = ErrorInfo::new("ERROR".into(), failure.code.to_string(), failure.message);
+    info.detail = Some(format!("verdict: {}", failure.verdict));
+    info.hint = failure
+        .retry_after
+        .map(|after| format!("Try again after {after} ms."));
+    PgWireError::UserError(Box::new(info))
+}
+
+/// Failure of a statement before the session is open.
+pub(crate) fn no_session() -> Failure {
+    Failure::not_run(
+        FailureKind::BadRequest,
+        sqlstate::PROTOCOL,
+        "the connection has no session; send a startup message first",
+    )
+}
+
+/// Error of a statement that the caller canceled. The cancel request can arrive after the
+/// statement took effect.
+pub(crate) fn canceled() -> PgWireError {
+    error(Failure {
+        code: sqlstate::DEADLINE.into(),
+        ..Failure::may_have_run(
+            FailureKind::Deadline,
+            "the statement was canceled at the caller's request",
+        )
+    })
+}
+
+/// Creates an error that ends the connection.
+pub(crate) fn fatal(code: &str, message: impl Into<String>) -> PgWireError {
+    PgWireError::UserError(Box::new(ErrorInfo::new(
+        "FATAL".into(),
+        code.into(),
+        message.into(),
+    )))
+}
+
+pub(crate) fn row_description(columns: &[Column]) -> PgWireBackendMessage {
+    let fields = columns
+        .iter()
+        .map(|column| {
+            FieldDescription::new(
+                column.name.to_string(),
+                0,
+                0,
+                column.oid,
+                -1,
+                -1,
+                column.format,
+            )
+        })
+        .collect();
+    PgWireBackendMessage::RowDescription(RowDescription::new(fields))
+}
+
+pub(crate) fn parameter_description(types: Vec<u32>) -> PgWireBackendMessage {
+    PgWireBackendMessage::ParameterDescription(ParameterDescription::new(types))
+}
+
+pub(crate) fn data_row(fields: u16, data: bytes::Bytes) -> PgWireBackendMessage {
+    let data = BytesMut::from(data);
+    PgWireBackendMessage::DataRow(DataRow::new(data, fields.cast_signed()))
+}
+
+pub(crate) fn command_complete(tag: &SmolStr) -> PgWireBackendMessage {
+    PgWireBackendMessage::CommandComplete(CommandComplete::new(tag.to_string()))
+}
+
+pub(crate) fn token_status(token: &Token) -> PgWireBackendMessage {
+    PgWireBackendMessage::ParameterStatus(ParameterStatus::new(
+        TOKEN_STATUS.into(),
+        token.to_string(),
+    ))
+}
+
+pub(crate) fn transaction_status(state: TransactionState) -> TransactionStatus {
+    match state {
+        TransactionState::Idle => TransactionStatus::Idle,
+        TransactionState::Active => TransactionStatus::Transaction,
+        TransactionState::Failed => TransactionStatus::Error,
+    }
+}
--- /dev/null
+++ b/crates/siskinhook-frontend/src/simple.rs
@@ -0,0 +1,228 @@
+//! Simple query flow.
+
+use std::fmt::Debug;
+
+use async_trait::async_trait;
+use futures::{Sink, SinkExt};
+use pgwire::{
+    api::{
+        ClientInfo, ClientPortalStore, ConnectionHandle, PgWireConnectionState,
+        query::{SimpleQueryHandler, send_ready_for_query},
+        results::Response,
+        store::PortalStore,
+    },
+    error::{PgWireError, PgWireResult},
+    messages::{PgWireBackendMessage, response::EmptyQueryResponse, simplequery::Query},
+};
+use siskinhook_types::{Failure, Part, Statement};
+
+use crate::{
+    Backend, CallerSession, Filter, Reply, TransactionState,
+    connection::{Connection, State},
+    messages,
+    split::split,
+    statement_settings::is_local,
+};
+
+/// Keywords of statements that open or end a transaction.
+const TRANSACTION_WORDS: &[&str] = &["begin", "start", "commit", "end", "rollback", "abort"];
+
+#[async_trait]
+impl<B, F> SimpleQueryHandler for Connection<B, F>
+where
+    B: Backend,
+    F: Filter<B::Session>,
+{
+    async fn on_query<C>(&self, client: &mut C, query: Query) -> PgWireResult<()>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        client.set_state(PgWireConnectionState::QueryInProgress);
+        let result = cancellable(self, client, async |client: &mut C| {
+            self.run(client, &query.query).await
+        })
+        .await;
+        let status = messages::transaction_status(self.transaction().await);
+        client.set_transaction_status(status);
+        result?;
+        client.set_state(PgWireConnectionState::ReadyForQuery);
+        send_ready_for_query(client, status).await
+    }
+
+    async fn do_query<C>(&self, _client: &mut C, _query: &str) -> PgWireResult<Vec<Response>>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        // `on_query` is overridden, because answers made here would be held whole.
+        Err(PgWireError::NotReadyForQuery)
+    }
+}
+
+/// Runs a query until it ends or the caller cancels it.
+pub(crate) async fn cancellable<B, F, C>(
+    connection: &Connection<B, F>,
+    client: &mut C,
+    query: impl AsyncFnOnce(&mut C) -> PgWireResult<()>,
+) -> PgWireResult<()>
+where
+    B: Backend,
+    F: Filter<B::Session>,
+    C: ClientInfo,
+{
+    let handle = client
+        .session_extensions()
+        .get::<std::sync::Arc<ConnectionHandle>>();
+    let Some(handle) = handle else {
+        return query(client).await;
+    };
+    let canceled = handle.start_query().await;
+    tokio::select! {
+        biased;
+        result = query(client) => return result,
+        Ok(()) = canceled => {}
+    }
+    let mut state = connection.state.lock().await;
+    state.portals.clear();
+    Err(messages::canceled())
+}
+
+impl<B, F> Connection<B, F>
+where
+    B: Backend,
+    F: Filter<B::Session>,
+{
+    pub(crate) async fn transaction(&self) -> TransactionState {
+        let state = self.state.lock().await;
+        state
+            .session
+            .as_ref()
+            .map_or(TransactionState::Idle, CallerSession::transaction)
+    }
+
+    /// Runs the statements of one simple query.
+    async fn run<C>(&self, client: &mut C, sql: &str) -> PgWireResult<()>
+    where
+        C: Sink<PgWireBackendMessage> + Unpin + Send,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let mut state = self.state.lock().await;
+        let statements = split(sql);
+        if statements
+            .iter()
+            .all(|statement| statement.trim().is_empty())
+        {
+            let empty = PgWireBackendMessage::EmptyQueryResponse(EmptyQueryResponse::new());
+            return Ok(client.feed(empty).await?);
+        }
+        // Several statements of one simple query form one transaction in PostgreSQL.
+        let implicit = needs_transaction(&statements)
+            && state.session.as_ref().map(CallerSession::transaction)
+                == Some(TransactionState::Idle);
+        if implicit {
+            self.run_silently(&mut state, "BEGIN").await?;
+        }
+        for statement in &statements {
+            let result = self.run_one(client, &mut state, statement).await;
+            if result.is_err() && implicit {
+                // The first failure is the one to report; the link is closed in any case.
+                let _ = self.run_silently(&mut state, "ROLLBACK").await;
+            }
+            result?;
+        }
+        if implicit {
+            self.run_silently(&mut state, "COMMIT").await?;
+        }
+        self.report_token(client, &mut state).await
+    }
+
+    async fn run_one<C>(
+        &self,
+        client: &mut C,
+        state: &mut State<B::Session, F::Answer>,
+        sql: &str,
+    ) -> PgWireResult<()>
+    where
+        C: Sink<PgWireBackendMessage> + Unpin + Send,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let statement = Statement::simple(sql.trim());
+        let mut reply = self.call(state, statement).await.map_err(messages::error)?;
+        while let Some(part) = reply.next().await.map_err(messages::error)? {
+            let message = match part {
+                Part::Columns(columns) if columns.is_empty() => continue,
+                Part::Parameters(_) => continue,
+                Part::Columns(columns) => messages::row_description(&columns),
+                Part::Row { fields, data } => messages::data_row(fields, data),
+                Part::Done { tag, .. } => messages::command_complete(&tag),
+            };
+            client.feed(message).await?;
+        }
+        Ok(())
+    }
+
+    async fn run_silently(
+        &self,
+        state: &mut State<B::Session, F::Answer>,
+        sql: &'static str,
+    ) -> PgWireResult<()> {
+        let result = async {
+            let mut reply = self.call(state, Statement::simple(sql)).await?;
+            while reply.next().await?.is_some() {}
+            Ok(())
+        };
+        result.await.map_err(messages::error)
+    }
+
+    /// Passes a statement through the filter chain.
+    pub(crate) async fn call(
+        &self,
+        state: &mut State<B::Session, F::Answer>,
+        statement: Statement,
+    ) -> Result<Reply<F::Answer>, Failure> {
+        let State {
+            session, options, ..
+        } = state;
+        let Some(session) = session else {
+            return Err(messages::no_session());
+        };
+        self.shared.filter.call(session, options, statement).await
+    }
+
+    /// Reports the causal token if it changed since it was last reported.
+    pub(crate) async fn report_token<C>(
+        &self,
+        client: &mut C,
+        state: &mut State<B::Session, F::Answer>,
+    ) -> PgWireResult<()>
+    where
+        C: Sink<PgWireBackendMessage> + Unpin + Send,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let token = state.session.as_ref().and_then(CallerSession::token);
+        if token == state.reported {
+            return Ok(());
+        }
+        if let Some(token) = &token {
+            client.feed(messages::token_status(token)).await?;
+        }
+        state.reported = token;
+        Ok(())
+    }
+}
+
+fn needs_transaction(statements: &[&str]) -> bool {
+    let remote = statements.iter().filter(|statement| !is_local(statement));
+    let control = statements.iter().any(|statement| {
+        let word = statement.split_whitespace().next().unwrap_or_default();
+        TRANSACTION_WORDS
+            .iter()
+            .any(|w| word.eq_ignore_ascii_case(w))
+    });
+    !control && remote.count() > 1
+}
--- /dev/null
+++ b/crates/siskinhook-frontend/src/statement_settings.rs
@@ -0,0 +1,224 @@
+//! Filter that answers `SET`, `RESET`, `SHOW` and `DISCARD` of session settings.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use siskinhook_types::{Column, Failure, FailureKind, Part, Protocol, Statement, sqlstate};
+use smol_str::SmolStr;
+use sqlparser::{
+    ast::{Expr, Set, Statement as Parsed, Value},
+    dialect::PostgreSqlDialect,
+    parser::Parser,
+};
+
+use crate::{CallerOptions, CallerSession, Filter, Reply, options::PREFIX};
+
+/// Type oid of `text`.
+const TEXT_OID: u32 = 25;
+
+/// Settings that drivers send at the start of a session and that have no effect on a shared
+/// server connection: accepted and ignored.
+const IGNORED: &[&str] = &[
+    "application_name",
+    "client_encoding",
+    "client_min_messages",
+    "datestyle",
+    "extra_float_digits",
+    "intervalstyle",
+    "standard_conforming_strings",
+    "timezone",
+];
+
+/// Answers statements about session settings on this node.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StatementSettings<N> {
+    next: N,
+}
+
+impl<N> StatementSettings<N> {
+    /// Creates the filter.
+    pub const fn new(next: N) -> Self {
+        Self { next }
+    }
+}
+
+impl<S: CallerSession, N: Filter<S>> Filter<S> for StatementSettings<N> {
+    type Answer = N::Answer;
+
+    async fn call(
+        &self,
+        session: &mut S,
+        options: &mut CallerOptions,
+        statement: Statement,
+    ) -> Result<Reply<Self::Answer>, Failure> {
+        if !is_local(&statement.sql) {
+            return self.next.call(session, options, statement).await;
+        }
+        answer(session, options, &statement).map(Reply::local)
+    }
+}
+
+/// Returns whether a statement concerns session settings and is answered by the node.
+pub(crate) fn is_local(sql: &str) -> bool {
+    let word = sql.split_whitespace().next().unwrap_or_default();
+    ["set", "reset", "show", "discard"]
+        .iter()
+        .any(|keyword| word.eq_ignore_ascii_case(keyword))
+}
+
+/// Returns the columns of a statement answered by the node.
+pub(crate) fn columns(sql: &str) -> Vec<Column> {
+    let mut words = sql.trim_end_matches(';').split_whitespace();
+    if !words
+        .next()
+        .is_some_and(|word| word.eq_ignore_ascii_case("show"))
+    {
+        return Vec::new();
+    }
+    vec![column(words.next().unwrap_or_default())]
+}
+
+fn column(name: &str) -> Column {
+    Column {
+        name: name.to_ascii_lowercase().into(),
+        oid: TEXT_OID,
+        format: 0,
+    }
+}
+
+fn answer<S: CallerSession>(
+    session: &S,
+    options: &mut CallerOptions,
+    statement: &Statement,
+) -> Result<Vec<Part>, Failure> {
+    let text = statement.sql.trim().trim_end_matches(';');
+    let mut words = text.split_whitespace();
+    let keyword = words.next().unwrap_or_default().to_ascii_lowercase();
+    match keyword.as_str() {
+        "show" => show(
+            session,
+            options,
+            statement,
+            words.next().unwrap_or_default(),
+        ),
+        "reset" => reset(options, words.next().unwrap_or_default()).map(|()| done("RESET")),
+        "discard" => {
+            *options = CallerOptions::default();
+            Ok(done("DISCARD ALL"))
+        }
+        _ => set(options, text).map(|()| done("SET")),
+    }
+}
+
+fn done(tag: &'static str) -> Vec<Part> {
+    vec![Part::Done {
+        tag: tag.into(),
+        point: None,
+    }]
+}
+
+fn show<S: CallerSession>(
+    session: &S,
+    options: &CallerOptions,
+    statement: &Statement,
+    name: &str,
+) -> Result<Vec<Part>, Failure> {
+    let name = name.to_ascii_lowercase();
+    let value: SmolStr = match name.strip_prefix(PREFIX) {
+        Some("token") if session.token().is_some() => session
+            .token()
+            .map(|t| t.to_string())
+            .unwrap_or_default()
+            .into(),
+        Some(option) => options.get(option)?,
+        None => match name.as_str() {
+            "transaction_isolation" => "serializable".into(),
+            "standard_conforming_strings" => "on".into(),
+            "client_encoding" | "server_encoding" => "UTF8".into(),
+            "server_version" => crate::startup::SERVER_VERSION.into(),
+            _ => return Err(unsupported(&name)),
+        },
+    };
+    let column = column(&name);
+    let mut parts = vec![Part::Columns(vec![column])];
+    parts.push(text_row(&value));
+    parts.push(Part::Done {
+        tag: if statement.protocol == Protocol::Simple {
+            "SHOW"
+        } else {
+            "SELECT 1"
+        }
+        .into(),
+        point: None,
+    });
+    Ok(parts)
+}
+
+fn text_row(value: &str) -> Part {
+    let mut data = BytesMut::with_capacity(4 + value.len());
+    data.put_i32(i32::try_from(value.len()).unwrap_or(i32::MAX));
+    data.put_slice(value.as_bytes());
+    Part::Row {
+        fields: 1,
+        data: Bytes::from(data),
+    }
+}
+
+fn reset(options: &mut CallerOptions, name: &str) -> Result<(), Failure> {
+    let name = name.to_ascii_lowercase();
+    if name == "all" {
+        *options = CallerOptions::default();
+        return Ok(());
+    }
+    match name.strip_prefix(PREFIX) {
+        Some(option) => options.set(option, ""),
+        None if IGNORED.contains(&name.as_str()) || name == "statement_timeout" => Ok(()),
+        None => Err(unsupported(&name)),
+    }
+}
+
+fn set(options: &mut CallerOptions, text: &str) -> Result<(), Failure> {
+    let parsed = Parser::parse_sql(&PostgreSqlDialect {}, text).map_err(|error| {
+        Failure::not_run(
+            FailureKind::BadRequest,
+            "42601",
+            format!("cannot read SET: {error}"),
+        )
+    })?;
+    let Some(Parsed::Set(Set::SingleAssignment {
+        variable, values, ..
+    })) = parsed.into_iter().next()
+    else {
+        return Err(unsupported(text));
+    };
+    let name = variable.to_string().to_ascii_lowercase();
+    let value = values.first().map(literal).unwrap_or_default();
+    match name.strip_prefix(PREFIX) {
+        Some(option) => options.set(option, &value),
+        None if IGNORED.contains(&name.as_str()) => Ok(()),
+        // PostgreSQL's own name for the same wish; 0 means no limit there.
+        None if name == "statement_timeout" => {
+            options.set("deadline", if value == "0" { "" } else { &value })
+        }
+        None => Err(unsupported(&name)),
+    }
+}
+
+fn literal(expr: &Expr) -> String {
+    match expr {
+        Expr::Value(value) => match &value.value {
+            Value::SingleQuotedString(text) | Value::DoubleQuotedString(text) => text.clone(),
+            other => other.to_string(),
+        },
+        other => other.to_string(),
+    }
+}
+
+fn unsupported(name: &str) -> Failure {
+    Failure::not_run(
+        FailureKind::BadRequest,
+        sqlstate::NOT_SUPPORTED,
+        format!(
+            "setting {name:?} is not supported, because server connections are shared between \
+             callers; the settings of siskinhook start with {PREFIX}"
+        ),
+    )
+}
