--- /dev/null
+++ b/crates/siskinhook-settings/src/error.rs
@@ -0,0 +1,49 @@
+//! Errors of a settings or catalogue text, with their place in it.
+
+use std::fmt;
+
+/// One fault in a text, at a line and column.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// Line, counted from 1.
+    pub line: usize,
+    /// Column in characters, counted from 1.
+    pub column: usize,
+    /// Path of the field, for example `failover.poll_interval`; empty for the whole text.
+    pub field: String,
+    /// What is wrong, and how to put it right.
+    pub message: String,
+}
+
+/// All faults found in one text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError {
+    /// Name of the text: the file name.
+    pub source: String,
+    /// The faults, in the order of the text.
+    pub problems: Vec<Problem>,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, problem) in self.problems.iter().enumerate() {
+            if index > 0 {
+                f.write_str("\n")?;
+            }
+            let Problem {
+                line,
+                column,
+                field,
+                message,
+            } = problem;
+            write!(f, "{}:{line}:{column}: ", self.source)?;
+            if !field.is_empty() {
+                write!(f, "{field}: ")?;
+            }
+            f.write_str(message)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SettingsError {}
--- /dev/null
+++ b/crates/siskinhook-settings/src/sections.rs
@@ -0,0 +1,296 @@
+//! Sections of the node settings.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use siskinhook_types::{PartnerId, value_type};
+use smol_str::SmolStr;
+
+use crate::{SecretSource, millis};
+
+value_type! {
+    /// Addresses the node listens on, each as `ip:port`; other nodes dial `links` and `peers`
+    /// as written here.
+    #[serde(deny_unknown_fields)]
+    pub struct Addresses {
+        /// PostgreSQL protocol for callers.
+        pub callers: SmolStr,
+        /// Links from other nodes.
+        pub links: SmolStr,
+        /// Control traffic from other nodes (jsonrpsee).
+        pub peers: SmolStr,
+        /// Operator interface (jsonrpsee).
+        pub operators: SmolStr,
+        /// HTTP endpoint with `/metrics`, `/health` and `/ready`.
+        pub metrics: SmolStr,
+    }
+
+    /// Platform services, and the share of their capacity that the fleet may use.
+    #[serde(deny_unknown_fields)]
+    pub struct PlatformSettings {
+        /// Address of the platform's interface as `ip:port`.
+        pub address: SmolStr,
+        /// Time limit of a call, in milliseconds.
+        #[serde(default = "PlatformSettings::default_timeout", with = "millis")]
+        pub timeout: Duration,
+        /// Reads per second that the platform serves in all.
+        #[serde(default = "PlatformSettings::default_reads")]
+        pub reads: u32,
+        /// Writes per second that the platform serves in all.
+        #[serde(default = "PlatformSettings::default_writes")]
+        pub writes: u32,
+        /// Percent of the capacity that the whole fleet may use.
+        #[serde(default = "PlatformSettings::default_share")]
+        pub share: u32,
+    }
+
+    /// User and password for targets.
+    #[serde(deny_unknown_fields)]
+    pub struct Credential {
+        /// User name.
+        pub user: SmolStr,
+        /// Password.
+        pub password: SecretSource,
+    }
+
+    /// An operator of a partner.
+    #[serde(deny_unknown_fields)]
+    pub struct OperatorAccount {
+        /// Partner whose entries the operator may edit.
+        pub partner: PartnerId,
+        /// Token that authenticates the operator.
+        pub token: SecretSource,
+    }
+
+    /// Monitoring and promotion of database groups.
+    #[serde(default, deny_unknown_fields)]
+    pub struct Failover {
+        /// Milliseconds between polls of a group in use.
+        #[serde(with = "millis")]
+        pub poll_interval: Duration,
+        /// Milliseconds between polls of a group without statements.
+        #[serde(with = "millis")]
+        pub idle_interval: Duration,
+        /// Milliseconds after which an unanswered probe counts against the primary; widened by
+        /// observed round trips.
+        #[serde(with = "millis")]
+        pub probe_timeout: Duration,
+        /// Milliseconds that a promoter waits for the platform's table before it proceeds
+        /// without it.
+        #[serde(with = "millis")]
+        pub table_timeout: Duration,
+        /// Milliseconds per rank that a promoter waits when the table did not respond.
+        #[serde(with = "millis")]
+        pub rank_delay: Duration,
+        /// Time limit of opening a connection to a server, in milliseconds.
+        #[serde(with = "millis")]
+        pub connect_timeout: Duration,
+    }
+
+    /// Membership and gossip.
+    #[serde(default, deny_unknown_fields)]
+    pub struct Fleet {
+        /// Milliseconds between probes of other nodes.
+        #[serde(with = "millis")]
+        pub probe_interval: Duration,
+        /// Milliseconds after which a probe is repeated through other nodes.
+        #[serde(with = "millis")]
+        pub probe_timeout: Duration,
+        /// Milliseconds from suspicion to dead.
+        #[serde(with = "millis")]
+        pub suspicion_timeout: Duration,
+        /// Nodes asked to probe indirectly.
+        pub indirect_probes: u32,
+        /// Nodes that a new piece of news is sent to.
+        pub gossip_fanout: u32,
+        /// Milliseconds between readings of the platform's list of VMs.
+        #[serde(with = "millis")]
+        pub list_interval: Duration,
+    }
+
+    /// Catalogue propagation.
+    #[serde(default, deny_unknown_fields)]
+    pub struct CatalogueSettings {
+        /// Milliseconds between polls of the platform's table; each wait is jittered.
+        #[serde(with = "millis")]
+        pub poll_interval: Duration,
+    }
+
+    /// Requests of callers.
+    #[serde(default, deny_unknown_fields)]
+    pub struct Requests {
+        /// Connections of callers per node.
+        pub connections: u32,
+        /// Milliseconds after which a request without a stated deadline, in an entry without
+        /// one, is not started.
+        #[serde(with = "millis")]
+        pub deadline: Duration,
+        /// Expected wait in milliseconds above which short work is refused.
+        #[serde(with = "millis")]
+        pub short_wait: Duration,
+        /// Expected wait in milliseconds above which long work is refused.
+        #[serde(with = "millis")]
+        pub long_wait: Duration,
+        /// Retries as percent of requests.
+        pub retry_share: u32,
+        /// Attempts of one request, the first one included.
+        pub attempts: u32,
+        /// Rows of a response buffered per caller.
+        pub row_buffer: u32,
+        /// Largest message in bytes that a caller may send.
+        pub message_size: u32,
+        /// Milliseconds that a caller may take to log in.
+        #[serde(with = "millis")]
+        pub login_timeout: Duration,
+        /// Milliseconds that a transaction may be idle before it is rolled back.
+        #[serde(with = "millis")]
+        pub idle_transaction: Duration,
+        /// Milliseconds after which an idle link to another node is closed.
+        #[serde(with = "millis")]
+        pub idle_link: Duration,
+        /// Milliseconds without any response after which a server connection is checked by a
+        /// probe over a new one.
+        #[serde(with = "millis")]
+        pub silence: Duration,
+    }
+
+    /// Shutdown of the node.
+    #[serde(default, deny_unknown_fields)]
+    pub struct Drain {
+        /// Milliseconds that requests in progress get to finish.
+        #[serde(with = "millis")]
+        pub deadline: Duration,
+        /// Milliseconds between reporting not ready and refusing new callers, so that the load
+        /// balancer notices.
+        #[serde(with = "millis")]
+        pub notice: Duration,
+    }
+
+    /// Form of the log lines.
+    #[derive(Copy)]
+    #[serde(rename_all = "lowercase")]
+    pub enum LogFormat {
+        /// One line of text for people.
+        Text,
+        /// One JSON object a line.
+        Json,
+    }
+
+    /// Log output.
+    #[serde(default, deny_unknown_fields)]
+    pub struct LogSettings {
+        /// Form of the lines.
+        pub format: LogFormat,
+        /// Level: `error`, `warn`, `info`, `debug`, `trace` or `off`.
+        pub level: SmolStr,
+        /// Levels of single modules, by module path, for example `siskinhook_fleet`.
+        pub modules: IndexMap<SmolStr, SmolStr>,
+        /// Lines of one event per second; further ones are counted and suppressed.
+        pub burst: u32,
+    }
+}
+
+impl PlatformSettings {
+    /// Settings of the platform at an address.
+    #[must_use]
+    pub fn new(address: impl Into<SmolStr>) -> Self {
+        Self {
+            address: address.into(),
+            timeout: Self::default_timeout(),
+            reads: Self::default_reads(),
+            writes: Self::default_writes(),
+            share: Self::default_share(),
+        }
+    }
+
+    const fn default_timeout() -> Duration {
+        Duration::from_secs(2)
+    }
+
+    const fn default_reads() -> u32 {
+        2000
+    }
+
+    // "Several hundred" writes a second; the lower end is assumed.
+    const fn default_writes() -> u32 {
+        300
+    }
+
+    // The fleet stays under a quarter of the capacity; the rest of the quarter absorbs bursts.
+    const fn default_share() -> u32 {
+        20
+    }
+}
+
+impl Default for Failover {
+    fn default() -> Self {
+        Self {
+            poll_interval: Duration::from_millis(250),
+            idle_interval: Duration::from_secs(1),
+            probe_timeout: Duration::from_millis(750),
+            table_timeout: Duration::from_millis(300),
+            rank_delay: Duration::from_millis(400),
+            connect_timeout: Duration::from_millis(500),
+        }
+    }
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            probe_interval: Duration::from_secs(1),
+            probe_timeout: Duration::from_millis(300),
+            suspicion_timeout: Duration::from_secs(2),
+            indirect_probes: 3,
+            gossip_fanout: 4,
+            list_interval: Duration::from_secs(10),
+        }
+    }
+}
+
+impl Default for CatalogueSettings {
+    fn default() -> Self {
+        Self {
+            poll_interval: Duration::from_secs(10),
+        }
+    }
+}
+
+impl Default for Requests {
+    fn default() -> Self {
+        Self {
+            connections: 4000, // 2,600 are expected per node; room for one lost node in three
+            deadline: Duration::from_secs(10),
+            short_wait: Duration::from_secs(2),
+            long_wait: Duration::from_mins(1),
+            retry_share: 10,
+            attempts: 4,
+            row_buffer: 64,
+            message_size: 16 * 1024 * 1024,
+            login_timeout: Duration::from_secs(5),
+            idle_transaction: Duration::from_mins(1),
+            idle_link: Duration::from_secs(30),
+            silence: Duration::from_millis(1500),
+        }
+    }
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        Self {
+            deadline: Duration::from_secs(30),
+            notice: Duration::from_secs(2),
+        }
+    }
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            format: LogFormat::Text,
+            level: "info".into(),
+            modules: IndexMap::new(),
+            burst: 10,
+        }
+    }
+}
