Add the platform client with budget and backoff

Cause: nodes need the platform's table, objects and VM list, and the fleet must stay under a quarter of its capacity.

--- /dev/null
+++ b/crates/siskinhook-platform/src/budgeted.rs
@@ -0,0 +1,139 @@
+//! A platform client that keeps to the node's share.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use siskinhook_types::{Batch, CommitOutcome, Platform, PlatformError, Row, VmRecord};
+use tokio::time::Instant;
+
+use crate::{Budget, BudgetSettings, CallKind, Counters};
+
+/// Wraps a platform client: calls wait for the node's share of the capacity, back off with
+/// full jitter when the platform fails or is slow, and return spread out after an outage.
+/// Clones share the budget.
+#[derive(Clone, Debug)]
+pub struct Budgeted<P> {
+    inner: P,
+    budget: Arc<Mutex<Budget>>,
+    counters: Arc<Counters>,
+    urgent: bool,
+}
+
+impl<P: Platform> Budgeted<P> {
+    /// Wraps a client for a fleet of one node; `set_nodes` states the real number.
+    #[must_use]
+    pub fn new(inner: P, settings: BudgetSettings, seed: u64) -> Self {
+        let budget = Budget::new(settings, 1, seed, Instant::now().into_std());
+        Self {
+            inner,
+            budget: Arc::new(Mutex::new(budget)),
+            counters: Arc::default(),
+            urgent: false,
+        }
+    }
+
+    /// Divides the fleet's share by the number of live nodes.
+    pub fn set_nodes(&self, nodes: usize) {
+        self.lock().set_nodes(nodes, Instant::now().into_std());
+    }
+
+    /// Returns a handle for work that someone waits for (edits, promotions): it may go a few
+    /// calls ahead of the rate and is not refused during a backoff.
+    #[must_use]
+    pub fn urgent(&self) -> Self {
+        Self {
+            urgent: true,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the counters.
+    #[must_use]
+    pub fn counters(&self) -> Arc<Counters> {
+        self.counters.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn call<T>(
+        &self,
+        kind: CallKind,
+        call: impl Future<Output = Result<T, PlatformError>>,
+    ) -> Result<T, PlatformError> {
+        let reserved = self
+            .lock()
+            .reserve(kind, self.urgent, Instant::now().into_std());
+        let wait = reserved.map_err(|refusal| {
+            self.counters.refused.fetch_add(1, Ordering::Relaxed);
+            PlatformError::NotDone(refusal.to_string())
+        })?;
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+            self.counters
+                .waited
+                .fetch_add(milliseconds(wait), Ordering::Relaxed);
+        }
+        let sent = match kind {
+            CallKind::Read => &self.counters.reads,
+            CallKind::Write => &self.counters.writes,
+        };
+        sent.fetch_add(1, Ordering::Relaxed);
+        let start = Instant::now();
+        let result = call.await;
+        let now = Instant::now();
+        match &result {
+            Ok(_) => self.lock().answered(now - start, now.into_std()),
+            Err(error) => {
+                self.lock().failed(now.into_std());
+                let counter = match error {
+                    PlatformError::NotDone(_) => &self.counters.failures,
+                    PlatformError::MayBeDone(_) => &self.counters.lost,
+                };
+                counter.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        result
+    }
+}
+
+fn milliseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl<P: Platform> Platform for Budgeted<P> {
+    async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        self.call(CallKind::Read, self.inner.get(key)).await
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<Row>, PlatformError> {
+        self.call(CallKind::Read, self.inner.list(prefix, after, limit))
+            .await
+    }
+
+    async fn commit(&self, batch: Batch) -> Result<CommitOutcome, PlatformError> {
+        self.call(CallKind::Write, self.inner.commit(batch)).await
+    }
+
+    async fn put_object(&self, key: &str, data: Bytes) -> Result<(), PlatformError> {
+        self.call(CallKind::Write, self.inner.put_object(key, data))
+            .await
+    }
+
+    async fn get_object(&self, key: &str) -> Result<Option<Bytes>, PlatformError> {
+        self.call(CallKind::Read, self.inner.get_object(key)).await
+    }
+
+    async fn vms(&self) -> Result<Vec<VmRecord>, PlatformError> {
+        self.call(CallKind::Read, self.inner.vms()).await
+    }
+}
