--- a/crates/siskinhook-frontend/src/startup.rs
+++ b/crates/siskinhook-frontend/src/startup.rs
@@ -73,7 +73,8 @@
                 driver.begin_authentication(client, mechanism).await?
             }
             PgWireFrontendMessage::PasswordMessageFamily(message) => {
-                driver.advance_authentication(client, message).await?
+                let result = driver.advance_authentication(client, message).await;
+                result.map_err(|error| refused(error, client))?
             }
             _ => {
                 return Err(messages::fatal(
@@ -131,6 +132,17 @@
     }
 }
 
+/// Names the user in the error of a failed login; the library leaves it out for SCRAM.
+fn refused<C: ClientInfo>(error: PgWireError, client: &C) -> PgWireError {
+    match error {
+        PgWireError::InvalidPassword(_) => {
+            let user = client.metadata().get(METADATA_USER).cloned();
+            PgWireError::InvalidPassword(user.unwrap_or_default())
+        }
+        other => other,
+    }
+}
+
 /// Collects siskinhook's settings from the startup parameters and from `options`.
 fn startup_options(metadata: &HashMap<String, String>) -> Result<Vec<(String, String)>, Failure> {
     let mut found: Vec<(String, String)> = metadata
