--- a/crates/siskinhook-frontend/src/lib.rs
+++ b/crates/siskinhook-frontend/src/lib.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod backend;
 mod connection;
+mod engine_backend;
 mod execute;
 mod extended;
 mod filter;
