Serve the stand-ins on TCP, with relays and the demo's control interface

Cause: nodes on real sockets need servers that speak the PostgreSQL protocol and a platform on jsonrpsee. Change: Site::start_tcp, the server side of the protocol on pgwire's messages, TCP relays as dial overrides, demo_apply and demo_state, demo_command. A statement of a terminated session no longer commits after the answer to OWNER TERMINATE; before, it could on another thread.

--- a/crates/siskinhook-standin/src/fault.rs
+++ b/crates/siskinhook-standin/src/fault.rs
@@ -10,6 +10,7 @@
 cut zone ZONE | cut platform ZONE | cut server SERVER | cut node NODE | cut pair NAME NAME
 heal zone ZONE | heal platform ZONE | heal server SERVER | heal node NODE | heal pair NAME NAME
   (add `silent` to leave the connections that were cut silent for good)
+delay zone ZONE MILLISECONDS | delay server SERVER MILLISECONDS | delay node NODE MILLISECONDS
 silence zone ZONE | silence server SERVER | silence node NODE
 lag SERVER MILLISECONDS | slow SERVER MILLISECONDS | crash server SERVER | restart server SERVER
 platform up | platform down | platform slow MILLISECONDS | platform lose-answers [PER-MILLE]
@@ -31,6 +32,13 @@
         },
         /// Makes the open connections over a would-be cut silent for good; new ones work.
         Silence(Cut),
+        /// Delays messages over a would-be cut; 0 ends the delay.
+        Delay {
+            /// The cut.
+            cut: Cut,
+            /// Milliseconds added each way.
+            milliseconds: u64,
+        },
         /// Sets the replication lag of a server.
         Lag {
             /// The server.
@@ -99,6 +107,10 @@
                 silent: false,
             },
             ["silence", ref place @ ..] => Self::Silence(cut(place)?),
+            ["delay", ref place @ .., milliseconds] => Self::Delay {
+                cut: cut(place)?,
+                milliseconds: number(milliseconds)?,
+            },
             ["lag", server, milliseconds] => Self::Lag {
                 server: server.into(),
                 milliseconds: number(milliseconds)?,
--- a/crates/siskinhook-standin/src/lib.rs
+++ b/crates/siskinhook-standin/src/lib.rs
@@ -7,16 +7,20 @@
 mod local;
 mod network;
 mod platform;
+mod relay;
 mod replication;
+mod rpc;
 mod server;
 mod site;
 mod sql;
 mod value;
+mod wire;
 
 pub use fault::{DEMO_WORDS, Fault, NodeFault};
 pub use local::{LocalSession, LocalTargets};
 pub use network::{Connection, Cut, Endpoint, Latencies, Network};
 pub use platform::{LocalPlatform, PlatformState, PlatformStore};
+pub use rpc::{NOT_DONE, demo_command, serve_demo};
 pub use server::{Server, ServerOptions};
 pub use site::{Plan, ServerState, Site, SiteState};
 
--- a/crates/siskinhook-standin/src/network.rs
+++ b/crates/siskinhook-standin/src/network.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use siskinhook_types::{Zone, value_type};
 use smol_str::SmolStr;
 use tokio::{sync::watch, time::sleep};
@@ -132,6 +132,7 @@
 #[derive(Debug, Default)]
 struct State {
     cuts: IndexSet<Cut>,
+    delays: IndexMap<Cut, Duration>,
     connections: Vec<Weak<Connection>>,
 }
 
@@ -201,6 +202,16 @@
         self.inner.changed.send_modify(|version| *version += 1);
     }
 
+    /// Delays every message that a cut would separate; zero ends the delay.
+    pub fn delay(&self, cut: &Cut, delay: Duration) {
+        let mut state = lock(&self.inner.state);
+        if delay.is_zero() {
+            state.delays.shift_remove(cut);
+        } else {
+            state.delays.insert(cut.clone(), delay);
+        }
+    }
+
     /// Creates a connection, which does not yet send anything.
     #[must_use]
     pub fn connect(&self, from: Endpoint, to: Endpoint) -> Arc<Connection> {
@@ -221,7 +232,13 @@
 
     fn latency(&self, a: &Endpoint, b: &Endpoint) -> Duration {
         let latencies = &self.inner.latencies;
-        if a.zone == b.zone {
+        let delay: Duration = lock(&self.inner.state)
+            .delays
+            .iter()
+            .filter(|(cut, _)| cut.separates(a, b))
+            .map(|(_, delay)| *delay)
+            .sum();
+        let base = if a.zone == b.zone {
             latencies.local
         } else if a.zone == PLATFORM || b.zone == PLATFORM {
             latencies.platform
@@ -229,7 +246,8 @@
             latencies.clients
         } else {
             latencies.zones
-        }
+        };
+        base + delay
     }
 }
 
--- a/crates/siskinhook-standin/src/server.rs
+++ b/crates/siskinhook-standin/src/server.rs
@@ -552,6 +552,18 @@
         Ok(())
     }
 
+    /// Fails when the session was closed: nothing of it may commit after the answer to the
+    /// command that closed it, whichever thread its statement runs on.
+    fn check_attached(&self, session: u64) -> Result<(), SqlError> {
+        if self.sessions.contains_key(&session) {
+            return Ok(());
+        }
+        Err(SqlError::new(
+            "57P01",
+            "the connection was terminated by an administrator",
+        ))
+    }
+
     fn check_writable(&self) -> Result<(), SqlError> {
         match self.role {
             Role::Primary => Ok(()),
@@ -698,6 +710,7 @@
         let bound = lock(&server.state).store.bind(parsed, statement)?;
         let _slot = server.occupy(database::work(&bound)).await?;
         let mut state = lock(&server.state);
+        state.check_attached(self.id)?;
         if state.store.is_read(&bound)? {
             return state.store.run(&bound, &statement.results);
         }
@@ -774,6 +787,7 @@
             return Ok(Answer::tag("COMMIT"));
         }
         let mut state = lock(&server.state);
+        state.check_attached(self.id)?;
         state.check_writable()?;
         state.store.command("BEGIN")?;
         let conflict = || {
--- a/crates/siskinhook-standin/src/site.rs
+++ b/crates/siskinhook-standin/src/site.rs
@@ -1,23 +1,33 @@
 //! A whole site: zones, servers, platform and network in the sizes of a deployment.
 
-use std::{fmt, sync::Arc, time::Duration};
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use anyhow::Context;
 use indexmap::IndexMap;
+use jsonrpsee::server::ServerHandle;
 use siskinhook_types::{
-    Class, Database, DatabaseId, Entry, Limits, NodeId, PartnerId, Region, ServerId, ServerStatus,
-    ServiceId, VmRecord, Zone, value_type,
+    Class, Database, DatabaseId, Entry, Limits, NodeId, PartnerId, Region, Role, ServerId,
+    ServerStatus, ServiceId, VmRecord, Zone, value_type,
 };
 use smol_str::{SmolStr, format_smolstr};
-use tokio::task::JoinSet;
+use tokio::{net::TcpListener, task::JoinSet};
 
 use crate::{
     fault::{Fault, NodeFault},
     local::LocalTargets,
+    lock,
     network::{Cut, Endpoint, Latencies, Network},
     platform::{LocalPlatform, PlatformState, PlatformStore},
+    relay::{self, Route},
     replication::replicate,
+    rpc,
     server::{Server, ServerOptions},
+    wire,
 };
 
 /// Servers of each database.
@@ -174,6 +184,48 @@
     }
 }
 
+impl fmt::Display for SiteState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<12} {:<8} {:<8} {:>5} {:>8} {:<12} {:>7} {:>6} {:<8}",
+            "server", "zone", "role", "term", "last", "follows", "contact", "conns", "holder"
+        )?;
+        for (name, server) in &self.servers {
+            let status = &server.status;
+            let role = match (server.crashed, status.role) {
+                (true, _) => "crashed",
+                (false, Role::Primary) => "primary",
+                (false, Role::Replica) => "replica",
+            };
+            writeln!(
+                f,
+                "{name:<12} {:<8} {role:<8} {:>5} {:>8} {:<12} {:>7} {:>6} {:<8}",
+                server.zone,
+                status.term,
+                status.last.to_string(),
+                status.primary.as_deref().unwrap_or("-"),
+                status
+                    .contact
+                    .map_or_else(|| "-".into(), |age| format!("{age} ms")),
+                status.connections,
+                status.holder.as_deref().unwrap_or("-"),
+            )?;
+        }
+        writeln!(f, "platform: {:?}", self.platform)?;
+        write!(f, "cuts: {:?}", self.cuts)
+    }
+}
+
+/// Binds a loopback port chosen by the system.
+async fn bind() -> anyhow::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .context("no loopback port is free; check the open file limit")?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
 type OnNode = Box<dyn Fn(&NodeFault) -> anyhow::Result<()> + Send + Sync>;
 
 /// A site with its servers, platform and network.
@@ -183,10 +235,13 @@
     platform: PlatformStore,
     servers: Arc<IndexMap<ServerId, Arc<Server>>>,
     nodes: Vec<Endpoint>,
-    addresses: IndexMap<ServerId, SmolStr>,
+    /// Addresses of the servers and of the platform, by name.
+    addresses: IndexMap<SmolStr, SmolStr>,
     on_node: Option<OnNode>,
-    /// Replication; ends with the site.
-    _tasks: JoinSet<()>,
+    /// Replication, listeners and relays; they end with the site.
+    tasks: Mutex<JoinSet<()>>,
+    /// The platform's RPC server, which ends with its handle.
+    handle: Option<ServerHandle>,
 }
 
 impl fmt::Debug for Site {
@@ -262,10 +317,80 @@
             nodes,
             addresses,
             on_node: None,
-            _tasks: tasks,
+            tasks: Mutex::new(tasks),
+            handle: None,
         })
     }
 
+    /// Starts a site that serves its servers and platform on loopback ports chosen by the
+    /// system.
+    ///
+    /// # Errors
+    /// As `local`, and when a port cannot be opened.
+    pub async fn start_tcp(seed: u64, plan: Plan) -> anyhow::Result<Self> {
+        let mut site = Self::local(seed, plan)?;
+        for (name, server) in site.servers.as_ref() {
+            let (listener, address) = bind().await?;
+            lock(&site.tasks).spawn(wire::listen(server.clone(), listener));
+            site.addresses
+                .insert(name.clone(), format_smolstr!("{address}"));
+        }
+        let (address, handle) = rpc::serve_platform(site.platform.clone()).await?;
+        site.addresses
+            .insert(Endpoint::platform().name, format_smolstr!("{address}"));
+        site.handle = Some(handle);
+        Ok(site)
+    }
+
+    /// Returns the address of a server or of `platform`, if the site serves it on TCP.
+    #[must_use]
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.handle.as_ref()?;
+        self.addresses.get(name)?.parse().ok()
+    }
+
+    /// Opens a relay from one endpoint to another, whose address is `target`; returns the
+    /// address to dial instead. Cuts, delays and silence of the network act on it.
+    ///
+    /// # Errors
+    /// Fails when no port can be opened.
+    pub async fn relay(
+        &self,
+        from: &Endpoint,
+        to: &Endpoint,
+        target: SocketAddr,
+    ) -> anyhow::Result<SocketAddr> {
+        let (listener, address) = bind().await?;
+        let route = Route {
+            from: from.clone(),
+            to: to.clone(),
+            target,
+        };
+        lock(&self.tasks).spawn(relay::relay(self.network.clone(), route, listener));
+        Ok(address)
+    }
+
+    /// Opens relays from a node to all servers and the platform; returns the dial overrides of
+    /// the node: the relay's address for each address.
+    ///
+    /// # Errors
+    /// Fails when the site does not serve on TCP, or when no port can be opened.
+    pub async fn overrides(&self, node: &Endpoint) -> anyhow::Result<IndexMap<SmolStr, SmolStr>> {
+        let mut overrides = IndexMap::new();
+        for (name, address) in &self.addresses {
+            let target = self
+                .address(name)
+                .context("only a site on TCP has relays; start it with start_tcp")?;
+            let to = match self.servers.get(name) {
+                Some(server) => server.endpoint().clone(),
+                None => Endpoint::platform(),
+            };
+            let dial = self.relay(node, &to, target).await?;
+            overrides.insert(address.clone(), format_smolstr!("{dial}"));
+        }
+        Ok(overrides)
+    }
+
     /// Returns the plan.
     #[must_use]
     pub fn plan(&self) -> &Plan {
@@ -401,6 +526,11 @@
                 self.check(cut)?;
                 self.network.silence(cut);
             }
+            Fault::Delay { cut, milliseconds } => {
+                self.check(cut)?;
+                self.network
+                    .delay(cut, Duration::from_millis(*milliseconds));
+            }
             Fault::Lag {
                 server,
                 milliseconds,
