--- a/crates/siskinhook-engine/src/engine.rs
+++ b/crates/siskinhook-engine/src/engine.rs
@@ -6,7 +6,7 @@
 };
 
 use siskinhook_types::{
-    CallerId, Catalogue, DatabaseId, Failure, FleetView, Links, Platform, ServerId, Targets,
+    CallerId, Catalogue, DatabaseId, Failure, FleetView, Links, NodeId, Platform, ServerId, Targets,
 };
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -115,6 +115,11 @@
         OwnerLink::new(self.inner.core.clone())
     }
 
+    /// Waits until membership holds a node to be gone.
+    pub(crate) async fn node_lost(&self, node: NodeId) {
+        crate::entry::node_lost(&self.inner.core, Some(node)).await;
+    }
+
     /// Stops new sessions and statements outside transactions, and waits until the work in
     /// flight is done. Returns whether that was before the deadline.
     pub async fn drain(&self, deadline: Instant) -> bool {
--- /dev/null
+++ b/crates/siskinhook-engine/src/net/link.rs
@@ -0,0 +1,161 @@
+//! The entry node's side of a link.
+
+use std::time::Duration;
+
+use futures::{FutureExt, SinkExt, StreamExt};
+use siskinhook_types::{ExchangeId, Failure, FailureKind, Link, NodeId, Part, Request, sqlstate};
+use smol_str::SmolStr;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_util::codec::Framed;
+
+use super::frame::{Frame, FrameCodec, VERSION, WireRequest};
+use crate::clock::{now, until};
+
+/// State of the exchange on a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// No exchange is in progress.
+    Idle,
+    /// A request was sent and its answer is not complete.
+    Busy,
+    /// The link broke, or the owner broke the protocol.
+    Broken,
+}
+
+/// A link to another node over a byte stream.
+///
+/// Each answer repeats the number of its exchange. A frame with another number, or one that
+/// arrives while no exchange is in progress, breaks the link: late, doubled and reordered
+/// answers never reach a caller.
+pub struct FrameLink<S> {
+    stream: Framed<S, FrameCodec>,
+    exchange: ExchangeId,
+    state: State,
+    /// Whether a transaction is open on the owner's side.
+    pinned: bool,
+    /// Time without any frame after which the owner is held to be gone.
+    patience: Duration,
+}
+
+impl<S: AsyncRead + AsyncWrite + Send + Unpin + 'static> FrameLink<S> {
+    /// Opens a link on a stream to another node.
+    ///
+    /// # Errors
+    /// Fails with `NotRun` when the node refuses the secret or does not speak this version.
+    pub async fn open(
+        stream: S,
+        node: NodeId,
+        secret: SmolStr,
+        patience: Duration,
+    ) -> Result<Self, Failure> {
+        let mut stream = Framed::new(stream, FrameCodec::new());
+        let hello = Frame::Hello {
+            version: VERSION,
+            node,
+            secret,
+        };
+        stream
+            .send(hello)
+            .await
+            .map_err(|error| lost(&error.to_string()))?;
+        match stream.next().await {
+            Some(Ok(Frame::Welcome)) => Ok(Self {
+                stream,
+                exchange: 0,
+                state: State::Idle,
+                pinned: false,
+                patience,
+            }),
+            _ => Err(lost(
+                "the node refused the link; check that all nodes have the same version and secret",
+            )),
+        }
+    }
+
+    /// Whether the link can carry another request: nothing is in progress and nothing
+    /// unexpected arrived.
+    pub fn is_clean(&mut self) -> bool {
+        if self.state == State::Idle && self.stream.next().now_or_never().is_some() {
+            self.state = State::Broken;
+        }
+        self.state == State::Idle && !self.pinned
+    }
+
+    fn break_off(&mut self, reason: &str) -> Failure {
+        self.state = State::Broken;
+        Failure::may_have_run(
+            FailureKind::ConnectionLost,
+            format!("the link to the owner broke after the request was sent: {reason}"),
+        )
+    }
+
+    /// Follows a part; the kind of the request decides whether a transaction is open.
+    fn follow(&mut self, part: &Part) {
+        if matches!(part, Part::Done { .. }) {
+            self.state = State::Idle;
+        }
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite + Send + Unpin + 'static> Link for FrameLink<S> {
+    async fn start(&mut self, request: Request) -> Result<(), Failure> {
+        use siskinhook_types::Kind;
+        if self.state == State::Idle && self.stream.next().now_or_never().is_some() {
+            self.state = State::Broken;
+        }
+        if self.state != State::Idle {
+            return Err(lost("an earlier exchange on the link broke it"));
+        }
+        self.exchange += 1;
+        self.state = State::Busy;
+        self.pinned = match request.kind {
+            Kind::Begin | Kind::BeginReadOnly | Kind::Inner => true,
+            Kind::Commit | Kind::Rollback => false,
+            _ => self.pinned,
+        };
+        let frame = Frame::Request(Box::new(WireRequest::new(self.exchange, request)));
+        let sent = self.stream.send(frame).await;
+        // A part of the frame may have left this node, but never all of it, and the owner runs
+        // whole frames only.
+        sent.map_err(|error| {
+            self.state = State::Broken;
+            lost(&error.to_string())
+        })
+    }
+
+    async fn next(&mut self) -> Result<Part, Failure> {
+        if self.state != State::Busy {
+            return Err(self.break_off("no exchange is in progress"));
+        }
+        loop {
+            let frame = until(now() + self.patience, self.stream.next()).await;
+            let frame = match frame {
+                None => return Err(self.break_off("the owner fell silent")),
+                Some(None) => return Err(self.break_off("the owner closed it")),
+                Some(Some(Err(error))) => return Err(self.break_off(&error.to_string())),
+                Some(Some(Ok(frame))) => frame,
+            };
+            match frame {
+                Frame::Alive { exchange } if exchange == self.exchange => {}
+                Frame::Part { exchange, part } if exchange == self.exchange => {
+                    self.follow(&part);
+                    return Ok(part);
+                }
+                Frame::Failure { exchange, failure } if exchange == self.exchange => {
+                    self.state = State::Idle;
+                    return Err(failure);
+                }
+                _ => return Err(self.break_off("an answer belongs to another exchange")),
+            }
+        }
+    }
+}
+
+/// The failure of a request that was not sent.
+pub fn lost(reason: &str) -> Failure {
+    Failure::not_run(
+        FailureKind::ConnectionLost,
+        sqlstate::CONNECTION_FAILURE,
+        format!("no link to the owner: {reason}"),
+    )
+}
--- /dev/null
+++ b/crates/siskinhook-engine/src/net/links.rs
@@ -0,0 +1,178 @@
+//! Links to other nodes over TCP, with a pool of idle ones.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use siskinhook_types::{Failure, FleetView, Link, Links, NodeId, Part, Request};
+use smol_str::SmolStr;
+use tokio::{net::TcpStream, sync::watch};
+
+use super::{FrameLink, frame::age, link::lost};
+use crate::clock::{now, until};
+
+/// Settings of links over TCP; construct with `..Default::default()`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinkOptions {
+    /// Time to open a link.
+    pub connect_timeout: Duration,
+    /// Time without any frame after which the owner is held to be gone. The owner sends one
+    /// at least every 500 ms while a request is in progress.
+    pub patience: Duration,
+    /// Idle links kept per node.
+    pub idle: usize,
+    /// Time after which an idle link is closed.
+    pub idle_timeout: Duration,
+    /// Addresses that are dialled in place of others.
+    pub dials: IndexMap<SmolStr, SmolStr>,
+}
+
+impl Default for LinkOptions {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            patience: Duration::from_secs(2),
+            idle: 32,
+            idle_timeout: Duration::from_secs(60),
+            dials: IndexMap::new(),
+        }
+    }
+}
+
+type Idle = Mutex<IndexMap<NodeId, Vec<(FrameLink<TcpStream>, Instant)>>>;
+
+struct Inner {
+    node: NodeId,
+    secret: SmolStr,
+    fleet: watch::Receiver<Arc<FleetView>>,
+    options: LinkOptions,
+    idle: Idle,
+}
+
+/// Links to the other nodes of the fleet over TCP.
+#[derive(Clone)]
+pub struct TcpLinks {
+    inner: Arc<Inner>,
+}
+
+/// A link over TCP; it goes back to the pool when it drops between two exchanges.
+pub struct TcpLink {
+    link: Option<FrameLink<TcpStream>>,
+    node: NodeId,
+    pool: Arc<Inner>,
+}
+
+impl TcpLinks {
+    /// Creates the links of a node. Addresses come from the fleet's view.
+    #[must_use]
+    pub fn new(
+        node: NodeId,
+        secret: SmolStr,
+        fleet: watch::Receiver<Arc<FleetView>>,
+        options: LinkOptions,
+    ) -> Self {
+        Self {
+            inner: Arc::new(Inner {
+                node,
+                secret,
+                fleet,
+                options,
+                idle: Mutex::default(),
+            }),
+        }
+    }
+}
+
+impl Inner {
+    fn take(&self, node: &NodeId) -> Option<FrameLink<TcpStream>> {
+        let mut idle = self.idle();
+        let links = idle.get_mut(node)?;
+        while let Some((mut link, since)) = links.pop() {
+            if age(since) < self.options.idle_timeout && link.is_clean() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    fn put(&self, node: &NodeId, link: FrameLink<TcpStream>) {
+        let mut idle = self.idle();
+        let links = idle.entry(node.clone()).or_default();
+        if links.len() < self.options.idle {
+            links.push((link, now()));
+        }
+    }
+
+    fn idle(
+        &self,
+    ) -> std::sync::MutexGuard<'_, IndexMap<NodeId, Vec<(FrameLink<TcpStream>, Instant)>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn dial(&self, node: &NodeId) -> Result<FrameLink<TcpStream>, Failure> {
+        let address = {
+            let view = self.fleet.borrow();
+            view.members.get(node).map(|member| member.link.clone())
+        };
+        let Some(address) = address else {
+            return Err(lost(&format!("node {node} is not a member of the fleet")));
+        };
+        let address = self.options.dials.get(&address).unwrap_or(&address);
+        let stream = TcpStream::connect(address.as_str()).await;
+        let stream = stream.map_err(|error| lost(&format!("node {node} at {address}: {error}")))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| lost(&format!("node {node} at {address}: {error}")))?;
+        let (name, secret) = (self.node.clone(), self.secret.clone());
+        FrameLink::open(stream, name, secret, self.options.patience).await
+    }
+}
+
+impl Links for TcpLinks {
+    type Link = TcpLink;
+
+    async fn open(&self, node: &NodeId) -> Result<TcpLink, Failure> {
+        let link = match self.inner.take(node) {
+            Some(link) => link,
+            None => {
+                let limit = now() + self.inner.options.connect_timeout;
+                let opened = until(limit, self.inner.dial(node)).await;
+                opened
+                    .unwrap_or_else(|| Err(lost(&format!("node {node} did not answer in time"))))?
+            }
+        };
+        Ok(TcpLink {
+            link: Some(link),
+            node: node.clone(),
+            pool: self.inner.clone(),
+        })
+    }
+}
+
+impl Link for TcpLink {
+    async fn start(&mut self, request: Request) -> Result<(), Failure> {
+        match &mut self.link {
+            Some(link) => link.start(request).await,
+            None => Err(lost("the link is closed")),
+        }
+    }
+
+    async fn next(&mut self) -> Result<Part, Failure> {
+        match &mut self.link {
+            Some(link) => link.next().await,
+            None => Err(lost("the link is closed")),
+        }
+    }
+}
+
+impl Drop for TcpLink {
+    fn drop(&mut self) {
+        if let Some(mut link) = self.link.take()
+            && link.is_clean()
+        {
+            self.pool.put(&self.node, link);
+        }
+    }
+}
--- /dev/null
+++ b/crates/siskinhook-engine/src/net/serve.rs
@@ -0,0 +1,187 @@
+//! Accepts links of other nodes.
+
+use std::time::Duration;
+
+use futures::{FutureExt, SinkExt, StreamExt};
+use siskinhook_types::{ExchangeId, Failure, Link, Links, NodeId, Part, Platform, Targets};
+use smol_str::SmolStr;
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpListener,
+    task::JoinSet,
+};
+use tokio_util::codec::Framed;
+
+use super::frame::{Frame, FrameCodec, VERSION};
+use crate::{
+    Engine, OwnerLink,
+    clock::{now, until},
+};
+
+/// Interval of the frames that show that a request is still in progress.
+const ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time that a node has to say hello.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Answers of one exchange that are written together, when they are there already.
+const BATCH: usize = 64;
+
+type Stream<S> = Framed<S, FrameCodec>;
+
+/// Accepts links until the future is dropped.
+///
+/// # Errors
+/// Fails when the listener fails.
+pub async fn serve_links<T: Targets, L: Links, P: Platform>(
+    listener: TcpListener,
+    engine: Engine<T, L, P>,
+    secret: SmolStr,
+) -> std::io::Result<()> {
+    let mut links = JoinSet::new();
+    loop {
+        tokio::select! {
+            biased;
+            Some(_) = links.join_next() => {}
+            accepted = listener.accept() => {
+                let Ok((stream, peer)) = accepted else {
+                    // Out of file descriptors, for example; accepting goes on when some are
+                    // free again.
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                    continue;
+                };
+                let (engine, secret) = (engine.clone(), secret.clone());
+                links.spawn(async move {
+                    if let Err(error) = stream.set_nodelay(true) {
+                        log::debug!(target: "siskinhook::engine", event = 2040; "link of {peer}: {error}");
+                    }
+                    if let Err(error) = serve_link(stream, engine, secret).await {
+                        log::debug!(target: "siskinhook::engine", event = 2040; "link of {peer}: {error}");
+                    }
+                });
+            }
+        }
+    }
+}
+
+/// Serves one link until the other node closes it or is gone.
+///
+/// # Errors
+/// Fails when the stream breaks or the other node breaks the protocol.
+pub async fn serve_link<S, T, L, P>(
+    stream: S,
+    engine: Engine<T, L, P>,
+    secret: SmolStr,
+) -> std::io::Result<()>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    T: Targets,
+    L: Links,
+    P: Platform,
+{
+    let mut stream = Framed::new(stream, FrameCodec::new());
+    let hello = until(now() + HELLO_TIMEOUT, stream.next()).await;
+    let Some(Some(Ok(Frame::Hello {
+        version,
+        node,
+        secret: shown,
+    }))) = hello
+    else {
+        return Err(refused("no hello"));
+    };
+    if version != VERSION || !is_equal(shown.as_bytes(), secret.as_bytes()) {
+        return Err(refused("wrong version or secret"));
+    }
+    stream.send(Frame::Welcome).await?;
+    tokio::select! {
+        biased;
+        result = exchanges(&mut stream, engine.accept_link()) => result,
+        () = lost(&engine, node) => Err(refused("the node is gone")),
+    }
+}
+
+async fn lost<T: Targets, L: Links, P: Platform>(engine: &Engine<T, L, P>, node: NodeId) {
+    engine.node_lost(node).await;
+}
+
+async fn exchanges<S, T>(stream: &mut Stream<S>, mut owner: OwnerLink<T>) -> std::io::Result<()>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    T: Targets,
+{
+    let mut last = 0;
+    while let Some(frame) = stream.next().await {
+        let Frame::Request(request) = frame? else {
+            return Err(refused("a frame out of turn"));
+        };
+        if request.exchange <= last {
+            return Err(refused("an exchange number was repeated"));
+        }
+        last = request.exchange;
+        if let Err(failure) = owner.start(request.into_request()).await {
+            stream.send(answer(last, Err(failure))).await?;
+            continue;
+        }
+        respond(stream, &mut owner, last).await?;
+    }
+    Ok(())
+}
+
+/// Passes the parts of an answer on.
+async fn respond<S, T>(
+    stream: &mut Stream<S>,
+    owner: &mut OwnerLink<T>,
+    exchange: ExchangeId,
+) -> std::io::Result<()>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    T: Targets,
+{
+    loop {
+        let part = tokio::select! {
+            biased;
+            part = owner.next() => part,
+            // The other node sends nothing during an exchange; the end of the stream or a
+            // frame out of turn ends the link, which closes the server connection.
+            _ = stream.next() => return Err(refused("closed during a request")),
+            () = tokio::time::sleep(ALIVE_INTERVAL) => {
+                stream.send(Frame::Alive { exchange }).await?;
+                continue;
+            }
+        };
+        let mut last = is_last(&part);
+        stream.feed(answer(exchange, part)).await?;
+        for _ in 0..BATCH {
+            if last {
+                break;
+            }
+            let Some(part) = owner.next().now_or_never() else {
+                break;
+            };
+            last = is_last(&part);
+            stream.feed(answer(exchange, part)).await?;
+        }
+        stream.flush().await?;
+        if last {
+            return Ok(());
+        }
+    }
+}
+
+fn answer(exchange: ExchangeId, part: Result<Part, Failure>) -> Frame {
+    match part {
+        Ok(part) => Frame::Part { exchange, part },
+        Err(failure) => Frame::Failure { exchange, failure },
+    }
+}
+
+const fn is_last(part: &Result<Part, Failure>) -> bool {
+    matches!(part, Ok(Part::Done { .. }) | Err(_))
+}
+
+/// Compares in a time that does not depend on where the first difference is.
+fn is_equal(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |sum, (a, b)| sum | (a ^ b)) == 0
+}
+
+fn refused(reason: &str) -> std::io::Error {
+    std::io::Error::other(format!("link refused: {reason}"))
+}
--- /dev/null
+++ b/crates/siskinhook-engine/src/pg/mod.rs
@@ -0,0 +1,6 @@
+//! Database servers over the `PostgreSQL` protocol.
+
+mod session;
+mod targets;
+
+pub use targets::{Login, PgOptions, PgTargets};
--- /dev/null
+++ b/crates/siskinhook-engine/src/pg/session.rs
@@ -0,0 +1,224 @@
+//! A connection to a database server.
+
+use std::fmt::Display;
+
+use futures::{FutureExt, SinkExt, StreamExt};
+use pgwire::{
+    messages::{
+        PgWireBackendMessage as Back, PgWireFrontendMessage as Front,
+        data::{DataRow, RowDescription},
+        extendedquery::{Bind, Describe, Execute, Parse, Sync},
+        response::ErrorResponse,
+        simplequery::Query,
+    },
+    tokio::client::PgWireClient,
+};
+use siskinhook_types::{
+    Column, Control, Failure, FailureKind, LogPoint, Part, Protocol, ServerStatus, Statement,
+    TargetSession, sqlstate,
+};
+use smol_str::SmolStr;
+
+/// Name of the parameter that reports the log point of a commit.
+const LOG_POSITION: &str = "log_position";
+
+/// A connection to a database server.
+pub struct PgSession {
+    client: PgWireClient,
+    tag: Option<SmolStr>,
+    point: Option<LogPoint>,
+    error: Option<ErrorResponse>,
+    /// Whether an answer is outstanding.
+    busy: bool,
+}
+
+impl PgSession {
+    pub(super) fn new(client: PgWireClient) -> Self {
+        Self {
+            client,
+            tag: None,
+            point: None,
+            error: None,
+            busy: false,
+        }
+    }
+
+    /// Sends the messages of a request.
+    async fn send<const N: usize>(&mut self, messages: [Front; N]) -> Result<(), Failure> {
+        if self.busy {
+            return Err(not_sent("the answer before it was not read to its end"));
+        }
+        // Between two requests the server sends at most notices. Its end of the connection, or
+        // an error, shows that the request would not be read.
+        while let Some(message) = self.client.next().now_or_never() {
+            match message {
+                Some(Ok(Back::NoticeResponse(_) | Back::ParameterStatus(_))) => {}
+                Some(Ok(_)) => return Err(not_sent("the server closed the connection")),
+                Some(Err(error)) => return Err(not_sent(&error)),
+                None => return Err(not_sent("the server closed the connection")),
+            }
+        }
+        self.busy = true;
+        (self.tag, self.point, self.error) = (None, None, None);
+        for message in messages {
+            self.client
+                .feed(message)
+                .await
+                .map_err(|error| lost(&error))?;
+        }
+        self.client.flush().await.map_err(|error| lost(&error))
+    }
+
+    /// Waits for the next message.
+    async fn receive(&mut self) -> Result<Back, Failure> {
+        match self.client.next().await {
+            Some(Ok(message)) => Ok(message),
+            Some(Err(error)) => Err(lost(&error)),
+            None => Err(match self.error.take() {
+                Some(error) => lost(&describe(&error).message),
+                None => lost("the server closed the connection"),
+            }),
+        }
+    }
+
+    /// Ends an answer.
+    fn complete(&mut self) -> Result<Part, Failure> {
+        self.busy = false;
+        if let Some(error) = self.error.take() {
+            return Err(describe(&error));
+        }
+        Ok(Part::Done {
+            tag: self.tag.take().unwrap_or_default(),
+            point: self.point.take(),
+        })
+    }
+}
+
+impl TargetSession for PgSession {
+    async fn start(&mut self, statement: &Statement) -> Result<(), Failure> {
+        if statement.protocol == Protocol::Simple {
+            return self.send([query(&statement.sql)]).await;
+        }
+        let bind = Bind::new(
+            None,
+            None,
+            statement.formats.clone(),
+            statement.params.clone(),
+            statement.results.clone(),
+        );
+        self.send([
+            parse(statement),
+            Front::Bind(bind),
+            Front::Describe(Describe::new(b'P', None)),
+            Front::Execute(Execute::new(None, 0)),
+            Front::Sync(Sync::new()),
+        ])
+        .await
+    }
+
+    async fn describe(&mut self, statement: &Statement) -> Result<(), Failure> {
+        self.send([
+            parse(statement),
+            Front::Describe(Describe::new(b'S', None)),
+            Front::Sync(Sync::new()),
+        ])
+        .await
+    }
+
+    async fn next(&mut self) -> Result<Part, Failure> {
+        loop {
+            match self.receive().await? {
+                Back::DataRow(row) => return Ok(part(row)),
+                Back::RowDescription(description) => return Ok(columns(description)),
+                Back::NoData(_) => return Ok(Part::Columns(Vec::new())),
+                Back::ParameterDescription(parameters) => {
+                    return Ok(Part::Parameters(parameters.types));
+                }
+                Back::CommandComplete(complete) => self.tag = Some(complete.tag.into()),
+                Back::ParameterStatus(status) if status.name == LOG_POSITION => {
+                    self.point = status.value.parse().ok();
+                }
+                Back::ErrorResponse(error) => self.error = Some(error),
+                Back::ReadyForQuery(_) => return self.complete(),
+                Back::CopyInResponse(_) | Back::CopyOutResponse(_) | Back::CopyBothResponse(_) => {
+                    return Err(lost("COPY is not supported; use INSERT or SELECT"));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    async fn control(&mut self, command: &Control) -> Result<ServerStatus, Failure> {
+        self.send([query(&command.to_string())]).await?;
+        let mut status = None;
+        loop {
+            match self.next().await? {
+                Part::Row { data, .. } => status = parse_status(&data),
+                Part::Done { .. } => {
+                    return status.ok_or_else(|| {
+                        lost("the answer to a control command is not the status of a server")
+                    });
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn query(sql: &str) -> Front {
+    Front::Query(Query::new(sql.to_owned()))
+}
+
+fn parse(statement: &Statement) -> Front {
+    let sql = statement.sql.to_string();
+    Front::Parse(Parse::new(None, sql, statement.types.clone()))
+}
+
+fn part(row: DataRow) -> Part {
+    Part::Row {
+        fields: u16::try_from(row.field_count).unwrap_or_default(),
+        data: row.data.freeze(),
+    }
+}
+
+fn columns(description: RowDescription) -> Part {
+    let fields = description.fields.into_iter();
+    let columns = fields.map(|field| Column {
+        name: field.name.into(),
+        oid: field.type_id,
+        format: field.format_code,
+    });
+    Part::Columns(columns.collect())
+}
+
+/// Reads the status in the only field of a row.
+fn parse_status(data: &[u8]) -> Option<ServerStatus> {
+    let (length, rest) = data.split_first_chunk::<4>()?;
+    let length = usize::try_from(i32::from_be_bytes(*length)).ok()?;
+    serde_json::from_slice(rest.get(..length)?).ok()
+}
+
+/// Turns the server's error into a failure.
+fn describe(error: &ErrorResponse) -> Failure {
+    let field = |kind: u8| {
+        let mut fields = error.fields.iter();
+        let found = fields.find(|(field, _)| *field == kind);
+        found.map_or("", |(_, text)| text.as_str())
+    };
+    Failure::ran(field(b'C'), field(b'M'))
+}
+
+fn lost(reason: &(impl Display + ?Sized)) -> Failure {
+    Failure::may_have_run(
+        FailureKind::ConnectionLost,
+        format!("the connection to the server was lost after the statement was sent: {reason}"),
+    )
+}
+
+fn not_sent(reason: &(impl Display + ?Sized)) -> Failure {
+    Failure::not_run(
+        FailureKind::ConnectionLost,
+        sqlstate::CONNECTION_FAILURE,
+        format!("the connection to the server is not usable: {reason}"),
+    )
+}
