--- a/crates/siskinhook-standin/tests/local.rs
+++ b/crates/siskinhook-standin/tests/local.rs
@@ -144,6 +144,29 @@
     );
 }
 
+/// Guards against entries from a server that is not the primary of the replica's own term,
+/// also when they were on their way as the term rose.
+#[tokio::test(start_paused = true)]
+async fn a_replica_takes_entries_of_its_own_term_only() {
+    let site = site();
+    let mut old = connect(&site, 0, "claims-a").await.unwrap();
+    let mut replica = connect(&site, 0, "claims-b").await.unwrap();
+    let far = Cut::Pair("claims-a".into(), "claims-b".into());
+    site.network().delay(&far, Duration::from_millis(90));
+    sleep(Duration::from_secs(1)).await;
+    claim(&mut old, 1).await.unwrap();
+    sleep(Duration::from_millis(30)).await;
+    control(&mut replica, "GROUP FENCE 2 n1").await;
+    control(&mut replica, "GROUP FOLLOW 2 claims-a").await;
+    claim(&mut old, 2).await.unwrap();
+    let status = control(&mut replica, "SHOW GROUP STATUS WAIT FOR 1 2 2000").await;
+    assert_eq!((status.last, status.contact), (LogPoint::new(1, 1), None));
+    assert_eq!(
+        site.server("claims-c").unwrap().status().last,
+        LogPoint::new(1, 3)
+    );
+}
+
 /// Guards against a divergent tail that survives, against entries of an older term on a
 /// replica, and against a cut-off primary that notices.
 #[tokio::test(start_paused = true)]
