--- a/crates/siskinhook-policy/src/watch/promotion.rs
+++ b/crates/siskinhook-policy/src/watch/promotion.rs
@@ -90,7 +90,11 @@
             .values()
             .filter_map(|seen| seen.status.as_ref());
         let newest = statuses.max_by_key(|s| s.term)?;
-        newest.primary.clone()
+        let primary = newest.primary.as_ref()?;
+        // A server that was fenced at this term does not lead it, whoever still names it.
+        let status = self.servers.get(primary)?.status.as_ref();
+        let fenced = status.is_some_and(|s| s.role == Role::Replica && s.term >= newest.term);
+        (!fenced).then(|| primary.clone())
     }
 
     /// Notes since when the highest term has no primary.
