--- /dev/null
+++ b/crates/siskinhook-catalogue/src/check.rs
@@ -0,0 +1,262 @@
+//! Checks of an entry, by itself and within the catalogue.
+
+use std::{collections::HashMap, fmt, net::SocketAddr};
+
+use siskinhook_settings::{Segment, path_text};
+use siskinhook_types::{Catalogue, Database, Entry, Limits};
+
+/// Connections of a server kept for control: one for its owner, three for watchers.
+pub const RESERVED: u32 = 4;
+
+/// Longest name; names become keys, log values and metric labels.
+const NAME_LENGTH: usize = 64;
+
+/// Largest group: every write waits for a majority, and watchers poll every server.
+const GROUP_SIZE: usize = 9;
+
+/// Longest deadline in milliseconds: one hour.
+const DEADLINE: u64 = 3_600_000;
+
+/// Largest stated age in milliseconds: one day.
+const MAX_AGE: u64 = 86_400_000;
+
+/// A fault of an entry: the field, what is wrong, and the remedy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Path of the field.
+    pub path: Vec<Segment>,
+    /// What is wrong, and how to put it right.
+    pub message: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", path_text(&self.path), self.message)
+    }
+}
+
+/// Returns the faults of an entry by itself.
+///
+/// A database without servers passes here: it is refused for a new database and needs a
+/// confirmation for an existing one.
+#[must_use]
+pub fn check_entry(entry: &Entry) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for (field, name) in [("name", &entry.name), ("owner", &entry.owner)] {
+        check_name(&mut faults, &[field.into()], name);
+    }
+    if !is_name(&entry.credentials) {
+        // The text is not repeated: it may be a secret.
+        push(
+            &mut faults,
+            &["credentials".into()],
+            "the value is not the name of a credential; name one of the `credentials` in the \
+             node settings, and never write the secret itself"
+                .into(),
+        );
+    }
+    check_limits(&mut faults, &entry.limits);
+    if entry.max_age.is_some_and(|age| age > MAX_AGE) {
+        push(
+            &mut faults,
+            &["max_age".into()],
+            format!("the age is over one day; state at most {MAX_AGE} ms"),
+        );
+    }
+    if entry.databases.is_empty() {
+        push(
+            &mut faults,
+            &["databases".into()],
+            "the entry has no database; add one, or remove the entry".into(),
+        );
+    }
+    let mut names = HashMap::new();
+    let mut addresses = HashMap::new();
+    for (id, database) in &entry.databases {
+        let path = [Segment::from("databases"), id.as_str().into()];
+        check_name(&mut faults, &path, id);
+        check_group(&mut faults, &path, database);
+        for (index, server) in database.servers.iter().enumerate() {
+            let field = |name: &str| {
+                let mut field = path.to_vec();
+                field.extend(["servers".into(), index.into(), name.into()]);
+                field
+            };
+            check_name(&mut faults, &field("name"), &server.name);
+            check_name(&mut faults, &field("zone"), &server.zone);
+            check_address(&mut faults, &field("address"), &server.address);
+            if let Some(other) = names.insert(&server.name, id) {
+                push(
+                    &mut faults,
+                    &field("name"),
+                    format!(
+                        "server {} is already listed in database {other}; give it another name",
+                        server.name
+                    ),
+                );
+            }
+            if let Some(other) = addresses.insert(&server.address, &server.name) {
+                push(
+                    &mut faults,
+                    &field("address"),
+                    format!(
+                        "{} is already the address of server {other}; correct one of the two",
+                        server.address
+                    ),
+                );
+            }
+        }
+    }
+    faults
+}
+
+/// Returns the faults of an entry among the other entries of the catalogue: databases, servers
+/// and addresses belong to one entry only.
+#[must_use]
+pub fn check_catalogue(entry: &Entry, catalogue: &Catalogue) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for other in catalogue.entries.values().filter(|e| e.name != entry.name) {
+        for (id, database) in &entry.databases {
+            let path = [Segment::from("databases"), id.as_str().into()];
+            if other.databases.contains_key(id) {
+                push(
+                    &mut faults,
+                    &path,
+                    format!(
+                        "database {id} belongs to entry {}; choose another name",
+                        other.name
+                    ),
+                );
+            }
+            for (index, server) in database.servers.iter().enumerate() {
+                let taken = other
+                    .databases
+                    .values()
+                    .flat_map(|d| &d.servers)
+                    .find(|s| s.name == server.name || s.address == server.address);
+                if let Some(taken) = taken {
+                    let mut path = path.to_vec();
+                    path.extend(["servers".into(), index.into()]);
+                    push(
+                        &mut faults,
+                        &path,
+                        format!(
+                            "entry {} lists server {} at {}; a server has one name, one address \
+                             and one entry, correct name or address",
+                            other.name, taken.name, taken.address
+                        ),
+                    );
+                }
+            }
+        }
+    }
+    faults
+}
+
+fn push(faults: &mut Vec<Fault>, path: &[Segment], message: String) {
+    faults.push(Fault {
+        path: path.to_vec(),
+        message,
+    });
+}
+
+/// Returns whether a text can be a name.
+pub fn is_name(name: &str) -> bool {
+    !name.is_empty()
+        && name.len() <= NAME_LENGTH
+        && name
+            .chars()
+            .all(|c| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.'))
+}
+
+fn check_name(faults: &mut Vec<Fault>, path: &[Segment], name: &str) {
+    if !is_name(name) {
+        push(
+            faults,
+            path,
+            format!(
+                "{name:?} is not a name; use 1 to {NAME_LENGTH} letters, digits, '-', '_' or '.'"
+            ),
+        );
+    }
+}
+
+fn check_address(faults: &mut Vec<Fault>, path: &[Segment], text: &str) {
+    let usable = text
+        .parse::<SocketAddr>()
+        .is_ok_and(|a| a.port() != 0 && !a.ip().is_unspecified());
+    if !usable {
+        push(
+            faults,
+            path,
+            format!("{text:?} is not an address; write ip:port, for example \"10.0.0.5:5432\""),
+        );
+    }
+}
+
+fn check_group(faults: &mut Vec<Fault>, path: &[Segment], database: &Database) {
+    let size = database.servers.len();
+    let mut path = path.to_vec();
+    path.push("servers".into());
+    if size == 2 {
+        push(
+            faults,
+            &path,
+            "a group of 2 has no majority once one server is lost; list 3 servers, or 1 to do \
+             without failover"
+                .into(),
+        );
+    }
+    if size > GROUP_SIZE {
+        push(
+            faults,
+            &path,
+            format!("the group has {size} servers; list at most {GROUP_SIZE}"),
+        );
+    }
+}
+
+fn check_limits(faults: &mut Vec<Fault>, limits: &Limits) {
+    let path = |field: &str| [Segment::from("limits"), field.into()];
+    if limits.slots == 0 {
+        push(
+            faults,
+            &path("slots"),
+            "without a slot no statement runs; state at least 1".into(),
+        );
+    }
+    // Fewer connections than these take the servers out of use, which needs a confirmation.
+    if limits.connections > RESERVED && limits.slots > limits.connections - RESERVED {
+        push(
+            faults,
+            &path("slots"),
+            format!(
+                "{} slots need {} connections, {RESERVED} of them for control; lower slots to {} \
+                 or raise connections",
+                limits.slots,
+                limits.slots.saturating_add(RESERVED),
+                limits.connections - RESERVED
+            ),
+        );
+    }
+    if !(1..=1_000_000).contains(&limits.queue) {
+        push(
+            faults,
+            &path("queue"),
+            format!(
+                "{} requests are out of range; state 1 to 1000000",
+                limits.queue
+            ),
+        );
+    }
+    if !(1..=DEADLINE).contains(&limits.deadline) {
+        push(
+            faults,
+            &path("deadline"),
+            format!(
+                "{} ms is out of range; state 1 to {DEADLINE}",
+                limits.deadline
+            ),
+        );
+    }
+}
--- /dev/null
+++ b/crates/siskinhook-catalogue/src/danger.rs
@@ -0,0 +1,104 @@
+//! Edits that are valid and can interrupt service.
+
+use siskinhook_types::{Database, DatabaseId, Entry};
+
+use crate::check::RESERVED;
+
+/// Returns the effects of an edit that need a confirmation by the operator.
+#[must_use]
+pub fn dangers(before: Option<&Entry>, after: Option<&Entry>) -> Vec<String> {
+    let mut dangers = Vec::new();
+    match (before, after) {
+        (Some(before), None) => dangers.push(format!(
+            "removes entry {} with databases {}; callers of them are refused",
+            before.name,
+            before
+                .databases
+                .keys()
+                .map(DatabaseId::as_str)
+                .collect::<Vec<_>>()
+                .join(", ")
+        )),
+        (before, Some(after)) => {
+            connections(before, after, &mut dangers);
+            databases(before, after, &mut dangers);
+        }
+        (None, None) => {}
+    }
+    dangers
+}
+
+fn connections(before: Option<&Entry>, after: &Entry, dangers: &mut Vec<String>) {
+    let new = after.limits.connections;
+    let old = before.map(|entry| entry.limits.connections);
+    if new > RESERVED || old == Some(new) {
+        return;
+    }
+    dangers.push(if new == 0 {
+        "sets connections to 0: no server of the entry is used any more".into()
+    } else {
+        format!(
+            "sets connections to {new}: {RESERVED} are reserved for control, so no statement runs"
+        )
+    });
+}
+
+fn databases(before: Option<&Entry>, after: &Entry, dangers: &mut Vec<String>) {
+    let old = |id: &DatabaseId| before.and_then(|entry| entry.databases.get(id));
+    for (id, database) in &after.databases {
+        let previous = old(id);
+        if previous == Some(database) {
+            continue;
+        }
+        let total = database.servers.len();
+        let staying = database.servers.iter().filter(|s| !s.leaving).count();
+        if total == 0 {
+            dangers.push(format!(
+                "removes the last server of database {id}: its callers are refused"
+            ));
+        } else if staying == 0 {
+            dangers.push(format!(
+                "all servers of database {id} are leaving: it gets no new work"
+            ));
+        } else if staying <= total / 2 {
+            dangers.push(format!(
+                "only {staying} of {total} servers of database {id} stay, which is no majority: \
+                 once the leaving ones are gone no write is confirmed"
+            ));
+        }
+        if let Some(previous) = previous
+            && total > 0
+            && !majorities_meet(previous, database)
+        {
+            dangers.push(format!(
+                "changes the group of database {id} so that a majority may hold none of the \
+                 acknowledged writes; add or remove one server per edit, and wait until a new \
+                 one has caught up"
+            ));
+        }
+    }
+    for id in before.into_iter().flat_map(|entry| entry.databases.keys()) {
+        if !after.databases.contains_key(id) {
+            dangers.push(format!("removes database {id}: its callers are refused"));
+        }
+    }
+}
+
+/// Returns whether every majority of the new group shares a server with every majority of the
+/// old one. An acknowledged write is on a majority of the old group only.
+fn majorities_meet(old: &Database, new: &Database) -> bool {
+    let shared = |a: &Database, b: &Database| {
+        a.servers
+            .iter()
+            .filter(|s| b.servers.iter().any(|other| other.name == s.name))
+            .count()
+    };
+    let common = shared(old, new);
+    if old.servers.is_empty() {
+        return true;
+    }
+    let majority = |group: &Database| group.servers.len() / 2 + 1;
+    let removed = old.servers.len() - common;
+    let added = new.servers.len() - shared(new, old);
+    majority(old).saturating_sub(removed) + majority(new).saturating_sub(added) > common
+}
--- a/crates/siskinhook-catalogue/src/lib.rs
+++ b/crates/siskinhook-catalogue/src/lib.rs
@@ -1,1 +1,31 @@
 //! Catalogue entries, revisions, checks, snapshots and the audit trail.
+
+mod audit;
+mod batch;
+mod check;
+mod danger;
+mod diff;
+mod edit;
+mod entry;
+mod keys;
+mod log;
+mod reader;
+mod state;
+mod store;
+mod trail;
+
+pub use audit::{AuditAction, AuditDraft, AuditRecord};
+pub use check::{Fault, check_catalogue, check_entry};
+pub use danger::dangers;
+pub use diff::difference;
+pub use edit::{Accepted, Author, Edit, EditError, EntryView, UndoRequest};
+pub use entry::{entry_text, parse_entry};
+pub use keys::{change_key, entry_key};
+pub use log::AuditLog;
+pub use reader::CatalogueReader;
+pub use state::Snapshot;
+pub use store::CatalogueStore;
+pub use trail::{AuditQuery, Trail};
+
+/// Changes between two snapshots; a new node reads at most this many changes besides one object.
+pub const SNAPSHOT_INTERVAL: u64 = 64;
--- /dev/null
+++ b/crates/siskinhook-catalogue/src/reader.rs
@@ -0,0 +1,106 @@
+//! Reading of revisions, changes and snapshots.
+
+use siskinhook_types::{Change, Platform, PlatformError, Revision};
+
+use crate::{
+    Snapshot, change_key, keys,
+    state::{Counter, decode},
+};
+
+/// Changes read by one call; a page of full entries stays under 1 MB.
+const PAGE: usize = 256;
+
+/// Reads the catalogue from the platform.
+#[derive(Clone, Debug)]
+pub struct CatalogueReader<P> {
+    platform: P,
+}
+
+impl<P: Platform> CatalogueReader<P> {
+    /// Creates a reader.
+    #[must_use]
+    pub const fn new(platform: P) -> Self {
+        Self { platform }
+    }
+
+    /// Returns the current revision; 0 for an empty catalogue.
+    ///
+    /// # Errors
+    /// The platform could not be read.
+    pub async fn revision(&self) -> Result<Revision, PlatformError> {
+        Ok(self.counter().await?.value)
+    }
+
+    /// Returns up to 256 changes after a revision, in order and without gaps.
+    ///
+    /// # Errors
+    /// The platform could not be read.
+    pub async fn changes(&self, after: Revision) -> Result<Vec<Change>, PlatformError> {
+        let rows = self
+            .platform
+            .list(keys::CHANGES, &change_key(after), PAGE)
+            .await?;
+        rows.iter().map(decode).collect()
+    }
+
+    /// Reads the newest snapshot and the changes after it.
+    ///
+    /// # Errors
+    /// The platform could not be read.
+    pub async fn load(&self) -> Result<Snapshot, PlatformError> {
+        let mut snapshot = self.snapshot().await?;
+        self.catch_up(&mut snapshot).await?;
+        Ok(snapshot)
+    }
+
+    /// Applies the changes after the revision of `snapshot`.
+    ///
+    /// # Errors
+    /// The platform could not be read, or its changes do not follow one another.
+    pub async fn catch_up(&self, snapshot: &mut Snapshot) -> Result<(), PlatformError> {
+        loop {
+            let changes = self.changes(snapshot.catalogue.revision).await?;
+            for change in &changes {
+                if !snapshot.apply(change) {
+                    return Err(PlatformError::NotDone(format!(
+                        "the change of revision {} is missing from the platform's table, found \
+                         {}; restore the row {}",
+                        snapshot.catalogue.revision + 1,
+                        change.revision,
+                        change_key(snapshot.catalogue.revision + 1)
+                    )));
+                }
+            }
+            if changes.len() < PAGE {
+                return Ok(());
+            }
+        }
+    }
+
+    pub(crate) async fn counter(&self) -> Result<Counter, PlatformError> {
+        Counter::read(self.platform.get(keys::REVISION).await?.as_ref())
+    }
+
+    /// Reads the newest snapshot. Without a usable one the catalogue is rebuilt from the first
+    /// change on, which takes more reads and gives the same result.
+    async fn snapshot(&self) -> Result<Snapshot, PlatformError> {
+        let row = self.platform.get(keys::SNAPSHOT).await?;
+        let Counter { value, .. } = Counter::read(row.as_ref())?;
+        if value == 0 {
+            return Ok(Snapshot::default());
+        }
+        let object = self.platform.get_object(&keys::snapshot_key(value)).await?;
+        let parsed = object.map(|data| serde_json::from_slice(&data));
+        Ok(match parsed {
+            Some(Ok(snapshot)) => snapshot,
+            Some(Err(error)) => {
+                log::warn!(event = 3040; "snapshot {value} cannot be read: {error}");
+                Snapshot::default()
+            }
+            None => {
+                log::warn!(event = 3040; "snapshot {value} is missing from the object store");
+                Snapshot::default()
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/siskinhook-catalogue/src/store.rs
@@ -0,0 +1,488 @@
+//! Edits of the catalogue by compare-and-set.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use siskinhook_types::{
+    Batch, Change, CommitOutcome, Entry, Platform, PlatformError, Revision, ServiceId,
+};
+use tokio::time::Instant;
+
+use crate::{
+    Accepted, AuditAction, AuditQuery, AuditRecord, CatalogueReader, Edit, EditError, EntryView,
+    SNAPSHOT_INTERVAL, Snapshot, Trail, UndoRequest,
+    batch::{Current, EditMark, condition, edit_batch, row_write},
+    change_key,
+    check::{Fault, check_catalogue, check_entry, is_name},
+    danger::dangers,
+    diff::difference,
+    keys,
+    state::{Counter, decode},
+};
+
+/// Attempts to accept one edit. Each failed one means that another edit was accepted or that
+/// the platform lost an answer.
+const ATTEMPTS: u32 = 20;
+
+/// Failed attempts after which an edit is refused when none of its answers was lost.
+const FAILURES: u32 = 3;
+
+/// Time for all attempts of one edit; an operator waits for it.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// Ceiling of the random wait before an attempt, per attempt so far.
+const RETRY_STEP: Duration = Duration::from_millis(25);
+
+/// Accepts edits and answers questions about the catalogue on the platform. Clones share a
+/// copy of the catalogue that is brought up to date before each use.
+#[derive(Clone, Debug)]
+pub struct CatalogueStore<P> {
+    platform: P,
+    reader: CatalogueReader<P>,
+    trail: Trail<P>,
+    cache: Arc<Mutex<Option<Arc<Snapshot>>>>,
+    random: Arc<Mutex<SmallRng>>,
+}
+
+/// What an attempt to commit led to.
+enum Attempt {
+    Done(Accepted),
+    /// Something changed; the edit is checked again.
+    Again,
+    /// Not sent or refused.
+    NotDone(String),
+    /// The answer was lost.
+    Lost(String),
+}
+
+impl<P: Platform> CatalogueStore<P> {
+    /// Creates a store; the seed determines the waits between attempts.
+    #[must_use]
+    pub fn new(platform: P, seed: u64) -> Self {
+        Self {
+            reader: CatalogueReader::new(platform.clone()),
+            trail: Trail::new(platform.clone()),
+            platform,
+            cache: Arc::default(),
+            random: Arc::new(Mutex::new(SmallRng::seed_from_u64(seed))),
+        }
+    }
+
+    /// Returns the catalogue on the platform.
+    ///
+    /// # Errors
+    /// The platform could not be read.
+    pub async fn snapshot(&self) -> Result<Arc<Snapshot>, PlatformError> {
+        Ok(self.synced().await?.0)
+    }
+
+    /// Returns one entry with its revision, as the base of an edit.
+    ///
+    /// # Errors
+    /// The platform could not be read.
+    pub async fn entry(&self, service: &str) -> Result<Option<EntryView>, PlatformError> {
+        Ok(view(&*self.snapshot().await?, service))
+    }
+
+    /// Returns the reader of the audit trail.
+    #[must_use]
+    pub const fn trail(&self) -> &Trail<P> {
+        &self.trail
+    }
+
+    /// Returns the newest accepted edits of an entry, newest first.
+    ///
+    /// # Errors
+    /// The platform could not be read.
+    pub async fn history(
+        &self,
+        service: &str,
+        limit: usize,
+    ) -> Result<Vec<AuditRecord>, PlatformError> {
+        let query = AuditQuery {
+            service: Some(service.into()),
+            limit: usize::MAX,
+            ..AuditQuery::default()
+        };
+        let mut records = self.trail.query(&query).await?;
+        records.retain(|r| matches!(r.draft.action, AuditAction::Edit { .. }));
+        records.truncate(limit);
+        Ok(records)
+    }
+
+    /// Checks an edit without accepting it, and returns the effects that need a confirmation.
+    ///
+    /// # Errors
+    /// As `accept`, except for unconfirmed effects.
+    pub async fn check(&self, edit: &Edit) -> Result<Vec<String>, EditError> {
+        let current = self.current().await.map_err(|error| unavailable(&error))?;
+        self.examine(edit, &current.snapshot).await
+    }
+
+    /// Accepts an edit: the change, the entry and the audit record are written in one batch on
+    /// the condition that no other edit was accepted meanwhile. When another entry changed, the
+    /// edit is checked and written again; when the same entry changed, it is refused with the
+    /// difference. The same edit id is applied at most once, also after a lost answer.
+    ///
+    /// # Errors
+    /// The reason, and whether the edit may have been accepted.
+    pub async fn accept(&self, edit: &Edit) -> Result<Accepted, EditError> {
+        if !is_name(&edit.id) {
+            return Err(EditError::Invalid(vec![format!(
+                "id: {:?} is not an edit id; use 1 to 64 letters, digits, '-', '_' or '.'",
+                edit.id
+            )]));
+        }
+        let mut lost = false;
+        let mut failures = 0;
+        let mut reason = String::new();
+        let deadline = Instant::now() + PATIENCE;
+        for attempt in 0..ATTEMPTS {
+            if Instant::now() >= deadline {
+                break;
+            }
+            if attempt > 0 {
+                let wait = RETRY_STEP * attempt;
+                tokio::time::sleep(wait.mul_f64(self.jitter())).await;
+            }
+            match self.attempt(edit).await? {
+                Attempt::Done(accepted) => {
+                    self.write_snapshot(accepted.revision).await;
+                    return Ok(Accepted {
+                        // An id that is found after a lost answer was accepted by this call.
+                        repeated: accepted.repeated && !lost,
+                        ..accepted
+                    });
+                }
+                Attempt::Again => reason = "other edits were accepted first".into(),
+                Attempt::Lost(text) => {
+                    lost = true;
+                    reason = text;
+                }
+                Attempt::NotDone(text) => {
+                    failures += 1;
+                    reason = text;
+                    // Without a lost answer the state is known, and the operator decides.
+                    if !lost && failures >= FAILURES {
+                        break;
+                    }
+                }
+            }
+        }
+        if lost {
+            Err(EditError::Unknown {
+                id: edit.id.clone(),
+                reason,
+            })
+        } else {
+            Err(EditError::Unavailable(reason))
+        }
+    }
+
+    /// Undoes the change that made a revision, by a new edit that restores the entry before it.
+    /// Refused when the entry changed again since.
+    ///
+    /// # Errors
+    /// As `accept`, or the revision cannot be undone.
+    pub async fn undo(&self, request: UndoRequest) -> Result<Accepted, EditError> {
+        let revision = request.revision;
+        let row = self.platform.get(&change_key(revision)).await;
+        let Some(row) = row.map_err(|error| unavailable(&error))? else {
+            return Err(EditError::NoUndo(format!(
+                "there is no revision {revision}; see the history of the entry"
+            )));
+        };
+        let change: Change = decode(&row).map_err(|error| unavailable(&error))?;
+        let before = self.before(&change).await?;
+        let base = match change.entry {
+            Some(_) => revision,
+            None => 0,
+        };
+        let edit = Edit {
+            id: request.id,
+            service: change.service,
+            entry: before,
+            base,
+            author: request.author,
+            confirmed: request.confirmed,
+            undoes: Some(revision),
+        };
+        self.accept(&edit).await
+    }
+
+    /// Returns the entry as it was before a change.
+    async fn before(&self, change: &Change) -> Result<Option<Entry>, EditError> {
+        let missing = || {
+            EditError::NoUndo(format!(
+                "the audit record of revision {} is missing; edit the entry instead",
+                change.revision
+            ))
+        };
+        let mark = self
+            .mark(&change.edit)
+            .await
+            .map_err(|error| unavailable(&error))?;
+        let sequence = mark.ok_or_else(missing)?.sequence;
+        let record = self
+            .trail
+            .record(sequence)
+            .await
+            .map_err(|error| unavailable(&error))?;
+        match record.ok_or_else(missing)?.draft.action {
+            AuditAction::Edit { before, .. } => Ok(before.map(|entry| *entry)),
+            _ => Err(missing()),
+        }
+    }
+
+    async fn attempt(&self, edit: &Edit) -> Result<Attempt, EditError> {
+        let current = match self.current().await {
+            Ok(current) => current,
+            Err(error) => return Ok(Attempt::NotDone(error.to_string())),
+        };
+        // Looked up after the catalogue was read: an earlier attempt that is not found here
+        // was not part of what the checks below see.
+        match self.mark(&edit.id).await {
+            Ok(Some(mark)) => return self.repeated(edit, &mark).await,
+            Ok(None) => {}
+            Err(error) => return Ok(Attempt::NotDone(error.to_string())),
+        }
+        let effects = self.examine(edit, &current.snapshot).await?;
+        if !effects.is_empty() && !edit.confirmed {
+            return Err(EditError::Dangerous(effects));
+        }
+        let revision = current.revision.value + 1;
+        let batch = edit_batch(edit, &current);
+        Ok(match self.platform.commit(batch).await {
+            Ok(CommitOutcome::Applied) => Attempt::Done(Accepted {
+                revision,
+                repeated: false,
+            }),
+            Ok(CommitOutcome::Conflict { .. }) => Attempt::Again,
+            Err(PlatformError::NotDone(reason)) => Attempt::NotDone(reason),
+            Err(PlatformError::MayBeDone(reason)) => Attempt::Lost(reason),
+        })
+    }
+
+    /// Answers an edit whose id is already in use.
+    async fn repeated(&self, edit: &Edit, mark: &EditMark) -> Result<Attempt, EditError> {
+        let row = match self.platform.get(&change_key(mark.revision)).await {
+            Ok(row) => row,
+            Err(error) => return Ok(Attempt::NotDone(error.to_string())),
+        };
+        let change: Option<Change> = row
+            .as_ref()
+            .map(decode)
+            .transpose()
+            .map_err(|error| unavailable(&error))?;
+        let same = change.is_some_and(|c| c.service == edit.service && c.entry == edit.entry);
+        if same {
+            Ok(Attempt::Done(Accepted {
+                revision: mark.revision,
+                repeated: true,
+            }))
+        } else {
+            Err(EditError::IdUsed {
+                id: edit.id.clone(),
+                revision: mark.revision,
+            })
+        }
+    }
+
+    /// Checks an edit against the catalogue; returns the effects that need a confirmation.
+    async fn examine(&self, edit: &Edit, snapshot: &Snapshot) -> Result<Vec<String>, EditError> {
+        let service = &edit.service;
+        let old = view(snapshot, service);
+        let before = old.as_ref().map(|view| &view.entry);
+        for owner in [before, edit.entry.as_ref()]
+            .into_iter()
+            .flatten()
+            .map(|entry| &entry.owner)
+        {
+            if *owner != edit.author.partner {
+                return Err(EditError::NotOwner {
+                    service: service.clone(),
+                    owner: owner.clone(),
+                    partner: edit.author.partner.clone(),
+                });
+            }
+        }
+        let revision = old.as_ref().map_or(0, |view| view.revision);
+        if revision != edit.base {
+            return Err(self.stale(edit, old.as_ref()).await);
+        }
+        if before == edit.entry.as_ref() {
+            return Err(EditError::Unchanged(service.clone()));
+        }
+        if let Some(entry) = &edit.entry {
+            let faults = faults(service, entry, before, snapshot);
+            if !faults.is_empty() {
+                return Err(EditError::Invalid(faults));
+            }
+        }
+        Ok(dangers(before, edit.entry.as_ref()))
+    }
+
+    /// Describes what changed since the base of an edit. The audit trail knows the base; when
+    /// it cannot be read, the difference is to the proposed entry.
+    async fn stale(&self, edit: &Edit, current: Option<&EntryView>) -> EditError {
+        let history = self.history(&edit.service, 64).await.unwrap_or_default();
+        let base = history
+            .iter()
+            .find_map(|record| match &record.draft.action {
+                AuditAction::Edit {
+                    revision, after, ..
+                } if *revision == edit.base => after.as_deref(),
+                _ => None,
+            });
+        let now = current.map(|view| &view.entry);
+        let shown = if base.is_some() || edit.base == 0 {
+            difference(base, now, ("as you read it", "as it is now"))
+        } else {
+            difference(now, edit.entry.as_ref(), ("as it is now", "your edit"))
+        };
+        EditError::Stale {
+            service: edit.service.clone(),
+            revision: current.map_or(0, |view| view.revision),
+            operator: history.first().map(|record| record.draft.person.clone()),
+            difference: shown,
+        }
+    }
+
+    async fn mark(&self, id: &str) -> Result<Option<EditMark>, PlatformError> {
+        let row = self.platform.get(&keys::edit_key(id)).await?;
+        row.as_ref().map(decode).transpose()
+    }
+
+    async fn current(&self) -> Result<Current, PlatformError> {
+        let (snapshot, revision) = self.synced().await?;
+        let row = self.platform.get(keys::AUDIT_SEQUENCE).await?;
+        Ok(Current {
+            snapshot,
+            revision,
+            sequence: Counter::read(row.as_ref())?,
+        })
+    }
+
+    /// Brings the cached copy to the platform's revision, and returns it with the version of
+    /// the revision row.
+    async fn synced(&self) -> Result<(Arc<Snapshot>, Counter), PlatformError> {
+        let mut snapshot = match self.cached() {
+            Some(snapshot) => snapshot,
+            None => Arc::new(self.reader.load().await?),
+        };
+        for _ in 0..ATTEMPTS {
+            let revision = self.reader.counter().await?;
+            if snapshot.catalogue.revision < revision.value {
+                self.reader.catch_up(Arc::make_mut(&mut snapshot)).await?;
+            }
+            self.keep(&snapshot);
+            if snapshot.catalogue.revision == revision.value {
+                return Ok((snapshot, revision));
+            }
+            // An edit was accepted between the two reads.
+        }
+        Err(PlatformError::NotDone(
+            "the catalogue changes faster than it can be read".into(),
+        ))
+    }
+
+    /// Returns a random number below 1.
+    fn jitter(&self) -> f64 {
+        self.random
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .random()
+    }
+
+    fn cached(&self) -> Option<Arc<Snapshot>> {
+        self.cache
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn keep(&self, snapshot: &Arc<Snapshot>) {
+        let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        let newer = cache
+            .as_ref()
+            .is_none_or(|old| old.catalogue.revision < snapshot.catalogue.revision);
+        if newer {
+            *cache = Some(snapshot.clone());
+        }
+    }
+
+    /// Writes a snapshot when the newest one is `SNAPSHOT_INTERVAL` revisions old. A failure
+    /// does not concern the edit: the changes are all kept, and the next edit tries again.
+    async fn write_snapshot(&self, revision: Revision) {
+        if let Err(error) = self.try_snapshot(revision).await {
+            log::warn!(event = 3041, revision = revision; "no snapshot was written: {error}");
+        }
+    }
+
+    async fn try_snapshot(&self, revision: Revision) -> Result<(), PlatformError> {
+        if revision < SNAPSHOT_INTERVAL {
+            return Ok(());
+        }
+        let row = self.platform.get(keys::SNAPSHOT).await?;
+        let last = Counter::read(row.as_ref())?;
+        if revision < last.value + SNAPSHOT_INTERVAL {
+            return Ok(());
+        }
+        let snapshot = self.snapshot().await?;
+        let revision = snapshot.catalogue.revision;
+        let data = serde_json::to_vec(&*snapshot)
+            .map_err(|error| PlatformError::NotDone(error.to_string()))?;
+        self.platform
+            .put_object(&keys::snapshot_key(revision), data.into())
+            .await?;
+        let batch = Batch {
+            conditions: vec![condition(keys::SNAPSHOT, last.version)],
+            writes: vec![row_write(keys::SNAPSHOT, Some(revision.into()))],
+        };
+        // A conflict means that another node wrote a snapshot.
+        self.platform.commit(batch).await.map(|_| ())
+    }
+}
+
+fn view(snapshot: &Snapshot, service: &str) -> Option<EntryView> {
+    Some(EntryView {
+        revision: *snapshot.revisions.get(service)?,
+        entry: snapshot.catalogue.entries.get(service)?.clone(),
+    })
+}
+
+fn faults(
+    service: &ServiceId,
+    entry: &Entry,
+    before: Option<&Entry>,
+    snapshot: &Snapshot,
+) -> Vec<String> {
+    let mut faults: Vec<String> = check_entry(entry)
+        .into_iter()
+        .chain(check_catalogue(entry, &snapshot.catalogue))
+        .map(|fault: Fault| fault.to_string())
+        .collect();
+    if entry.name != *service {
+        faults.push(format!(
+            "name: the entry is named {} and the edit is for {service}; use one name, an entry \
+             cannot be renamed",
+            entry.name
+        ));
+    }
+    for (id, database) in &entry.databases {
+        let known = before.is_some_and(|entry| entry.databases.contains_key(id));
+        if database.servers.is_empty() && !known {
+            faults.push(format!(
+                "databases.{id}.servers: the database has no server; list at least one"
+            ));
+        }
+    }
+    faults
+}
+
+fn unavailable(error: &PlatformError) -> EditError {
+    EditError::Unavailable(error.to_string())
+}
--- a/crates/siskinhook-platform/src/memory.rs
+++ b/crates/siskinhook-platform/src/memory.rs
@@ -65,8 +65,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes the next fault; waits when it is a slow answer.
+    /// Takes the next fault; waits when it is a slow answer. Yields first, so that concurrent
+    /// callers interleave.
     async fn fault(&self) -> Result<Fault, PlatformError> {
+        tokio::task::yield_now().await;
         let fault = {
             let mut state = self.lock();
             state.calls += 1;
--- a/crates/siskinhook-settings/src/check.rs
+++ b/crates/siskinhook-settings/src/check.rs
@@ -61,19 +61,29 @@
         ("region", &settings.region),
         ("zone", &settings.zone),
     ] {
-        let fits = !name.is_empty()
-            && name.len() <= NAME_LENGTH
-            && name
-                .chars()
-                .all(|c| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.'));
-        faults.need(fits, path, || {
-            format!(
-                "{name:?} is not a name; use 1 to {NAME_LENGTH} letters, digits, '-', '_' or '.'"
-            )
+        faults.need(is_name(name), path, || not_name(name));
+    }
+    for (name, operator) in &settings.operators {
+        faults.need_at(is_name(name), &["operators", name], || not_name(name));
+        let partner = &operator.partner;
+        faults.need_at(is_name(partner), &["operators", name, "partner"], || {
+            not_name(partner)
         });
     }
 }
 
+fn is_name(name: &str) -> bool {
+    !name.is_empty()
+        && name.len() <= NAME_LENGTH
+        && name
+            .chars()
+            .all(|c| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.'))
+}
+
+fn not_name(name: &str) -> String {
+    format!("{name:?} is not a name; use 1 to {NAME_LENGTH} letters, digits, '-', '_' or '.'")
+}
+
 fn check_addresses(settings: &NodeSettings, faults: &mut Faults) {
     let addresses = &settings.addresses;
     let mut seen: HashMap<SocketAddr, &str> = HashMap::new();
--- a/crates/siskinhook-settings/src/document.rs
+++ b/crates/siskinhook-settings/src/document.rs
@@ -215,7 +215,9 @@
     }
 }
 
-fn path_text(path: &[Segment]) -> String {
+/// Writes a path as a text, for example `databases.shifts.servers[0].zone`.
+#[must_use]
+pub fn path_text(path: &[Segment]) -> String {
     let mut text = String::new();
     for segment in path {
         match segment {
--- a/crates/siskinhook-settings/src/lib.rs
+++ b/crates/siskinhook-settings/src/lib.rs
@@ -9,7 +9,7 @@
 mod secret;
 mod sections;
 
-pub use document::{Document, Segment};
+pub use document::{Document, Segment, path_text};
 pub use error::{Problem, SettingsError};
 pub use load::{load, parse};
 pub use node::NodeSettings;
