Bind a node's sockets and translate its settings

Cause: the parts of a node have settings of their own. Change: crate siskinhook-node with listeners and translation.

--- /dev/null
+++ b/crates/siskinhook-node/src/lib.rs
@@ -0,0 +1,12 @@
+//! Assembles a node from its settings.
+//!
+//! [`Node::start`] brings the parts together: platform client, fleet, engine, front end,
+//! operator interface and metrics. The parts know each other only through the traits and
+//! channels that are connected here.
+
+mod listeners;
+mod node;
+mod translate;
+
+pub use listeners::Listeners;
+pub use node::Node;
