Fix Clippy findings in the group model

Change: a method without failures returns nothing; is_multiple_of. Conclusion: none of the checks changed.

--- a/crates/siskinhook-policy/tests/group/model.rs
+++ b/crates/siskinhook-policy/tests/group/model.rs
@@ -196,7 +196,7 @@
             for watcher in 0..3 {
                 self.restart(watcher);
                 if self.runs(watcher) {
-                    self.step(watcher)?;
+                    self.step(watcher);
                 }
             }
             self.deliver()?;
@@ -361,12 +361,12 @@
         }
     }
 
-    fn step(&mut self, watcher: usize) -> Result<(), String> {
+    fn step(&mut self, watcher: usize) {
         let now = self.at(self.now);
         let actions = self.watchers[watcher].watch.tick(now);
         self.act(watcher, actions);
         let Some((primary, term)) = self.watchers[watcher].watch.primary() else {
-            return Ok(());
+            return;
         };
         let server = index(&primary);
         if self.random.random_bool(0.04) {
@@ -398,7 +398,6 @@
         for (server, _) in commands {
             self.send(watcher, index(&server), Message::Confirm { term });
         }
-        Ok(())
     }
 
     /// Looks writes with an unknown outcome up at the primary, once its term is newer than the
@@ -572,7 +571,7 @@
         let point = match (&write.state, primary) {
             (State::Committed(point), _) => *point,
             // Every other write is sent again; the rest is reported as not run.
-            (State::Absent, Some((to, term))) if id % 2 == 0 && term > write.term => {
+            (State::Absent, Some((to, term))) if id.is_multiple_of(2) && term > write.term => {
                 (write.state, write.term) = (State::Sent, term);
                 self.send(watcher, index(&to), Message::Write { id, term });
                 return Ok(());
