Add membership, propagation and the fleet task

Cause: nodes need a view of the fleet and the catalogue in force without a coordination service. Change: pure state machines Membership (SWIM with pushed news, refutation, pause detection) and Propagation (in-order changes, push, pull, platform reads), joined in Controller; Fleet is the tokio task around them, generic over Peers and Platform. Result: 10 failure tests on a passed-in clock pass, among them a region cut for an hour, a replaced VM with the same name and a restart of all nodes with the platform down. Conclusion: death needs each node's own suspicion timer, so a stale word from the other side of a cut cannot remove live members.

--- /dev/null
+++ b/crates/siskinhook-fleet/src/controller.rs
@@ -0,0 +1,289 @@
+//! Membership and propagation of one node together, without I/O or a clock.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use siskinhook_types::{Change, NodeId, Revision, VmRecord, value_type};
+use smol_str::SmolStr;
+
+use crate::{
+    Answer, Call, CallId, Demand, Digest, FleetSettings, Membership, PeerMessage, Profile,
+    Propagation, Update,
+};
+
+/// What a node tells about itself besides its views.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetStatus {
+    /// Whether the node has heard from others since its start or its last pause.
+    pub settled: bool,
+    /// How often the node was paused, or was held dead by others while it lived. When the
+    /// number rises, the engine gives up all ownerships.
+    pub pauses: u64,
+    /// What the node waits for while it has no catalogue.
+    pub waits_for: Option<String>,
+    /// Whether the platform is about to take the node's VM away.
+    pub evicted: bool,
+}
+
+/// I/O that the controller asks for.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Call another node; the result goes to [`Controller::completed`].
+    Call(Call),
+    /// Read the catalogue; the result goes to [`Controller::read`].
+    ReadCatalogue {
+        /// Revision in force; `None` without a catalogue.
+        after: Option<Revision>,
+    },
+    /// Read the list of VMs; the result goes to [`Controller::listed`].
+    ReadList,
+}
+
+value_type! {
+    /// Name, profile and join addresses of a node.
+    pub struct Identity {
+        /// Name of the node, equal to the name of its VM.
+        pub name: NodeId,
+        /// Where it runs and how it is reached.
+        pub profile: Profile,
+        /// Addresses to join through besides those of the platform's list.
+        pub seeds: Vec<SmolStr>,
+    }
+}
+
+/// Membership and propagation of one node.
+///
+/// Every function takes the current time; the caller carries out the actions of
+/// [`Controller::take_actions`] after each of them and calls [`Controller::tick`] when
+/// [`Controller::deadline`] has come.
+#[derive(Debug)]
+pub struct Controller {
+    settings: FleetSettings,
+    random: SmallRng,
+    name: NodeId,
+    membership: Membership,
+    propagation: Propagation,
+    pulls: HashMap<CallId, NodeId>,
+    list_at: Option<Instant>,
+    list_failures: u32,
+    evicted: bool,
+    actions: Vec<Action>,
+}
+
+impl Controller {
+    /// Creates a controller. `seed` determines all random choices.
+    #[must_use]
+    pub fn new(settings: FleetSettings, identity: Identity, seed: u64, now: Instant) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let propagation = Propagation::new(settings.clone(), random.random(), now);
+        let membership = Membership::new(
+            settings.clone(),
+            identity.name.clone(),
+            identity.profile,
+            identity.seeds,
+            random.random(),
+            now,
+        );
+        Self {
+            settings,
+            random,
+            name: identity.name,
+            membership,
+            propagation,
+            pulls: HashMap::new(),
+            list_at: Some(now),
+            list_failures: 0,
+            evicted: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Returns the membership.
+    #[must_use]
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns the propagation.
+    #[must_use]
+    pub fn propagation(&self) -> &Propagation {
+        &self.propagation
+    }
+
+    /// Returns whether the view of the fleet changed since the last call of this function.
+    pub fn take_view_changed(&mut self) -> bool {
+        self.membership.take_changed()
+    }
+
+    /// Returns whether the catalogue changed since the last call of this function.
+    pub fn take_catalogue_changed(&mut self) -> bool {
+        self.propagation.take_changed()
+    }
+
+    /// Returns the node's status.
+    #[must_use]
+    pub fn status(&self) -> FleetStatus {
+        FleetStatus {
+            settled: self.membership.is_settled(),
+            pauses: self.membership.pauses(),
+            waits_for: self.propagation.waits_for(),
+            evicted: self.evicted,
+        }
+    }
+
+    /// Returns the time of the next [`Controller::tick`].
+    #[must_use]
+    pub fn deadline(&self) -> Instant {
+        [self.propagation.deadline(), self.list_at]
+            .into_iter()
+            .flatten()
+            .fold(self.membership.deadline(), Instant::min)
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Instant) {
+        self.membership.tick(now);
+        self.propagation.tick(now);
+        if self.list_at.is_some_and(|at| at <= now) {
+            self.list_at = None;
+            self.actions.push(Action::ReadList);
+        }
+    }
+
+    /// Returns the I/O to carry out.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        for demand in self.propagation.take_demands() {
+            match demand {
+                Demand::Push(changes) => self.push(&changes),
+                Demand::Pull { peer, after } => self.pull(peer, after),
+                Demand::Read { after } => self.actions.push(Action::ReadCatalogue { after }),
+            }
+        }
+        let calls = self.membership.take_calls();
+        self.actions.extend(calls.into_iter().map(Action::Call));
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Answers a request of another node.
+    pub fn request(&mut self, now: Instant, message: PeerMessage) -> Answer {
+        let answer = self.membership.request(now, &message);
+        self.heard(now, message.digest());
+        match message {
+            PeerMessage::News { changes, .. } => self.learn(now, changes),
+            PeerMessage::Pull { after } => {
+                if let Some(reply) = self.propagation.answer(after) {
+                    return Answer::Reply(reply);
+                }
+            }
+            _ => {}
+        }
+        answer
+    }
+
+    /// Makes the answer to a relay request from the result of the probe.
+    pub fn relayed(
+        &mut self,
+        now: Instant,
+        from: &NodeId,
+        target: &NodeId,
+        result: Option<&PeerMessage>,
+    ) -> PeerMessage {
+        self.heard(now, result.and_then(PeerMessage::digest));
+        self.membership.relayed(now, Some(from), target, result)
+    }
+
+    /// Takes the result of a call; `None` when it failed or timed out.
+    pub fn completed(&mut self, now: Instant, call: CallId, result: Option<PeerMessage>) {
+        self.membership.completed(now, call, result.as_ref());
+        self.heard(now, result.as_ref().and_then(PeerMessage::digest));
+        if let Some(peer) = self.pulls.remove(&call) {
+            self.propagation.pulled(now, &peer, result);
+            self.update_revision();
+        }
+    }
+
+    /// Takes changes that the platform accepted.
+    pub fn learn(&mut self, now: Instant, changes: impl IntoIterator<Item = Change>) {
+        self.propagation.learn(now, changes);
+        self.update_revision();
+    }
+
+    /// Takes the result of a read of the catalogue.
+    pub fn read(&mut self, now: Instant, result: Result<Update, SmolStr>) {
+        self.propagation.read(now, result);
+        self.update_revision();
+    }
+
+    /// Takes the list of VMs; `None` when it could not be read.
+    pub fn listed(&mut self, now: Instant, vms: Option<&[VmRecord]>) {
+        let delay = if let Some(vms) = vms {
+            self.list_failures = 0;
+            self.evicted = vms.iter().any(|vm| vm.name == self.name && vm.leaving);
+            self.membership.observe_list(now, vms);
+            let interval = self.settings.list_interval;
+            interval.mul_f64(self.random.random_range(0.5..1.5))
+        } else {
+            let cap = Duration::from_secs(1) * (1 << self.list_failures.min(16));
+            self.list_failures += 1;
+            let limit = self.settings.backoff_limit;
+            cap.min(limit).mul_f64(self.random.random())
+        };
+        self.list_at = Some(now + delay);
+    }
+
+    /// Announces that the node is leaving.
+    pub fn leave(&mut self, now: Instant) {
+        self.membership.leave(now);
+    }
+
+    /// Announces that the node is gone.
+    pub fn stop(&mut self, now: Instant) {
+        self.membership.stop(now);
+    }
+
+    fn heard(&mut self, now: Instant, digest: Option<&Digest>) {
+        if let Some(digest) = digest {
+            self.propagation.heard(now, &digest.from, digest.revision);
+        }
+    }
+
+    fn update_revision(&mut self) {
+        if let Some(revision) = self.propagation.revision() {
+            self.membership.set_revision(revision);
+        }
+    }
+
+    fn push(&mut self, changes: &[Change]) {
+        for target in self.membership.pick(self.settings.fan_out) {
+            let digest = self
+                .membership
+                .digest(Some(&target), self.settings.probe_rumours);
+            let message = PeerMessage::News {
+                digest,
+                changes: changes.to_vec(),
+            };
+            self.call(&target, message);
+        }
+    }
+
+    fn pull(&mut self, peer: NodeId, after: Option<Revision>) {
+        // A peer that died in the meantime is asked all the same: the call fails and the
+        // propagation turns to the platform.
+        let id = self.call(&peer, PeerMessage::Pull { after });
+        self.pulls.insert(id, peer);
+    }
+
+    fn call(&mut self, target: &NodeId, message: PeerMessage) -> CallId {
+        let id = self.membership.call_id();
+        self.actions.push(Action::Call(Call {
+            id,
+            address: self.membership.address(target).unwrap_or_default(),
+            message,
+            timeout: self.settings.call_timeout,
+        }));
+        id
+    }
+}
--- /dev/null
+++ b/crates/siskinhook-fleet/src/fleet.rs
@@ -0,0 +1,327 @@
+//! The I/O shell: one task per node that drives the [`Controller`].
+
+use std::{future::Future, sync::Arc, time::Instant};
+
+use siskinhook_types::{Catalogue, Change, FleetView, MemberState, NodeId, Platform, VmRecord};
+use smol_str::{SmolStr, ToSmolStr};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::JoinSet,
+    time::{sleep_until, timeout},
+};
+
+use crate::{
+    Action, Answer, CallId, Controller, FleetSettings, FleetStatus, Identity, PeerMessage, Peers,
+    Update, reader::read_catalogue,
+};
+
+/// Requests of other nodes that wait for the task.
+const QUEUE: usize = 256;
+
+/// Handle to the task that keeps membership and catalogue of a node.
+///
+/// The task ends after [`Fleet::stop`], or when all handles are dropped.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    commands: mpsc::Sender<Command>,
+    view: watch::Receiver<Arc<FleetView>>,
+    catalogue: watch::Receiver<Arc<Catalogue>>,
+    status: watch::Receiver<FleetStatus>,
+}
+
+#[derive(Debug)]
+enum Command {
+    Request(PeerMessage, oneshot::Sender<PeerMessage>),
+    Publish(Change),
+    Leave,
+    Stop(oneshot::Sender<()>),
+}
+
+/// A finished piece of I/O.
+enum Done {
+    Call(CallId, Option<PeerMessage>),
+    Relay {
+        from: NodeId,
+        target: NodeId,
+        result: Option<PeerMessage>,
+        reply: oneshot::Sender<PeerMessage>,
+    },
+    Catalogue(Result<Update, SmolStr>),
+    List(Option<Vec<VmRecord>>),
+}
+
+impl Fleet {
+    /// Starts the task. `seed` determines all random choices.
+    ///
+    /// Must be called within a tokio runtime.
+    pub fn start<P: Peers, S: Platform>(
+        settings: FleetSettings,
+        identity: Identity,
+        seed: u64,
+        peers: P,
+        platform: S,
+    ) -> Self {
+        let controller = Controller::new(settings.clone(), identity, seed, now());
+        let (commands, inbox) = mpsc::channel(QUEUE);
+        let (view, view_out) = watch::channel(Arc::new(controller.membership().view()));
+        let (catalogue, catalogue_out) = watch::channel(Arc::default());
+        let (status, status_out) = watch::channel(controller.status());
+        let task = Task {
+            settings,
+            controller,
+            peers,
+            platform,
+            inbox,
+            pending: JoinSet::new(),
+            view,
+            catalogue,
+            status,
+        };
+        tokio::spawn(task.run());
+        Self {
+            commands,
+            view: view_out,
+            catalogue: catalogue_out,
+            status: status_out,
+        }
+    }
+
+    /// Returns the members as the node sees them. A new view is published when the state,
+    /// incarnation or address of a member changes.
+    #[must_use]
+    pub fn view(&self) -> watch::Receiver<Arc<FleetView>> {
+        self.view.clone()
+    }
+
+    /// Returns the catalogue in force; revision 0 while there is none.
+    #[must_use]
+    pub fn catalogue(&self) -> watch::Receiver<Arc<Catalogue>> {
+        self.catalogue.clone()
+    }
+
+    /// Returns the status: pauses, and what the node waits for.
+    #[must_use]
+    pub fn status(&self) -> watch::Receiver<FleetStatus> {
+        self.status.clone()
+    }
+
+    /// Answers a request of another node; `None` when the task has ended.
+    pub async fn receive(&self, message: PeerMessage) -> Option<PeerMessage> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Command::Request(message, reply)).await;
+        answer.await.ok()
+    }
+
+    /// Announces to all nodes that this one is leaving; it then ranks last as owner.
+    pub async fn announce_leaving(&self) {
+        self.send(Command::Leave).await;
+    }
+
+    /// Spreads a change that the platform accepted.
+    pub async fn publish(&self, change: Change) {
+        self.send(Command::Publish(change)).await;
+    }
+
+    /// Announces that the node is gone and ends the task once the announcement was sent.
+    pub async fn stop(&self) {
+        let (reply, stopped) = oneshot::channel();
+        self.send(Command::Stop(reply)).await;
+        // The sender is dropped when the task ends.
+        let _ = stopped.await;
+    }
+
+    async fn send(&self, command: Command) {
+        if self.commands.send(command).await.is_err() {
+            log::debug!("the fleet task has ended; a command to it was dropped");
+        }
+    }
+}
+
+struct Task<P, S> {
+    settings: FleetSettings,
+    controller: Controller,
+    peers: P,
+    platform: S,
+    inbox: mpsc::Receiver<Command>,
+    pending: JoinSet<Done>,
+    view: watch::Sender<Arc<FleetView>>,
+    catalogue: watch::Sender<Arc<Catalogue>>,
+    status: watch::Sender<FleetStatus>,
+}
+
+impl<P: Peers, S: Platform> Task<P, S> {
+    async fn run(mut self) {
+        loop {
+            let deadline = tokio::time::Instant::from_std(self.controller.deadline());
+            tokio::select! {
+                command = self.inbox.recv() => match command {
+                    Some(Command::Stop(reply)) => {
+                        self.controller.stop(now());
+                        self.controller.tick(now());
+                        self.act();
+                        self.flush().await;
+                        drop(reply);
+                        return;
+                    }
+                    Some(command) => self.command(command),
+                    None => return,
+                },
+                Some(done) = self.pending.join_next() => {
+                    // An I/O task that panicked has no result; its call stays unanswered.
+                    if let Ok(done) = done {
+                        self.done(done);
+                    }
+                }
+                () = sleep_until(deadline) => self.controller.tick(now()),
+            }
+            self.act();
+            self.publish();
+        }
+    }
+
+    /// Waits for the last announcement to be sent; each call has its own timeout.
+    async fn flush(&mut self) {
+        while self.pending.join_next().await.is_some() {}
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Request(message, reply) => self.request(message, reply),
+            Command::Publish(change) => self.controller.learn(now(), [change]),
+            Command::Leave => self.controller.leave(now()),
+            Command::Stop(_) => {}
+        }
+    }
+
+    fn request(&mut self, message: PeerMessage, reply: oneshot::Sender<PeerMessage>) {
+        let relay = match &message {
+            PeerMessage::Relay { digest, target } => Some((digest.from.clone(), target.clone())),
+            _ => None,
+        };
+        match (self.controller.request(now(), message), relay) {
+            (Answer::Reply(answer), _) => {
+                // The caller may have given up.
+                let _ = reply.send(answer);
+            }
+            (
+                Answer::Relay {
+                    address,
+                    message,
+                    timeout: limit,
+                },
+                Some((from, target)),
+            ) => {
+                let peers = self.peers.clone();
+                self.pending.spawn(async move {
+                    let call = peers.call(&address, message);
+                    let result = timeout(limit, call).await.ok().and_then(Result::ok);
+                    Done::Relay {
+                        from,
+                        target,
+                        result,
+                        reply,
+                    }
+                });
+            }
+            (Answer::Relay { .. }, None) => {}
+        }
+    }
+
+    fn done(&mut self, done: Done) {
+        match done {
+            Done::Call(id, result) => self.controller.completed(now(), id, result),
+            Done::Relay {
+                from,
+                target,
+                result,
+                reply,
+            } => {
+                let answer = self
+                    .controller
+                    .relayed(now(), &from, &target, result.as_ref());
+                let _ = reply.send(answer);
+            }
+            Done::Catalogue(result) => {
+                if let Err(reason) = &result {
+                    log::warn!("the catalogue could not be read from the platform: {reason}");
+                }
+                self.controller.read(now(), result);
+            }
+            Done::List(vms) => self.controller.listed(now(), vms.as_deref()),
+        }
+    }
+
+    fn act(&mut self) {
+        for action in self.controller.take_actions() {
+            match action {
+                Action::Call(call) => {
+                    let peers = self.peers.clone();
+                    self.pending.spawn(async move {
+                        let result = timeout(call.timeout, peers.call(&call.address, call.message));
+                        Done::Call(call.id, result.await.ok().and_then(Result::ok))
+                    });
+                }
+                Action::ReadCatalogue { after } => {
+                    let platform = self.platform.clone();
+                    let limit = self.settings.call_timeout;
+                    self.pending.spawn(async move {
+                        let read = read_catalogue(&platform, after);
+                        Done::Catalogue(limited(limit, read).await)
+                    });
+                }
+                Action::ReadList => {
+                    let platform = self.platform.clone();
+                    let limit = self.settings.call_timeout;
+                    self.pending.spawn(async move {
+                        Done::List(limited(limit, platform.vms()).await.ok())
+                    });
+                }
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        if self.controller.take_view_changed() {
+            let view = Arc::new(self.controller.membership().view());
+            log_changes(&self.view.borrow(), &view);
+            self.view.send_replace(view);
+        }
+        if self.controller.take_catalogue_changed()
+            && let Some(catalogue) = self.controller.propagation().catalogue()
+        {
+            log::info!("catalogue revision {} is in force", catalogue.revision);
+            self.catalogue.send_replace(Arc::clone(catalogue));
+        }
+        let status = self.controller.status();
+        if *self.status.borrow() != status {
+            if status.pauses > self.status.borrow().pauses {
+                log::warn!("this node was paused or held dead by others; it gives up its servers");
+            }
+            self.status.send_replace(status);
+        }
+    }
+}
+
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
+async fn limited<T, E: ToString>(
+    limit: std::time::Duration,
+    work: impl Future<Output = Result<T, E>>,
+) -> Result<T, SmolStr> {
+    match timeout(limit, work).await {
+        Ok(result) => result.map_err(|e| e.to_string().to_smolstr()),
+        Err(_) => Err(format!("no answer within {} ms", limit.as_millis()).to_smolstr()),
+    }
+}
+
+fn log_changes(before: &FleetView, after: &FleetView) {
+    for (name, member) in &after.members {
+        let old = before.members.get(name).map(|m| m.state);
+        if old == Some(member.state) || (old.is_none() && member.state == MemberState::Alive) {
+            continue;
+        }
+        log::info!("node {name} in zone {} is {:?}", member.zone, member.state);
+    }
+}
--- a/crates/siskinhook-fleet/src/lib.rs
+++ b/crates/siskinhook-fleet/src/lib.rs
@@ -1,5 +1,23 @@
 //! Membership, ownership of servers and propagation of catalogue revisions between nodes.
 
+mod controller;
+mod fleet;
+mod membership;
+mod message;
 mod ownership;
+mod peers;
+mod propagation;
+mod reader;
+mod settings;
 
+pub use controller::{Action, Controller, FleetStatus, Identity};
+pub use fleet::Fleet;
+pub use membership::{Answer, Call, CallId, Membership};
+pub use message::{Digest, PeerMessage, Profile, Rumour};
 pub use ownership::{OwnerCache, owner, owners, owns};
+pub use peers::{PeerError, Peers};
+pub use propagation::{Demand, Propagation, Update};
+pub use reader::{
+    CHANGE_PREFIX, REVISION_KEY, SNAPSHOT_KEY, SNAPSHOT_PREFIX, change_key, snapshot_key,
+};
+pub use settings::FleetSettings;
--- /dev/null
+++ b/crates/siskinhook-fleet/src/reader.rs
@@ -0,0 +1,92 @@
+//! Reads the catalogue from the platform.
+
+use siskinhook_types::{Catalogue, Change, Platform, PlatformError, Revision};
+
+use crate::Update;
+
+/// Row with the newest revision, a number. Absent while the catalogue is empty.
+pub const REVISION_KEY: &str = "catalogue/revision";
+/// Prefix of the rows with one [`Change`] each; followed by the revision with 16 digits, so
+/// that the order of keys is the order of revisions.
+pub const CHANGE_PREFIX: &str = "catalogue/change/";
+/// Row with the revision of the newest snapshot, a number.
+pub const SNAPSHOT_KEY: &str = "catalogue/snapshot";
+/// Prefix of the objects with one [`Catalogue`] each as JSON; followed by the revision.
+pub const SNAPSHOT_PREFIX: &str = "catalogue/snapshot/";
+
+/// Rows read at a time.
+const PAGE: usize = 64;
+/// Gap in revisions above which a node reads the newest snapshot instead of all changes.
+const SNAPSHOT_GAP: Revision = 256;
+
+/// Returns the key of the row with the change that makes a revision.
+#[must_use]
+pub fn change_key(revision: Revision) -> String {
+    format!("{CHANGE_PREFIX}{revision:016}")
+}
+
+/// Returns the key of the object with the catalogue at a revision.
+#[must_use]
+pub fn snapshot_key(revision: Revision) -> String {
+    format!("{SNAPSHOT_PREFIX}{revision}")
+}
+
+/// Reads what follows a revision; without a revision, a whole catalogue.
+pub(crate) async fn read_catalogue<S: Platform>(
+    platform: &S,
+    after: Option<Revision>,
+) -> Result<Update, PlatformError> {
+    let newest = read_number(platform, REVISION_KEY).await?;
+    let mut update = Update::default();
+    let mut base = match after {
+        Some(after) if newest <= after => return Ok(update),
+        Some(after) if newest - after <= SNAPSHOT_GAP => after,
+        _ => {
+            let snapshot = read_snapshot(platform).await?;
+            let base = snapshot.revision.max(after.unwrap_or_default());
+            update.snapshot = Some(snapshot);
+            base
+        }
+    };
+    while base < newest {
+        let rows = platform
+            .list(CHANGE_PREFIX, &change_key(base), PAGE)
+            .await?;
+        let before = base;
+        for row in rows {
+            let change: Change = serde_json::from_value(row.value)
+                .map_err(|e| unreadable(&row.key, &e.to_string()))?;
+            base = change.revision;
+            update.changes.push(change);
+        }
+        if base == before {
+            break;
+        }
+    }
+    Ok(update)
+}
+
+/// Reads the newest snapshot; the empty catalogue when there is none yet.
+async fn read_snapshot<S: Platform>(platform: &S) -> Result<Catalogue, PlatformError> {
+    let revision = read_number(platform, SNAPSHOT_KEY).await?;
+    if revision == 0 {
+        return Ok(Catalogue::default());
+    }
+    let key = snapshot_key(revision);
+    let object = platform.get_object(&key).await?;
+    let bytes = object.ok_or_else(|| unreadable(&key, "the object is absent"))?;
+    serde_json::from_slice(&bytes).map_err(|e| unreadable(&key, &e.to_string()))
+}
+
+async fn read_number<S: Platform>(platform: &S, key: &str) -> Result<Revision, PlatformError> {
+    let Some(row) = platform.get(key).await? else {
+        return Ok(0);
+    };
+    row.value
+        .as_u64()
+        .ok_or_else(|| unreadable(key, "the value is not a number"))
+}
+
+fn unreadable(key: &str, reason: &str) -> PlatformError {
+    PlatformError::NotDone(format!("{key} cannot be used: {reason}"))
+}
--- /dev/null
+++ b/crates/siskinhook-fleet/tests/failures.rs
@@ -0,0 +1,195 @@
+//! One test per failure of nodes, zones and the platform.
+
+mod support;
+
+use std::time::Duration;
+
+use siskinhook_types::MemberState::{Alive, Dead, Leaving, Suspect};
+use support::{SECOND, Wires};
+
+/// Stated bound of design section 7: a dead node is known everywhere within seconds.
+const DETECTION: Duration = Duration::from_secs(10);
+/// Stated target: a change is in force everywhere within 3 s.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+fn settled(seed: u64, zones: &[&str], per_zone: usize) -> Wires {
+    let mut wires = Wires::with_nodes(seed, zones, per_zone);
+    let time = wires.run_until(60 * SECOND, Wires::converged);
+    assert!(time.is_some(), "the nodes did not find each other");
+    wires
+}
+
+/// Guards against a dead node that stays in views, and against live ones that are dropped.
+#[test]
+fn dead_node_is_known() {
+    let mut wires = settled(1, &["g-a", "g-b"], 8);
+    wires.kill("g-a-3");
+    let time = wires.run_until(DETECTION, |w| w.all_hold("g-a-3", Some(Dead)));
+    assert!(time.is_some());
+    assert!(wires.converged());
+}
+
+/// Guards against a clean shutdown that others notice by timeout only.
+#[test]
+fn stopped_node_is_known_at_once() {
+    let mut wires = settled(2, &["g-a"], 8);
+    let now = wires.instant();
+    wires.node("g-a-1").controller.leave(now);
+    let time = wires.run_until(SECOND, |w| w.all_hold("g-a-1", Some(Leaving)));
+    assert!(time.is_some());
+    let now = wires.instant();
+    wires.node("g-a-1").controller.stop(now);
+    let time = wires.run_until(2 * SECOND, |w| w.all_hold("g-a-1", Some(Dead)));
+    assert!(time.is_some());
+}
+
+/// Guards against a node that keeps acting after a pause in which others took over.
+#[test]
+fn node_back_from_a_pause() {
+    let mut wires = settled(3, &["g-a", "g-b"], 4);
+    wires.edit("g-b-0");
+    wires.run(SECOND);
+    wires.pause("g-a-1", 30 * SECOND);
+    let time = wires.run_until(DETECTION, |w| w.all_hold("g-a-1", Some(Dead)));
+    assert!(time.is_some());
+    wires.edit("g-b-0");
+    let before = wires.node("g-a-1").controller.status().pauses;
+    let back = wires.run_until(40 * SECOND, |w| w.state("g-a-1", "g-a-1") == Some(Suspect));
+    assert!(back.is_some(), "the node did not notice the pause");
+    assert_eq!(wires.node("g-a-1").controller.status().pauses, before + 1);
+    let time = wires.run_until(IN_FORCE, |w| w.converged() && w.in_force(2));
+    assert!(time.is_some());
+}
+
+/// Guards against regions that stay apart after an hour without contact, even when the
+/// platform's list is down and the dead members have to be found by their old addresses.
+#[test]
+fn regions_merge_after_an_hour() {
+    let mut wires = settled(4, &["g-a", "h-a"], 6);
+    wires.platform_up = false;
+    wires.cut = vec!["h-a".into()];
+    wires.run(3600 * SECOND);
+    assert_eq!(wires.state("g-a-0", "h-a-0"), Some(Dead));
+    assert_eq!(wires.state("h-a-0", "g-a-0"), Some(Dead));
+    wires.edit("g-a-0");
+    wires.cut.clear();
+    // Bound: twice the longest interval between two attempts to reach a dead member.
+    let time = wires.run_until(90 * SECOND, |w| w.converged() && w.in_force(1));
+    assert!(time.is_some());
+}
+
+/// Guards against a fresh VM that never gets past the incarnations of a former one of its
+/// name, both when the former one is known dead and when its replacement is faster.
+#[test]
+fn replaced_vm_of_the_same_name() {
+    for (seed, wait) in [(5, 20), (6, 0)] {
+        let mut wires = settled(seed, &["g-a"], 5);
+        for _ in 0..3 {
+            // Pauses raise the incarnation that the fresh process has to get past.
+            wires.pause("g-a-2", 5 * SECOND);
+            wires.run(15 * SECOND);
+        }
+        wires.kill("g-a-2");
+        wires.run(wait * SECOND);
+        wires.boot("g-a-2", "g-a");
+        let time = wires.run_until(DETECTION, Wires::converged);
+        assert!(time.is_some(), "wait {wait}");
+        let now = wires.instant();
+        wires.node("g-a-2").controller.leave(now);
+        let time = wires.run_until(SECOND, |w| w.all_hold("g-a-2", Some(Leaving)));
+        assert!(
+            time.is_some(),
+            "wait {wait}: its announcement was taken for an old one"
+        );
+    }
+}
+
+/// Guards against nodes that take the empty catalogue for the one in force while the platform
+/// is down, and against waiting longer than needed once one node has it.
+#[test]
+fn all_restart_with_the_platform_down() {
+    let mut wires = settled(7, &["g-a", "g-b"], 4);
+    wires.edit("g-a-0");
+    wires.run(IN_FORCE);
+    wires.platform_up = false;
+    wires.seeds = vec!["g-a-0".into(), "g-b-0".into()];
+    for vm in wires.vms.clone() {
+        wires.boot(&vm.name, &vm.zone);
+    }
+    let time = wires.run_until(60 * SECOND, Wires::converged);
+    assert!(time.is_some(), "the seeds did not suffice to join");
+    for node in wires.nodes.values() {
+        let status = node.controller.status();
+        let reason = status.waits_for.expect("a node has no catalogue");
+        assert!(reason.contains("the platform is down"), "{reason}");
+    }
+    wires.platform_up = true;
+    let time = wires.run_until(12 * SECOND, |w| w.in_force(1));
+    assert!(time.is_some());
+}
+
+/// Guards against a fresh node that cannot start while the platform is down.
+#[test]
+fn fresh_node_takes_the_catalogue_from_a_peer() {
+    let mut wires = settled(8, &["g-a"], 4);
+    wires.edit("g-a-0");
+    wires.run(IN_FORCE);
+    wires.platform_up = false;
+    wires.seeds = vec!["g-a-1".into()];
+    wires.boot("g-a-9", "g-a");
+    let time = wires.run_until(IN_FORCE, |w| w.in_force(1));
+    assert!(time.is_some());
+}
+
+/// Guards against a list that names gone VMs and omits live ones: neither may change who is
+/// held alive, and the gone ones must be forgotten once the list drops them.
+#[test]
+fn stale_list() {
+    let mut wires = settled(9, &["g-a"], 6);
+    wires.list("g-a-gone", "g-a");
+    wires.vms.retain(|vm| vm.name != "g-a-4");
+    wires.kill("g-a-5");
+    wires.run(120 * SECOND);
+    assert!(wires.converged());
+    assert!(
+        wires.all_hold("g-a-5", Some(Dead)),
+        "a listed dead member is kept"
+    );
+    wires.vms.retain(|vm| vm.name != "g-a-5");
+    wires.run(14 * 60 * SECOND);
+    assert!(wires.all_hold("g-a-5", None));
+    assert!(wires.all_hold("g-a-4", Some(Alive)));
+}
+
+/// Guards against a stale read of the platform that takes a node back, and against a missed
+/// push that is only made good by the next edit.
+#[test]
+fn stale_read_and_lost_pushes() {
+    let mut wires = settled(10, &["g-a", "g-b"], 6);
+    for _ in 0..5 {
+        wires.loss = 0.5;
+        wires.edit("g-a-0");
+        wires.run(Duration::from_millis(100));
+        wires.loss = 0.0;
+        wires.stale = 3;
+        let revision = wires.table.len() as u64;
+        // Bound: the target plus the second until the next probe.
+        let time = wires.run_until(IN_FORCE + SECOND, |w| w.in_force(revision));
+        assert!(time.is_some(), "revision {revision}");
+    }
+}
+
+/// Guards against a zone that comes back with an old catalogue after many changes.
+#[test]
+fn healed_zone_catches_up() {
+    let mut wires = settled(11, &["g-a", "g-b", "g-c"], 4);
+    wires.cut = vec!["g-c".into()];
+    wires.platform_up = false;
+    for _ in 0..200 {
+        wires.edit("g-a-1");
+        wires.run(Duration::from_millis(100));
+    }
+    wires.cut.clear();
+    let time = wires.run_until(90 * SECOND, |w| w.converged() && w.in_force(200));
+    assert!(time.is_some());
+}
--- /dev/null
+++ b/crates/siskinhook-fleet/tests/support/mod.rs
@@ -0,0 +1,416 @@
+//! Delivers messages between controllers on a passed-in clock, with loss, duplication, delay,
+//! zone cuts, pauses and restarts drawn from a seed.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use siskinhook_fleet::{
+    Action, Answer, Call, Controller, FleetSettings, Identity, PeerMessage, Profile, Update,
+};
+use siskinhook_types::{Catalogue, Change, MemberState, NodeId, Revision, VmRecord};
+use smol_str::SmolStr;
+
+pub const SECOND: Duration = Duration::from_secs(1);
+
+pub struct Node {
+    pub controller: Controller,
+    pub zone: SmolStr,
+    /// Distinguishes the processes that ran under the name.
+    process: u64,
+    paused: Option<Duration>,
+    /// Time of the earliest tick under way.
+    tick_at: Option<Duration>,
+    /// Highest revision that this process had in force.
+    revision: Option<Revision>,
+}
+
+enum Event {
+    Tick(NodeId, u64),
+    Request(NodeId, Call, (NodeId, u64)),
+    Result((NodeId, u64), Call, Option<PeerMessage>),
+    Relayed(NodeId, NodeId, Call, (NodeId, u64), Option<PeerMessage>),
+    Catalogue(NodeId, u64, Result<Update, SmolStr>),
+    List(NodeId, u64, Option<Vec<VmRecord>>),
+}
+
+/// The nodes, the messages under way and a platform whose table holds one row per change.
+pub struct Wires {
+    start: Instant,
+    pub now: Duration,
+    events: BTreeMap<u64, Event>,
+    order: BinaryHeap<Reverse<(Duration, u64)>>,
+    next: u64,
+    pub random: SmallRng,
+    pub nodes: IndexMap<NodeId, Node>,
+    pub loss: f64,
+    pub duplicates: f64,
+    pub delay: Duration,
+    pub cut: Vec<SmolStr>,
+    pub table: Vec<Change>,
+    pub platform_up: bool,
+    /// Changes at the end of the table that reads do not see yet.
+    pub stale: usize,
+    pub vms: Vec<VmRecord>,
+    pub settings: FleetSettings,
+    pub seeds: Vec<SmolStr>,
+}
+
+pub fn change(revision: Revision) -> Change {
+    Change {
+        revision,
+        edit: format!("edit-{revision}").into(),
+        service: format!("service-{}", revision % 3).into(),
+        entry: None,
+    }
+}
+
+impl Wires {
+    pub fn new(seed: u64) -> Self {
+        println!("seed {seed}");
+        Self {
+            start: Instant::now(),
+            now: Duration::ZERO,
+            events: BTreeMap::new(),
+            order: BinaryHeap::new(),
+            next: 0,
+            random: SmallRng::seed_from_u64(seed),
+            nodes: IndexMap::new(),
+            loss: 0.0,
+            duplicates: 0.0,
+            delay: Duration::from_millis(2),
+            cut: Vec::new(),
+            table: Vec::new(),
+            platform_up: true,
+            stale: 0,
+            vms: Vec::new(),
+            settings: FleetSettings::default(),
+            seeds: Vec::new(),
+        }
+    }
+
+    /// Starts nodes `<zone>-<i>` and lists them.
+    pub fn with_nodes(seed: u64, zones: &[&str], per_zone: usize) -> Self {
+        let mut wires = Self::new(seed);
+        for zone in zones {
+            for i in 0..per_zone {
+                wires.list(&format!("{zone}-{i}"), zone);
+            }
+        }
+        for vm in wires.vms.clone() {
+            wires.boot(&vm.name, &vm.zone);
+        }
+        wires
+    }
+
+    pub fn list(&mut self, name: &str, zone: &str) {
+        self.vms.push(VmRecord {
+            name: name.into(),
+            region: zone.split('-').next().unwrap_or_default().into(),
+            zone: zone.into(),
+            address: name.into(),
+            leaving: false,
+        });
+    }
+
+    /// Starts a fresh process under a name; one that ran under it is gone.
+    pub fn boot(&mut self, name: &str, zone: &str) {
+        let process = self.random.random();
+        let profile = Profile {
+            region: zone.split('-').next().unwrap_or_default().into(),
+            zone: zone.into(),
+            peer: name.into(),
+            link: name.into(),
+        };
+        let identity = Identity {
+            name: name.into(),
+            profile,
+            seeds: self.seeds.clone(),
+        };
+        let node = Node {
+            controller: Controller::new(self.settings.clone(), identity, process, self.instant()),
+            zone: zone.into(),
+            process,
+            paused: None,
+            tick_at: None,
+            revision: None,
+        };
+        self.nodes.insert(name.into(), node);
+        self.act(&name.into());
+    }
+
+    pub fn kill(&mut self, name: &str) {
+        self.nodes.shift_remove(name);
+    }
+
+    pub fn pause(&mut self, name: &str, length: Duration) {
+        let until = self.now + length;
+        self.node(name).paused = Some(until);
+    }
+
+    pub fn node(&mut self, name: &str) -> &mut Node {
+        self.nodes.get_mut(name).expect("the node runs")
+    }
+
+    /// Accepts a change and hands it to a node.
+    pub fn edit(&mut self, at: &str) {
+        let change = change(self.table.len() as Revision + 1);
+        self.table.push(change.clone());
+        let now = self.instant();
+        self.node(at).controller.learn(now, [change]);
+        self.act(&at.into());
+    }
+
+    pub fn instant(&self) -> Instant {
+        self.start + self.now
+    }
+
+    pub fn run(&mut self, length: Duration) {
+        self.run_until(length, |_| false);
+    }
+
+    /// Runs until the condition holds, checked every 50 ms; returns the time it took.
+    pub fn run_until(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let begin = self.now;
+        while self.now < begin + limit {
+            let step = self.now + Duration::from_millis(50);
+            while let Some(Reverse((at, id))) = self.order.peek().copied()
+                && at <= step
+            {
+                self.order.pop();
+                self.now = self.now.max(at);
+                if let Some(event) = self.events.remove(&id) {
+                    self.handle(event);
+                }
+            }
+            self.now = step;
+            if done(self) {
+                return Some(self.now.abs_diff(begin));
+            }
+        }
+        None
+    }
+
+    /// Returns the state of `name` in the view of `at`; `None` when it does not know it.
+    pub fn state(&self, at: &str, name: &str) -> Option<MemberState> {
+        let view = self.nodes.get(at)?.controller.membership().view();
+        view.members.get(name).map(|m| m.state)
+    }
+
+    /// Returns whether all running nodes hold `name` in the state.
+    pub fn all_hold(&self, name: &str, state: Option<MemberState>) -> bool {
+        let mut others = self.nodes.keys().filter(|at| *at != name);
+        others.all(|at| self.state(at, name) == state)
+    }
+
+    /// Returns whether all running nodes know each other as alive.
+    pub fn converged(&self) -> bool {
+        self.nodes.values().all(|node| {
+            let members = node.controller.membership().view().members;
+            let state = |name: &NodeId| members.get(name).map(|m| m.state);
+            self.nodes
+                .keys()
+                .all(|name| state(name) == Some(MemberState::Alive))
+        })
+    }
+
+    pub fn in_force(&self, revision: Revision) -> bool {
+        let mut nodes = self.nodes.values();
+        nodes.all(|n| n.controller.propagation().revision() == Some(revision))
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        let after = after.max(Duration::from_micros(1));
+        self.order.push(Reverse((self.now + after, self.next)));
+        self.events.insert(self.next, event);
+        self.next += 1;
+    }
+
+    fn trip(&mut self) -> Duration {
+        self.delay.mul_f64(self.random.random_range(0.2..1.8))
+    }
+
+    fn connected(&self, a: &str, b: &str) -> bool {
+        let zone = |name: &str| self.nodes.get(name).map(|n| self.cut.contains(&n.zone));
+        zone(a).is_some() && zone(a) == zone(b)
+    }
+
+    fn live(&mut self, name: &NodeId, process: u64) -> Option<&mut Node> {
+        self.nodes.get_mut(name).filter(|n| n.process == process)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let receiver = match &event {
+            Event::Tick(name, _)
+            | Event::Request(name, ..)
+            | Event::Result((name, _), ..)
+            | Event::Relayed(name, ..)
+            | Event::Catalogue(name, ..)
+            | Event::List(name, ..) => name.clone(),
+        };
+        // A paused node handles nothing; what arrives waits until it runs again.
+        let paused = self.nodes.get(&receiver).and_then(|n| n.paused);
+        if let Some(until) = paused.filter(|until| *until > self.now) {
+            return self.schedule(until.abs_diff(self.now), event);
+        }
+        let now = self.instant();
+        match event {
+            Event::Tick(name, process) => {
+                let time = self.now;
+                let Some(node) = self.live(&name, process) else {
+                    return;
+                };
+                if node.tick_at.is_none_or(|at| at > time) {
+                    return;
+                }
+                node.tick_at = None;
+                if node.controller.deadline() <= now {
+                    node.controller.tick(now);
+                }
+            }
+            Event::Request(to, call, origin) => {
+                let Some(node) = self.nodes.get_mut(&to) else {
+                    return;
+                };
+                match node.controller.request(now, call.message.clone()) {
+                    Answer::Reply(reply) => self.answer(&to, origin, &call, reply),
+                    Answer::Relay {
+                        address,
+                        message,
+                        timeout,
+                    } => {
+                        let probe = Call {
+                            id: 0,
+                            address,
+                            message,
+                            timeout,
+                        };
+                        let target = probe.address.clone();
+                        // The relay's own probe, answered at once when it gets through.
+                        let through = self.connected(&to, &target) && !self.lost();
+                        let up = self.nodes.get_mut(&target).filter(|n| n.paused.is_none());
+                        let result = up.filter(|_| through).map(|n| {
+                            let Answer::Reply(r) = n.controller.request(now, probe.message) else {
+                                unreachable!("a probe is answered directly")
+                            };
+                            r
+                        });
+                        let wait = if result.is_some() {
+                            self.trip() * 2
+                        } else {
+                            timeout
+                        };
+                        let event = Event::Relayed(to, target, call, origin, result);
+                        self.schedule(wait, event);
+                    }
+                }
+            }
+            Event::Relayed(at, target, call, origin, result) => {
+                let Some(node) = self.nodes.get_mut(&at) else {
+                    return;
+                };
+                let reply = node
+                    .controller
+                    .relayed(now, &origin.0, &target, result.as_ref());
+                self.answer(&at, origin, &call, reply);
+            }
+            Event::Result((name, process), call, result) => {
+                if let Some(node) = self.live(&name, process) {
+                    node.controller.completed(now, call.id, result);
+                }
+            }
+            Event::Catalogue(name, process, result) => {
+                if let Some(node) = self.live(&name, process) {
+                    node.controller.read(now, result);
+                }
+            }
+            Event::List(name, process, vms) => {
+                if let Some(node) = self.live(&name, process) {
+                    node.controller.listed(now, vms.as_deref());
+                }
+            }
+        }
+        self.act(&receiver);
+    }
+
+    fn lost(&mut self) -> bool {
+        self.loss > 0.0 && self.random.random_bool(self.loss)
+    }
+
+    fn answer(&mut self, at: &NodeId, to: (NodeId, u64), call: &Call, reply: PeerMessage) {
+        if self.connected(at, &to.0) && !self.lost() {
+            let trip = self.trip();
+            self.schedule(trip, Event::Result(to, call.clone(), Some(reply)));
+        }
+    }
+
+    /// Carries out what a node asks for, and checks that its revision never goes back.
+    fn act(&mut self, name: &NodeId) {
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        let revision = node.controller.propagation().revision();
+        assert!(
+            revision >= node.revision,
+            "{name} went back from {:?}",
+            node.revision
+        );
+        node.revision = revision;
+        let process = node.process;
+        let wait = node
+            .controller
+            .deadline()
+            .saturating_duration_since(self.start + self.now);
+        let at = self.now + wait;
+        if node.tick_at.is_none_or(|earlier| at < earlier) {
+            node.tick_at = Some(at);
+            self.schedule(wait, Event::Tick(name.clone(), process));
+        }
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        for action in node.controller.take_actions() {
+            match action {
+                Action::Call(call) => {
+                    let origin = (name.clone(), process);
+                    let expired = Event::Result(origin.clone(), call.clone(), None);
+                    self.schedule(call.timeout, expired);
+                    let copies = 1 + usize::from(self.random.random_bool(self.duplicates));
+                    for _ in 0..copies {
+                        if self.connected(name, &call.address) && !self.lost() {
+                            let trip = self.trip();
+                            let to = call.address.clone();
+                            self.schedule(trip, Event::Request(to, call.clone(), origin.clone()));
+                        }
+                    }
+                }
+                Action::ReadCatalogue { after } => {
+                    let result = self.read(after);
+                    let trip = self.trip();
+                    self.schedule(trip, Event::Catalogue(name.clone(), process, result));
+                }
+                Action::ReadList => {
+                    let vms = self.platform_up.then(|| self.vms.clone());
+                    let trip = self.trip();
+                    self.schedule(trip, Event::List(name.clone(), process, vms));
+                }
+            }
+        }
+    }
+
+    fn read(&self, after: Option<Revision>) -> Result<Update, SmolStr> {
+        if !self.platform_up {
+            return Err("the platform is down".into());
+        }
+        let seen = &self.table[..self.table.len().saturating_sub(self.stale)];
+        let base = after.unwrap_or_default();
+        Ok(Update {
+            snapshot: after.is_none().then(Catalogue::default),
+            changes: seen.iter().filter(|c| c.revision > base).cloned().collect(),
+        })
+    }
+}
