Add calls between nodes over jsonrpsee and the measurement of the control plane

Cause: the cost of the control plane per node has to be known at 8 to 620 nodes. Change: RpcPeers and serve exchange messages over HTTP with a MAC by a shared secret; MemoryNetwork connects nodes of one process, encodes every message and counts bytes; the example slopes measures both.

--- /dev/null
+++ b/crates/siskinhook-fleet/examples/slopes.rs
@@ -0,0 +1,498 @@
+//! Measures the control plane alone, over fleets of several sizes in one process.
+//!
+//! Time is simulated by tokio's paused clock; messages are encoded and decoded as on the
+//! network. The framing and the cost of a real call are measured over loopback first. Run with
+//! `cargo run --release -p siskinhook-fleet --example slopes -- [--nodes N]... [--json]`.
+
+#[path = "../tests/support/table.rs"]
+mod table;
+
+use std::{
+    collections::BTreeMap,
+    net::TcpListener,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rustix::time::{ClockId, clock_gettime};
+use serde::Serialize;
+use siskinhook_fleet::{
+    Digest, Fleet, FleetSettings, Identity, MemoryNetwork, MemorySettings, PeerMessage, Peers,
+    Profile, RpcPeers, Secret, Traffic, serve,
+};
+use siskinhook_types::{Catalogue, Change, Database, Entry, Limits, MemberState, Server, VmRecord};
+use table::Table;
+use tokio::{net::TcpStream, runtime, time::sleep};
+
+/// Databases per node: 690 in front of 620 nodes.
+const DATABASES: f64 = 690.0 / 620.0;
+/// Zones; the first four are in one region, the others in a second one.
+const ZONES: usize = 8;
+/// Simulated seconds of the idle fleet.
+const IDLE: u64 = 120;
+/// Calls over loopback.
+const CALLS: u32 = 1000;
+
+mod flags {
+    xflags::xflags! {
+        cmd slopes {
+            /// Number of nodes; can be repeated. Default: 8, 32, 128, 320 and 620.
+            repeated --nodes count: usize
+            /// First seed. Default: 1.
+            optional --seed seed: u64
+            /// Number of seeds. Default: 1.
+            optional --seeds count: u64
+            /// Share of lost messages in the idle fleet. Default: 0.
+            optional --loss share: f64
+            /// Prints one JSON object per run.
+            optional --json
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Call {
+    request_framing: usize,
+    answer_framing: usize,
+    cpu_micros: f64,
+}
+
+#[derive(Serialize)]
+struct Report {
+    nodes: usize,
+    databases: usize,
+    seed: u64,
+    loss: f64,
+    /// Simulated seconds until all nodes knew each other and had the catalogue.
+    join: Option<f64>,
+    /// Bytes that a node sends per second when idle; it receives as many.
+    sent: f64,
+    /// Messages that a node sends per second when idle.
+    messages: BTreeMap<&'static str, f64>,
+    /// Calls that a node makes per second when idle.
+    calls: f64,
+    /// Share of a core per idle node: the state machines and the encoding.
+    cpu: f64,
+    /// The same with the measured cost of real calls.
+    cpu_with_calls: f64,
+    /// Resident memory per node in KB.
+    memory: f64,
+    /// Reads of the platform per second by all idle nodes.
+    reads: f64,
+    /// Refuted suspicions in the idle fleet, with the loss as given.
+    false_suspicions: u64,
+    /// Bytes that a node sends in total for one change.
+    change_bytes: f64,
+    /// Seconds until a change is in force everywhere: median and worst.
+    change: [f64; 2],
+    /// Bytes that a node sends in total for one death.
+    death_bytes: f64,
+    /// Seconds until a dead node is known everywhere: median and worst.
+    death: [f64; 2],
+}
+
+fn main() -> anyhow::Result<()> {
+    let flags = flags::Slopes::from_env_or_exit();
+    let call = runtime::Runtime::new()?.block_on(measure_call())?;
+    if flags.json {
+        println!("{}", serde_json::to_string(&call)?);
+    } else {
+        println!(
+            "a call over loopback: {} + {} bytes of framing, {:.0} us CPU on both sides",
+            call.request_framing, call.answer_framing, call.cpu_micros
+        );
+    }
+    let sizes = if flags.nodes.is_empty() {
+        vec![8, 32, 128, 320, 620]
+    } else {
+        flags.nodes
+    };
+    let first = flags.seed.unwrap_or(1);
+    for nodes in sizes {
+        for seed in first..first + flags.seeds.unwrap_or(1) {
+            let runtime = runtime::Builder::new_current_thread()
+                .enable_all()
+                .start_paused(true)
+                .build()?;
+            let run = run(nodes, seed, flags.loss.unwrap_or_default(), &call);
+            let report = runtime.block_on(run);
+            if flags.json {
+                println!("{}", serde_json::to_string(&report)?);
+            } else {
+                print(&report);
+            }
+        }
+    }
+    Ok(())
+}
+
+fn print(report: &Report) {
+    println!(
+        "{} nodes, {} databases, seed {}, loss {}:\n  \
+         joined after {:.1} s; {:.0} bytes/s sent, {:.2} calls/s, {:.3}% of a core \
+         ({:.3}% with real calls), {:.0} KB; platform {:.1} reads/s; {} false suspicions\n  \
+         change: {:.2} s median, {:.2} s worst, {:.0} bytes; \
+         death: {:.1} s median, {:.1} s worst, {:.0} bytes\n  messages/s: {:.3?}",
+        report.nodes,
+        report.databases,
+        report.seed,
+        report.loss,
+        report.join.unwrap_or(f64::NAN),
+        report.sent,
+        report.calls,
+        report.cpu * 100.0,
+        report.cpu_with_calls * 100.0,
+        report.memory,
+        report.reads,
+        report.false_suspicions,
+        report.change[0],
+        report.change[1],
+        report.change_bytes,
+        report.death[0],
+        report.death[1],
+        report.death_bytes,
+        report.messages,
+    );
+}
+
+struct Running {
+    network: MemoryNetwork,
+    table: Table,
+    fleets: Vec<(String, Fleet)>,
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+async fn run(nodes: usize, seed: u64, loss: f64, call: &Call) -> Report {
+    let base = resident();
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut running = start(nodes, seed, loss, call, &mut random).await;
+    let join = running.wait(120, Running::converged).await;
+    sleep(Duration::from_mins(1)).await;
+    drop(running.network.take_traffic());
+    let refutations = running.incarnations();
+    let (reads, cpu) = (running.table.content().reads, cpu_seconds());
+    sleep(Duration::from_secs(IDLE)).await;
+    let cpu = (cpu_seconds() - cpu) / (nodes as f64 * IDLE as f64);
+    let reads = (running.table.content().reads - reads) as f64 / IDLE as f64;
+    let traffic = running.network.take_traffic();
+    let false_suspicions = running.incarnations() - refutations;
+    let per_node = |count: u64| count as f64 / nodes as f64;
+    let sent = per_node(bytes(&traffic)) / IDLE as f64;
+    let messages: BTreeMap<_, _> = traffic
+        .iter()
+        .map(|(kind, t)| (*kind, per_node(t.messages) / IDLE as f64))
+        .collect();
+    let calls = ["probe", "relay", "hello", "news", "pull"];
+    let calls = calls.iter().filter_map(|kind| messages.get(kind)).sum();
+    let memory = (resident() - base) as f64 / nodes as f64;
+
+    let extra = |traffic: &BTreeMap<_, Traffic>, time: f64| {
+        (per_node(bytes(traffic)) - sent * time).max(0.0)
+    };
+    let mut changes = Vec::new();
+    let mut change_bytes = 0.0;
+    for _ in 0..10 {
+        drop(running.network.take_traffic());
+        let at = random.random_range(0..nodes);
+        running.edit(at).await;
+        let time = running.wait(30, Running::in_force).await;
+        changes.push(time.unwrap_or(f64::INFINITY));
+        sleep(Duration::from_secs(5)).await;
+        let time = 5.0 + time.unwrap_or(30.0);
+        change_bytes += extra(&running.network.take_traffic(), time) / 10.0;
+    }
+    let mut deaths = Vec::new();
+    let mut death_bytes = 0.0;
+    for _ in 0..3 {
+        drop(running.network.take_traffic());
+        let (name, fleet) = running
+            .fleets
+            .swap_remove(random.random_range(1..running.fleets.len()));
+        running.network.remove(&name);
+        drop(fleet);
+        let time = running.wait(60, |r| r.knows_dead(&name)).await;
+        deaths.push(time.unwrap_or(f64::INFINITY));
+        sleep(Duration::from_secs(15)).await;
+        let time = 15.0 + time.unwrap_or(60.0);
+        death_bytes += extra(&running.network.take_traffic(), time) / 3.0;
+    }
+    Report {
+        nodes,
+        databases: databases(nodes),
+        seed,
+        loss,
+        join,
+        sent,
+        calls,
+        cpu,
+        cpu_with_calls: cpu + calls * call.cpu_micros / 1e6,
+        memory,
+        reads,
+        false_suspicions,
+        change_bytes,
+        change: spread(changes),
+        death_bytes,
+        death: spread(deaths),
+        messages,
+    }
+}
+
+async fn start(nodes: usize, seed: u64, loss: f64, call: &Call, random: &mut SmallRng) -> Running {
+    let network = MemoryNetwork::new(MemorySettings {
+        seed,
+        loss,
+        request_framing: call.request_framing,
+        answer_framing: call.answer_framing,
+        ..MemorySettings::default()
+    });
+    let table = Table::default();
+    let vms: Vec<VmRecord> = (0..nodes).map(vm).collect();
+    {
+        let mut content = table.content();
+        content.snapshot = catalogue(databases(nodes));
+        content.vms.clone_from(&vms);
+    }
+    let mut fleets = Vec::new();
+    for vm in vms {
+        let peers = network.add(&vm.address, &vm.region, &vm.zone);
+        let identity = Identity {
+            name: vm.name.clone(),
+            profile: Profile {
+                region: vm.region,
+                zone: vm.zone,
+                peer: vm.address.clone(),
+                link: vm.address.replace(":7400", ":7401").into(),
+            },
+            seeds: Vec::new(),
+        };
+        let settings = FleetSettings::default();
+        let fleet = Fleet::start(settings, identity, random.random(), peers, table.clone());
+        network.attach(&vm.address, fleet.clone());
+        fleets.push((vm.address.to_string(), fleet));
+        // All nodes start within 10 s.
+        sleep(Duration::from_secs(10) / u32::try_from(nodes).unwrap_or(u32::MAX)).await;
+    }
+    Running {
+        network,
+        table,
+        fleets,
+    }
+}
+
+impl Running {
+    /// Waits until the condition holds; returns the simulated seconds that took.
+    async fn wait(&mut self, limit: u64, done: impl Fn(&Self) -> bool) -> Option<f64> {
+        let start = tokio::time::Instant::now();
+        while start.elapsed() < Duration::from_secs(limit) {
+            if done(self) {
+                return Some(start.elapsed().as_secs_f64());
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        None
+    }
+
+    fn converged(&self) -> bool {
+        self.in_force()
+            && self.fleets.iter().all(|(_, fleet)| {
+                let view = fleet.view().borrow().clone();
+                let mut members = view.members.values();
+                view.members.len() == self.fleets.len()
+                    && members.all(|m| m.state == MemberState::Alive)
+            })
+    }
+
+    fn in_force(&self) -> bool {
+        let revision = self.table.content().revision();
+        let mut fleets = self.fleets.iter();
+        fleets.all(|(_, fleet)| fleet.catalogue().borrow().revision == revision)
+    }
+
+    fn knows_dead(&self, address: &str) -> bool {
+        self.fleets.iter().all(|(_, fleet)| {
+            let view = fleet.view().borrow().clone();
+            let mut members = view.members.values();
+            members.all(|m| m.peer != address || m.state == MemberState::Dead)
+        })
+    }
+
+    /// Sum of the incarnations of all nodes; each refuted suspicion adds one.
+    fn incarnations(&self) -> u64 {
+        let local = |fleet: &Fleet| {
+            let view = fleet.view().borrow().clone();
+            view.members.get(&view.local).map_or(0, |m| m.incarnation)
+        };
+        self.fleets.iter().map(|(_, fleet)| local(fleet)).sum()
+    }
+
+    async fn edit(&self, at: usize) {
+        let change = {
+            let mut content = self.table.content();
+            let change = Change {
+                revision: content.revision() + 1,
+                edit: "0192f7a4-6c1e-7000-8000-000000000001".into(),
+                service: "service-1".into(),
+                entry: Some(entry(1)),
+            };
+            content.changes.push(change.clone());
+            change
+        };
+        self.fleets[at].1.publish(change).await;
+    }
+}
+
+fn vm(i: usize) -> VmRecord {
+    let zone = i % ZONES;
+    VmRecord {
+        name: format!("node-{i:04}").into(),
+        region: ["guj-west", "hr-jug"][zone / 4].into(),
+        zone: format!("zone-{zone}").into(),
+        address: format!("10.{zone}.{}.{}:7400", i / 250, i % 250).into(),
+        leaving: false,
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "counts are far below 2^52"
+)]
+fn databases(nodes: usize) -> usize {
+    (nodes as f64 * DATABASES).round() as usize
+}
+
+/// A catalogue of services with three databases each, as today.
+fn catalogue(databases: usize) -> Catalogue {
+    let entries = (0..databases.div_ceil(3)).map(|i| (format!("service-{i}").into(), entry(i)));
+    Catalogue {
+        revision: 1000,
+        entries: entries.collect(),
+    }
+}
+
+fn entry(service: usize) -> Entry {
+    let database = |i: usize| Database {
+        servers: (0..3)
+            .map(|s| Server {
+                name: format!("service-{service}-db-{i}-{s}").into(),
+                zone: format!("zone-{}", (service + s) % ZONES).into(),
+                address: format!("10.9.{}.{}:5432", service % 250, i * 3 + s).into(),
+                leaving: false,
+            })
+            .collect(),
+    };
+    Entry {
+        name: format!("service-{service}").into(),
+        owner: "sabarmati".into(),
+        class: siskinhook_types::Class::default(),
+        limits: Limits::default(),
+        max_age: Some(2000),
+        credentials: format!("secrets/service-{service}").into(),
+        databases: (0..3)
+            .map(|i| (format!("service-{service}-db-{i}").into(), database(i)))
+            .collect(),
+    }
+}
+
+/// Measures framing and CPU time of a real call over loopback.
+async fn measure_call() -> anyhow::Result<Call> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let secret = Secret::new("a secret of the usual length, 32");
+    // A node alone; it answers probes.
+    let network = MemoryNetwork::new(MemorySettings::default());
+    let peers = network.add("10.0.0.1:7400", "r", "z");
+    let identity = Identity {
+        name: "node-0001".into(),
+        profile: Profile {
+            region: "r".into(),
+            zone: "z".into(),
+            peer: "10.0.0.1:7400".into(),
+            link: "10.0.0.1:7401".into(),
+        },
+        seeds: Vec::new(),
+    };
+    let fleet = Fleet::start(
+        FleetSettings::default(),
+        identity,
+        1,
+        peers,
+        Table::default(),
+    );
+    // A relay in front of the server counts the bytes of one call.
+    let counter = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    let front = counter.local_addr()?;
+    let _server = serve(
+        listener,
+        front.to_string().into(),
+        secret.clone(),
+        fleet.clone(),
+    )?;
+    let (sent, received) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let counts = (Arc::clone(&sent), Arc::clone(&received));
+    let relay = tokio::spawn(async move {
+        let (mut near, _) = counter.accept().await?;
+        let mut far = TcpStream::connect(address).await?;
+        let (up, down) = tokio::io::copy_bidirectional(&mut near, &mut far).await?;
+        counts.0.store(up, Ordering::Relaxed);
+        counts.1.store(down, Ordering::Relaxed);
+        anyhow::Ok(())
+    });
+    let client = RpcPeers::new(secret.clone());
+    let probe = PeerMessage::Probe(Digest {
+        from: "node-0002".into(),
+        revision: Some(1000),
+        unknown: false,
+        rumours: Vec::new(),
+    });
+    let answer = client.call(&front.to_string(), probe.clone()).await?;
+    relay.await??;
+    let framing = |count: &AtomicU64, message: &PeerMessage| -> anyhow::Result<usize> {
+        let total = usize::try_from(count.load(Ordering::Relaxed))?;
+        Ok(total - serde_json::to_vec(message)?.len())
+    };
+    let request_framing = framing(&sent, &probe)?;
+    let answer_framing = framing(&received, &answer)?;
+
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?.to_string();
+    let _direct = serve(listener, address.as_str().into(), secret, fleet)?;
+    let start = cpu_seconds();
+    for _ in 0..CALLS {
+        client.call(&address, probe.clone()).await?;
+    }
+    let cpu_micros = (cpu_seconds() - start) * 1e6 / f64::from(CALLS);
+    Ok(Call {
+        request_framing,
+        answer_framing,
+        cpu_micros,
+    })
+}
+
+fn bytes(traffic: &BTreeMap<&'static str, Traffic>) -> u64 {
+    traffic.values().map(|t| t.bytes).sum()
+}
+
+fn spread(mut values: Vec<f64>) -> [f64; 2] {
+    values.sort_by(f64::total_cmp);
+    [values[values.len() / 2], values[values.len() - 1]]
+}
+
+#[expect(clippy::cast_precision_loss, reason = "seconds are far below 2^52")]
+fn cpu_seconds() -> f64 {
+    let time = clock_gettime(ClockId::ProcessCPUTime);
+    time.tv_sec as f64 + time.tv_nsec as f64 / 1e9
+}
+
+/// Resident memory of the process in KB; 0 where `/proc` is missing.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+        .unwrap_or(0)
+}
--- a/crates/siskinhook-fleet/src/lib.rs
+++ b/crates/siskinhook-fleet/src/lib.rs
@@ -3,16 +3,19 @@
 mod controller;
 mod fleet;
 mod membership;
+mod memory;
 mod message;
 mod ownership;
 mod peers;
 mod propagation;
 mod reader;
+mod rpc;
 mod settings;
 
 pub use controller::{Action, Controller, FleetStatus, Identity};
 pub use fleet::Fleet;
 pub use membership::{Answer, Call, CallId, Membership};
+pub use memory::{MemoryNetwork, MemoryPeers, MemorySettings, Traffic};
 pub use message::{Digest, PeerMessage, Profile, Rumour};
 pub use ownership::{OwnerCache, owner, owners, owns};
 pub use peers::{PeerError, Peers};
@@ -20,4 +23,5 @@
 pub use reader::{
     CHANGE_PREFIX, REVISION_KEY, SNAPSHOT_KEY, SNAPSHOT_PREFIX, change_key, snapshot_key,
 };
+pub use rpc::{RpcPeers, Secret, serve};
 pub use settings::FleetSettings;
--- /dev/null
+++ b/crates/siskinhook-fleet/src/memory.rs
@@ -0,0 +1,218 @@
+//! In-process implementation of [`Peers`] for tests and measurement.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    future::pending,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use siskinhook_types::{Region, Zone};
+use smol_str::{SmolStr, ToSmolStr};
+use tokio::time::sleep;
+
+use crate::{Fleet, PeerError, PeerMessage, Peers};
+
+/// Behaviour of a [`MemoryNetwork`].
+#[derive(Clone, Debug)]
+pub struct MemorySettings {
+    /// Seed of losses and delays.
+    pub seed: u64,
+    /// Mean one-way latency within a region.
+    pub latency: Duration,
+    /// Mean one-way latency between regions.
+    pub region_latency: Duration,
+    /// Share of requests and answers that are lost, each.
+    pub loss: f64,
+    /// Bytes that JSON-RPC and HTTP add to a request.
+    pub request_framing: usize,
+    /// Bytes that JSON-RPC and HTTP add to an answer.
+    pub answer_framing: usize,
+}
+
+impl Default for MemorySettings {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            latency: Duration::from_micros(500),
+            region_latency: Duration::from_millis(60),
+            loss: 0.0,
+            request_framing: 0,
+            answer_framing: 0,
+        }
+    }
+}
+
+/// Number and size of the messages of one kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Messages.
+    pub messages: u64,
+    /// Bytes, framing included.
+    pub bytes: u64,
+}
+
+/// Connects the nodes of one process. Encodes and decodes every message as the network does.
+#[derive(Clone, Debug)]
+pub struct MemoryNetwork {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    settings: MemorySettings,
+    random: SmallRng,
+    nodes: HashMap<SmolStr, Place>,
+    cut: HashSet<Zone>,
+    traffic: BTreeMap<&'static str, Traffic>,
+}
+
+#[derive(Clone, Debug)]
+struct Place {
+    region: Region,
+    zone: Zone,
+    fleet: Option<Fleet>,
+}
+
+/// The network as the node at one address uses it.
+#[derive(Clone, Debug)]
+pub struct MemoryPeers {
+    network: MemoryNetwork,
+    local: SmolStr,
+}
+
+impl MemoryNetwork {
+    /// Creates a network without nodes.
+    #[must_use]
+    pub fn new(settings: MemorySettings) -> Self {
+        let state = State {
+            random: SmallRng::seed_from_u64(settings.seed),
+            settings,
+            nodes: HashMap::new(),
+            cut: HashSet::new(),
+            traffic: BTreeMap::new(),
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Adds an address and returns the network as the node at it uses it.
+    #[must_use]
+    pub fn add(&self, address: &str, region: &str, zone: &str) -> MemoryPeers {
+        let place = Place {
+            region: region.into(),
+            zone: zone.into(),
+            fleet: None,
+        };
+        self.state().nodes.insert(address.into(), place);
+        MemoryPeers {
+            network: self.clone(),
+            local: address.into(),
+        }
+    }
+
+    /// Lets requests to an address reach a node.
+    pub fn attach(&self, address: &str, fleet: Fleet) {
+        if let Some(place) = self.state().nodes.get_mut(address) {
+            place.fleet = Some(fleet);
+        }
+    }
+
+    /// Removes an address; requests to it stay unanswered. The node's task ends once all
+    /// other handles to it are dropped.
+    pub fn remove(&self, address: &str) {
+        self.state().nodes.remove(address);
+    }
+
+    /// Cuts the given zones, together, from all others; replaces an earlier cut.
+    pub fn cut(&self, zones: &[&str]) {
+        self.state().cut = zones.iter().map(SmolStr::new).collect();
+    }
+
+    /// Returns the traffic by kind of message since the last call of this function.
+    #[must_use]
+    pub fn take_traffic(&self) -> BTreeMap<&'static str, Traffic> {
+        std::mem::take(&mut self.state().traffic)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Counts a message; returns its delay, or `None` when it does not arrive.
+    fn send(
+        &mut self,
+        from: &str,
+        to: &str,
+        message: &PeerMessage,
+        size: usize,
+    ) -> Option<Duration> {
+        let traffic = self.traffic.entry(message.kind()).or_default();
+        traffic.messages += 1;
+        traffic.bytes += size as u64;
+        let (from, to) = (self.nodes.get(from)?, self.nodes.get(to)?);
+        let cut = self.cut.contains(&from.zone) != self.cut.contains(&to.zone);
+        if cut || (self.settings.loss > 0.0 && self.random.random_bool(self.settings.loss)) {
+            return None;
+        }
+        let mean = if from.region == to.region {
+            self.settings.latency
+        } else {
+            self.settings.region_latency
+        };
+        Some(mean.mul_f64(self.random.random_range(0.8..1.2)))
+    }
+}
+
+impl MemoryPeers {
+    /// Carries a message to an address; one that is lost never arrives.
+    async fn carry(
+        &self,
+        from: &str,
+        to: &str,
+        message: &PeerMessage,
+        framing: usize,
+    ) -> Result<PeerMessage, PeerError> {
+        let failed = |e: serde_json::Error| PeerError {
+            address: to.into(),
+            reason: e.to_string(),
+        };
+        let data = serde_json::to_vec(message).map_err(failed)?;
+        let delay = self
+            .network
+            .state()
+            .send(from, to, message, data.len() + framing);
+        match delay {
+            Some(delay) => sleep(delay).await,
+            None => pending().await,
+        }
+        serde_json::from_slice(&data).map_err(failed)
+    }
+}
+
+impl Peers for MemoryPeers {
+    async fn call(&self, address: &str, message: PeerMessage) -> Result<PeerMessage, PeerError> {
+        let (request, answer) = {
+            let state = self.network.state();
+            (
+                state.settings.request_framing,
+                state.settings.answer_framing,
+            )
+        };
+        let message = self.carry(&self.local, address, &message, request).await?;
+        let place = self.network.state().nodes.get(address).cloned();
+        let Some(fleet) = place.and_then(|place| place.fleet) else {
+            return pending().await;
+        };
+        let reply = fleet.receive(message).await.ok_or_else(|| PeerError {
+            address: address.into(),
+            reason: "the node has stopped".into(),
+        })?;
+        let local = self.local.to_smolstr();
+        self.carry(address, &local, &reply, answer).await
+    }
+}
