--- a/crates/siskinhook-engine/src/net/frame.rs
+++ b/crates/siskinhook-engine/src/net/frame.rs
@@ -37,6 +37,8 @@
         Part {
             /// Number of the exchange.
             exchange: ExchangeId,
+            /// Number of the part in the exchange, from 0.
+            number: u64,
             /// The part.
             part: Part,
         },
@@ -44,6 +46,8 @@
         Failure {
             /// Number of the exchange.
             exchange: ExchangeId,
+            /// Number of parts sent before.
+            number: u64,
             /// The failure.
             failure: Failure,
         },
--- a/crates/siskinhook-engine/src/net/link.rs
+++ b/crates/siskinhook-engine/src/net/link.rs
@@ -24,12 +24,14 @@
 
 /// A link to another node over a byte stream.
 ///
-/// Each answer repeats the number of its exchange. A frame with another number, or one that
-/// arrives while no exchange is in progress, breaks the link: late, doubled and reordered
-/// answers never reach a caller.
+/// Each part repeats the number of its exchange and carries its own. A frame with another
+/// number, or one that arrives while no exchange is in progress, breaks the link: late, doubled
+/// and reordered answers never reach a caller.
 pub struct FrameLink<S> {
     stream: Framed<S, FrameCodec>,
     exchange: ExchangeId,
+    /// Number of the next part.
+    number: u64,
     state: State,
     /// Whether a transaction is open on the owner's side.
     pinned: bool,
@@ -62,6 +64,7 @@
             Some(Ok(Frame::Welcome)) => Ok(Self {
                 stream,
                 exchange: 0,
+                number: 0,
                 state: State::Idle,
                 pinned: false,
                 patience,
@@ -89,7 +92,7 @@
         )
     }
 
-    /// Follows a part; the kind of the request decides whether a transaction is open.
+    /// Ends the exchange after its last part.
     fn follow(&mut self, part: &Part) {
         if matches!(part, Part::Done { .. }) {
             self.state = State::Idle;
@@ -107,6 +110,7 @@
             return Err(lost("an earlier exchange on the link broke it"));
         }
         self.exchange += 1;
+        self.number = 0;
         self.state = State::Busy;
         self.pinned = match request.kind {
             Kind::Begin | Kind::BeginReadOnly | Kind::Inner => true,
@@ -137,15 +141,24 @@
             };
             match frame {
                 Frame::Alive { exchange } if exchange == self.exchange => {}
-                Frame::Part { exchange, part } if exchange == self.exchange => {
+                Frame::Part {
+                    exchange,
+                    number,
+                    part,
+                } if (exchange, number) == (self.exchange, self.number) => {
+                    self.number += 1;
                     self.follow(&part);
                     return Ok(part);
                 }
-                Frame::Failure { exchange, failure } if exchange == self.exchange => {
+                Frame::Failure {
+                    exchange,
+                    number,
+                    failure,
+                } if (exchange, number) == (self.exchange, self.number) => {
                     self.state = State::Idle;
                     return Err(failure);
                 }
-                _ => return Err(self.break_off("an answer belongs to another exchange")),
+                _ => return Err(self.break_off("a part is late, doubled or out of order")),
             }
         }
     }
--- a/crates/siskinhook-engine/src/net/serve.rs
+++ b/crates/siskinhook-engine/src/net/serve.rs
@@ -117,7 +117,7 @@
         }
         last = request.exchange;
         if let Err(failure) = owner.start(request.into_request()).await {
-            stream.send(answer(last, Err(failure))).await?;
+            stream.send(answer(last, 0, Err(failure))).await?;
             continue;
         }
         respond(stream, &mut owner, last).await?;
@@ -135,6 +135,7 @@
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     T: Targets,
 {
+    let mut number = 0;
     loop {
         let part = tokio::select! {
             biased;
@@ -148,7 +149,8 @@
             }
         };
         let mut last = is_last(&part);
-        stream.feed(answer(exchange, part)).await?;
+        stream.feed(answer(exchange, number, part)).await?;
+        number += 1;
         for _ in 0..BATCH {
             if last {
                 break;
@@ -157,7 +159,8 @@
                 break;
             };
             last = is_last(&part);
-            stream.feed(answer(exchange, part)).await?;
+            stream.feed(answer(exchange, number, part)).await?;
+            number += 1;
         }
         stream.flush().await?;
         if last {
@@ -166,10 +169,18 @@
     }
 }
 
-fn answer(exchange: ExchangeId, part: Result<Part, Failure>) -> Frame {
+fn answer(exchange: ExchangeId, number: u64, part: Result<Part, Failure>) -> Frame {
     match part {
-        Ok(part) => Frame::Part { exchange, part },
-        Err(failure) => Frame::Failure { exchange, failure },
+        Ok(part) => Frame::Part {
+            exchange,
+            number,
+            part,
+        },
+        Err(failure) => Frame::Failure {
+            exchange,
+            number,
+            failure,
+        },
     }
 }
 
--- a/crates/siskinhook-engine/tests/failover.rs
+++ b/crates/siskinhook-engine/tests/failover.rs
@@ -83,7 +83,7 @@
         let watch = watch_terms(&cluster);
         cluster.site.store().set_state(PlatformState::Down);
         let storm = Storm::start(&cluster, &NODES, false);
-        sleep(Duration::from_millis(500)).await;
+        sleep(Duration::from_millis(500 + seed % 10)).await;
         let primary = cluster.primary();
         cluster.site.server(&primary).unwrap().crash();
         // Cut off from each other, the promoters do not see each other's work either.
@@ -105,7 +105,8 @@
         let cluster = Cluster::start(seed, plan(3)).await;
         let watch = watch_terms(&cluster);
         let storm = Storm::start(&cluster, &NODES, false);
-        sleep(Duration::from_millis(500)).await;
+        // Another phase of the writers with each seed.
+        sleep(Duration::from_millis(500 + seed % 10)).await;
         let primary = cluster.primary();
         cluster.site.server(&primary).unwrap().crash();
         sleep(Duration::from_millis(moment)).await;
--- a/crates/siskinhook-engine/tests/support/storm.rs
+++ b/crates/siskinhook-engine/tests/support/storm.rs
@@ -92,10 +92,12 @@
         sleep(Duration::from_secs(1)).await;
         let written = std::mem::take(&mut *self.written.lock().unwrap());
         let acknowledged = written.iter().filter(|w| w.result.is_ok()).count();
+        let open = |w: &&Written| matches!(&w.result, Err(f) if f.verdict == Verdict::MayHaveRun);
         println!(
-            "{} writes in {:?}, {acknowledged} acknowledged",
+            "{} writes in {:?}, {acknowledged} acknowledged, {} may have run",
             written.len(),
-            self.started.elapsed()
+            self.started.elapsed(),
+            written.iter().filter(open).count()
         );
         let stored = stored(cluster).await;
         for write in &written {
