--- a/crates/siskinhook-catalogue/src/batch.rs
+++ b/crates/siskinhook-catalogue/src/batch.rs
@@ -60,7 +60,6 @@
     writes.extend(record.writes());
     Batch {
         conditions: vec![
-            condition(&keys::edit_key(&edit.id), 0),
             condition(keys::REVISION, current.revision.version),
             condition(keys::AUDIT_SEQUENCE, current.sequence.version),
         ],
--- /dev/null
+++ b/crates/siskinhook-telemetry/src/endpoint.rs
@@ -0,0 +1,93 @@
+//! HTTP endpoint with metrics, health and readiness.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use anyhow::{Context, Result};
+use axum::{
+    Router,
+    extract::State,
+    http::{StatusCode, header},
+    response::{IntoResponse, Response},
+    routing::get,
+};
+use tokio::net::TcpListener;
+
+use crate::Metrics;
+
+/// Whether the load balancer may send callers to the node. Clones share the state.
+#[derive(Clone, Debug)]
+pub struct Readiness {
+    reason: Arc<RwLock<Option<String>>>,
+}
+
+impl Readiness {
+    /// Creates a readiness that is not ready for this reason.
+    #[must_use]
+    pub fn waiting(reason: impl Into<String>) -> Self {
+        Self {
+            reason: Arc::new(RwLock::new(Some(reason.into()))),
+        }
+    }
+
+    /// Reports ready.
+    pub fn set_ready(&self) {
+        self.set(None);
+    }
+
+    /// Reports not ready, with the reason.
+    pub fn set_waiting(&self, reason: impl Into<String>) {
+        self.set(Some(reason.into()));
+    }
+
+    /// Returns the reason why the node is not ready, or `None` when it is.
+    #[must_use]
+    pub fn reason(&self) -> Option<String> {
+        self.reason
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn set(&self, reason: Option<String>) {
+        *self.reason.write().unwrap_or_else(PoisonError::into_inner) = reason;
+    }
+}
+
+/// Serves `/metrics`, `/health` (the process answers) and `/ready` (503 with the reason when
+/// not ready) until `shutdown` completes.
+///
+/// # Errors
+/// The listener fails.
+pub async fn serve(
+    listener: TcpListener,
+    metrics: Metrics,
+    readiness: Readiness,
+    shutdown: impl Future<Output = ()> + Send + 'static,
+) -> Result<()> {
+    let router = Router::new()
+        .route("/metrics", get(show_metrics))
+        .with_state(metrics)
+        .route("/health", get(async || "ok\n"))
+        .route("/ready", get(show_ready).with_state(readiness));
+    axum::serve(listener, router)
+        .with_graceful_shutdown(shutdown)
+        .await
+        .context("the metrics endpoint failed")
+}
+
+async fn show_metrics(State(metrics): State<Metrics>) -> Response {
+    match metrics.text() {
+        Ok(text) => {
+            let kind = [(header::CONTENT_TYPE, prometheus::TEXT_FORMAT)];
+            (kind, text).into_response()
+        }
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, format!("{error:#}\n")).into_response(),
+    }
+}
+
+async fn show_ready(State(readiness): State<Readiness>) -> Response {
+    match readiness.reason() {
+        None => "ready\n".into_response(),
+        Some(reason) => (StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")).into_response(),
+    }
+}
