--- /dev/null
+++ b/crates/siskinhook-operator/src/api.rs
@@ -0,0 +1,116 @@
+//! The JSON-RPC interface for operators.
+
+use jsonrpsee::{core::RpcResult, proc_macros::rpc};
+use serde_json::Value;
+use siskinhook_catalogue::{Accepted, AuditQuery, AuditRecord, EntryView};
+use siskinhook_types::{Catalogue, Entry, FleetView, NodeId, Revision, ServiceId, value_type};
+use smol_str::SmolStr;
+
+use crate::{Explain, NodeStatus, Report};
+
+/// Codes of errors that the interface reports.
+pub mod codes {
+    /// The request has no valid operator name and token.
+    pub const UNAUTHENTICATED: i32 = -32_001;
+    /// The platform cannot be read.
+    pub const UNAVAILABLE: i32 = -32_002;
+    /// The request cannot be served; the message states the remedy.
+    pub const REFUSED: i32 = -32_003;
+    /// An edit was not accepted, or its outcome is unknown; the data is the `EditError`.
+    pub const EDIT: i32 = -32_004;
+}
+
+value_type! {
+    /// A value as one node sees it.
+    pub struct Answer<T> {
+        /// The node.
+        pub node: NodeId,
+        /// Whether the node is cut off from most of the fleet.
+        pub cut_off: bool,
+        /// Milliseconds since the node last heard from another node or the platform.
+        pub heard: u64,
+        /// The value.
+        pub value: T,
+    }
+
+    /// An edit as the operator's tool sends it; the node adds who makes it and when.
+    pub struct EditRequest {
+        /// Id of the edit; the same id is applied at most once.
+        pub id: SmolStr,
+        /// Service.
+        pub service: ServiceId,
+        /// The new entry; `None` removes it.
+        pub entry: Option<Entry>,
+        /// Revision that made the entry as the operator saw it; 0 when there was none.
+        pub base: Revision,
+        /// Reason for the audit trail.
+        pub reason: String,
+        /// Whether dangerous effects are confirmed.
+        pub confirmed: bool,
+    }
+
+    /// A request to undo the change of a revision.
+    pub struct RevertRequest {
+        /// Id of the new edit.
+        pub id: SmolStr,
+        /// Revision to undo.
+        pub revision: Revision,
+        /// Reason for the audit trail.
+        pub reason: String,
+        /// Whether dangerous effects are confirmed.
+        pub confirmed: bool,
+    }
+}
+
+/// Methods `operator_status` and so on. Every request carries the header
+/// `Authorization: Bearer NAME:TOKEN`.
+#[rpc(client, server, namespace = "operator")]
+pub trait OperatorApi {
+    /// Returns the status of the node.
+    #[method(name = "status", with_extensions)]
+    async fn status(&self) -> RpcResult<Answer<NodeStatus>>;
+
+    /// Returns the members that the node knows.
+    #[method(name = "fleet", with_extensions)]
+    async fn fleet(&self) -> RpcResult<Answer<FleetView>>;
+
+    /// Returns the catalogue in force on the node.
+    #[method(name = "catalogue", with_extensions)]
+    async fn catalogue(&self) -> RpcResult<Answer<Catalogue>>;
+
+    /// Returns a part of the node's state.
+    #[method(name = "report", with_extensions)]
+    async fn report(&self, report: Report) -> RpcResult<Answer<Value>>;
+
+    /// Returns where a statement would go.
+    #[method(name = "explain", with_extensions)]
+    async fn explain(&self, question: Explain) -> RpcResult<Answer<Value>>;
+
+    /// Returns an accepted entry from the platform, as the base of an edit.
+    #[method(name = "entry", with_extensions)]
+    async fn entry(&self, service: ServiceId) -> RpcResult<Option<EntryView>>;
+
+    /// Checks an edit and returns the effects that need a confirmation.
+    #[method(name = "check", with_extensions)]
+    async fn check(&self, edit: EditRequest) -> RpcResult<Vec<String>>;
+
+    /// Accepts an edit.
+    #[method(name = "edit", with_extensions)]
+    async fn edit(&self, edit: EditRequest) -> RpcResult<Accepted>;
+
+    /// Undoes the change of a revision.
+    #[method(name = "undo", with_extensions)]
+    async fn undo(&self, request: RevertRequest) -> RpcResult<Accepted>;
+
+    /// Returns the accepted edits of an entry, newest first.
+    #[method(name = "history", with_extensions)]
+    async fn history(&self, service: ServiceId, limit: usize) -> RpcResult<Vec<AuditRecord>>;
+
+    /// Queries the audit trail.
+    #[method(name = "audit", with_extensions)]
+    async fn audit(&self, query: AuditQuery) -> RpcResult<Vec<AuditRecord>>;
+
+    /// Tells a node to drain or to serve again.
+    #[method(name = "drain", with_extensions)]
+    async fn drain(&self, node: NodeId, drain: bool, reason: String) -> RpcResult<()>;
+}
--- /dev/null
+++ b/crates/siskinhook-operator/src/render.rs
@@ -0,0 +1,158 @@
+//! Tables and texts for people.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use comfy_table::{Table, presets};
+use serde_json::Value;
+use siskinhook_catalogue::{AuditAction, AuditRecord};
+
+/// Writes rows as a table with a header.
+pub fn table(header: &[&str], rows: impl IntoIterator<Item = Vec<String>>) -> String {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING);
+    table.set_header(header.iter().map(|name| name.to_uppercase()));
+    for row in rows {
+        table.add_row(row);
+    }
+    let text = table.to_string();
+    text.lines()
+        .map(|line| line.trim_end().strip_prefix(' ').unwrap_or_default())
+        .collect::<Vec<_>>()
+        .join("\n")
+}
+
+/// Ends a text with exactly one line break.
+pub fn finish(text: String) -> String {
+    let mut text = text;
+    text.truncate(text.trim_end().len());
+    if !text.is_empty() {
+        text.push('\n');
+    }
+    text
+}
+
+/// Writes a report: a list of objects as a table, an object line by line.
+pub fn report(value: &Value) -> String {
+    match value {
+        Value::Array(items) if items.iter().all(Value::is_object) => objects(items),
+        Value::Object(map) => map
+            .iter()
+            .map(|(key, value)| match value {
+                Value::Array(items) if items.iter().any(Value::is_object) => {
+                    format!("\n{key}:\n{}", objects(items))
+                }
+                Value::Object(_) => format!("\n{key}:\n{}", indent(&report(value))),
+                value => format!("{key}: {}", cell(value)),
+            })
+            .collect::<Vec<_>>()
+            .join("\n"),
+        value => cell(value),
+    }
+}
+
+fn objects(items: &[Value]) -> String {
+    let mut header: Vec<&str> = Vec::new();
+    for item in items.iter().filter_map(Value::as_object) {
+        for key in item.keys() {
+            if !header.contains(&key.as_str()) {
+                header.push(key);
+            }
+        }
+    }
+    if header.is_empty() {
+        return "none".into();
+    }
+    let rows = items.iter().map(|item| {
+        header
+            .iter()
+            .map(|key| item.get(*key).map(cell).unwrap_or_default())
+            .collect()
+    });
+    table(&header, rows)
+}
+
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".into(),
+        Value::String(text) => text.clone(),
+        Value::Array(items) => items.iter().map(cell).collect::<Vec<_>>().join(", "),
+        value => value.to_string(),
+    }
+}
+
+fn indent(text: &str) -> String {
+    text.lines()
+        .map(|line| format!("  {line}"))
+        .collect::<Vec<_>>()
+        .join("\n")
+}
+
+/// Writes a time in milliseconds since the Unix epoch.
+pub fn time(milliseconds: u64) -> String {
+    let time = UNIX_EPOCH + Duration::from_millis(milliseconds);
+    humantime::format_rfc3339_seconds(time).to_string()
+}
+
+/// Writes audit records as a table.
+pub fn audit(records: &[AuditRecord]) -> String {
+    if records.is_empty() {
+        return "no records".into();
+    }
+    let rows = records.iter().map(|record| {
+        let draft = &record.draft;
+        vec![
+            record.sequence.to_string(),
+            time(draft.time),
+            draft.person.to_string(),
+            draft.partner.clone().unwrap_or_default().to_string(),
+            draft.origin.to_string(),
+            draft.service.clone().unwrap_or_default().to_string(),
+            action(&draft.action),
+            draft.reason.clone(),
+        ]
+    });
+    table(
+        &[
+            "number", "time", "person", "partner", "node", "entry", "action", "reason",
+        ],
+        rows,
+    )
+}
+
+/// Describes an action in a few words.
+pub fn action(action: &AuditAction) -> String {
+    match action {
+        AuditAction::Edit {
+            revision,
+            before,
+            after,
+            undoes,
+            ..
+        } => {
+            let verb = match (before, after) {
+                (None, _) => "created",
+                (_, None) => "removed",
+                _ => "changed",
+            };
+            match undoes {
+                Some(undone) => format!("{verb}, revision {revision}, undoes {undone}"),
+                None => format!("{verb}, revision {revision}"),
+            }
+        }
+        AuditAction::Promotion {
+            database,
+            server,
+            term,
+        } => format!("promoted {server} of {database}, term {term}"),
+        AuditAction::Ownership {
+            server,
+            before,
+            after,
+        } => match before {
+            Some(before) => format!("{server} moved from {before} to {after}"),
+            None => format!("{server} taken by {after}"),
+        },
+        AuditAction::Drain { node, drain: true } => format!("drain {node}"),
+        AuditAction::Drain { node, drain: false } => format!("undrain {node}"),
+    }
+}
