Assemble the node, the demo and the command lines

Cause: the parts existed side by side; no process served a caller. Change: Node::start connects platform client, fleet, engine, front end, operator interface and metrics; the demo runs eight nodes on threads of their own behind relays with faults; siskinhook run, check, demo and standin; siskinctl.

--- /dev/null
+++ b/crates/siskinhook-demo/src/lib.rs
@@ -0,0 +1,10 @@
+//! A whole site in one process: stand-ins, nodes and faults.
+
+mod demo;
+mod host;
+mod settings;
+mod summary;
+
+pub use demo::{Demo, DemoOptions, SiteName};
+pub use host::NodeHost;
+pub use summary::{NodeSummary, Summary};
--- a/crates/siskinhook-fleet/src/rpc.rs
+++ b/crates/siskinhook-fleet/src/rpc.rs
@@ -10,6 +10,7 @@
 
 use base64::{Engine, engine::general_purpose::URL_SAFE_NO_PAD};
 use hmac::{Hmac, KeyInit, Mac};
+use indexmap::IndexMap;
 use jsonrpsee::{
     RpcModule,
     core::client::ClientT,
@@ -83,22 +84,37 @@
 #[derive(Clone, Debug)]
 pub struct RpcPeers {
     secret: Secret,
+    /// Addresses that are dialled in place of others.
+    dials: Arc<IndexMap<SmolStr, SmolStr>>,
 }
 
 impl RpcPeers {
     /// Creates the client side.
     #[must_use]
     pub fn new(secret: Secret) -> Self {
-        Self { secret }
+        Self {
+            secret,
+            dials: Arc::default(),
+        }
+    }
+
+    /// Sets addresses that are dialled in place of others, for relays and address translation.
+    #[must_use]
+    pub fn with_dials(self, dials: IndexMap<SmolStr, SmolStr>) -> Self {
+        Self {
+            dials: Arc::new(dials),
+            ..self
+        }
     }
 
     async fn exchange(&self, address: &str, message: &PeerMessage) -> anyhow::Result<PeerMessage> {
         let request = to_raw_value(message)?;
         let mac = self.secret.sign(address, request.get());
+        let dialed = self.dials.get(address).map_or(address, SmolStr::as_str);
         let client = HttpClientBuilder::default()
             .max_request_size(MESSAGE_LIMIT)
             .max_response_size(MESSAGE_LIMIT)
-            .build(format!("http://{address}"))?;
+            .build(format!("http://{dialed}"))?;
         let (answer_mac, answer): (SmolStr, Box<RawValue>) =
             client.request(METHOD, rpc_params![&mac, request]).await?;
         anyhow::ensure!(
--- a/crates/siskinhook-frontend/src/connection.rs
+++ b/crates/siskinhook-frontend/src/connection.rs
@@ -7,7 +7,10 @@
 use tokio::sync::Mutex;
 
 use crate::{
-    Backend, CallerOptions, CallerSession, Filter, portal::OpenPortals, startup::Parameters,
+    Backend, CallerOptions, CallerSession, Filter,
+    portal::OpenPortals,
+    sessions::{Listed, Sessions},
+    startup::Parameters,
 };
 
 /// What all connections of a front end share.
@@ -16,6 +19,7 @@
     pub(crate) filter: F,
     pub(crate) driver: AuthDriver<Parameters>,
     pub(crate) mechanisms: SaslMechanisms,
+    pub(crate) sessions: Sessions,
 }
 
 /// One caller connection.
@@ -34,6 +38,8 @@
     pub(crate) session: Option<S>,
     pub(crate) options: CallerOptions,
     pub(crate) portals: OpenPortals<A>,
+    /// The session's place in the list for operators.
+    pub(crate) listed: Option<Listed>,
     /// Token that the caller was last told.
     pub(crate) reported: Option<Token>,
 }
@@ -44,6 +50,7 @@
             session: None,
             options: CallerOptions::default(),
             portals: OpenPortals::default(),
+            listed: None,
             reported: None,
         }
     }
--- a/crates/siskinhook-frontend/src/server.rs
+++ b/crates/siskinhook-frontend/src/server.rs
@@ -33,6 +33,7 @@
     connection::{Connection, Shared, State},
     messages,
     portal::Prepared,
+    sessions::{SessionInfo, Sessions},
     startup::Parameters,
 };
 
@@ -77,12 +78,19 @@
                 filter: chain,
                 driver,
                 mechanisms: SaslMechanisms::new(vec![scram]),
+                sessions: Sessions::default(),
             }),
             manager,
             drain,
         }
     }
 
+    /// Lists the sessions of authenticated callers.
+    #[must_use]
+    pub fn list(&self) -> Vec<SessionInfo> {
+        self.shared.sessions.list()
+    }
+
     /// Returns the number of open caller connections.
     #[must_use]
     pub fn sessions(&self) -> usize {
--- a/crates/siskinhook-frontend/src/startup.rs
+++ b/crates/siskinhook-frontend/src/startup.rs
@@ -1,6 +1,6 @@
 //! Start of a connection: authentication, database and startup options.
 
-use std::{collections::HashMap, fmt::Debug};
+use std::{collections::HashMap, fmt::Debug, net::SocketAddr};
 
 use async_trait::async_trait;
 use futures::Sink;
@@ -19,7 +19,7 @@
 
 use crate::{
     Backend, CallerOptions, CallerSession, Filter, connection::Connection, messages,
-    options::PREFIX,
+    options::PREFIX, sessions::SessionInfo,
 };
 
 /// Version that drivers see; it selects the SQL they use for their own queries.
@@ -86,7 +86,7 @@
         let AuthOutcome::Authenticated { final_message, .. } = outcome else {
             return Ok(());
         };
-        self.open(client.metadata())
+        self.open(client.socket_addr(), client.metadata())
             .await
             .map_err(|failure| messages::fatal(&failure.code, failure.message))?;
         driver.complete_authentication(client, final_message).await
@@ -99,7 +99,11 @@
     F: Filter<B::Session>,
 {
     /// Opens the session of an authenticated caller.
-    async fn open(&self, metadata: &HashMap<String, String>) -> Result<(), Failure> {
+    async fn open(
+        &self,
+        address: SocketAddr,
+        metadata: &HashMap<String, String>,
+    ) -> Result<(), Failure> {
         let user = metadata
             .get(METADATA_USER)
             .map(String::as_str)
@@ -126,6 +130,13 @@
         let mut session = self.shared.backend.open(database.into(), user.into())?;
         session.set_options(&options);
         let mut state = self.state.lock().await;
+        let info = SessionInfo {
+            database: database.into(),
+            caller: user.into(),
+            session: options.session.clone().unwrap_or_default(),
+            address,
+        };
+        state.listed = Some(self.shared.sessions.add(info));
         state.options = options;
         state.session = Some(session);
         Ok(())
--- a/crates/siskinhook-node/src/lib.rs
+++ b/crates/siskinhook-node/src/lib.rs
@@ -5,8 +5,10 @@
 //! channels that are connected here.
 
 mod listeners;
+mod monitor;
 mod node;
 mod translate;
+mod view;
 
 pub use listeners::Listeners;
 pub use node::Node;
--- /dev/null
+++ b/crates/siskinhook-node/src/node.rs
@@ -0,0 +1,286 @@
+//! A running node.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use anyhow::Context;
+use jsonrpsee::server::ServerHandle;
+use rand::Rng;
+use siskinhook_catalogue::{AuditLog, CatalogueStore};
+use siskinhook_engine::{Engine, Identity, PgTargets, TcpLinks, serve_links};
+use siskinhook_fleet::{Fleet, Profile, RpcPeers, Secret};
+use siskinhook_frontend::{Frontend, serve};
+use siskinhook_operator::{OperatorService, Operators};
+use siskinhook_platform::{Budgeted, RpcPlatform};
+use siskinhook_settings::{Addresses, NodeSettings};
+use siskinhook_telemetry::{Metrics, Readiness};
+use tokio::{net::TcpListener, sync::watch, task::JoinSet, time::Instant};
+
+use crate::{Listeners, monitor::Monitor, translate, view::View};
+
+/// The platform client of a node.
+pub(crate) type NodePlatform = Budgeted<RpcPlatform>;
+/// The engine of a node.
+pub(crate) type NodeEngine = Engine<PgTargets, TcpLinks, NodePlatform>;
+
+/// Interval at which the share of the platform's capacity follows the number of live nodes.
+const SHARE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Interval at which audit records of the node are written.
+const AUDIT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// A running node. Dropping it ends its tasks at once; `drain` ends it gracefully.
+pub struct Node {
+    settings: NodeSettings,
+    addresses: Addresses,
+    engine: NodeEngine,
+    fleet: Fleet,
+    drain: watch::Sender<bool>,
+    callers: JoinSet<std::io::Result<()>>,
+    tasks: JoinSet<()>,
+    metrics: Metrics,
+    _servers: [ServerHandle; 2],
+}
+
+impl Node {
+    /// Starts a node on bound sockets.
+    ///
+    /// The node accepts callers at once; statements wait, within their deadlines, until it has
+    /// a catalogue and knows the primary.
+    ///
+    /// # Errors
+    /// Fails when a secret cannot be read or a server cannot be started.
+    pub async fn start(settings: NodeSettings, listeners: Listeners) -> anyhow::Result<Self> {
+        let addresses = listeners.addresses()?;
+        let secret = translate::secret(&settings.secret).context("setting secret")?;
+        let seed = rand::rng().random();
+        let platform = platform(&settings, seed)?;
+        let fleet = start_fleet(&settings, &addresses, &secret, seed, platform.clone());
+        let peer_secret = Secret::new(&secret);
+        let peers = siskinhook_fleet::serve(
+            listeners.peers,
+            addresses.peers.clone(),
+            peer_secret,
+            fleet.clone(),
+        )
+        .with_context(|| format!("cannot serve other nodes on {}", addresses.peers))?;
+        let links = TcpLinks::new(
+            settings.name.clone(),
+            secret.clone(),
+            fleet.view(),
+            translate::links(&settings),
+        );
+        let targets = PgTargets::new(
+            settings.name.clone(),
+            fleet.catalogue(),
+            translate::targets(&settings)?,
+        );
+        let identity = Identity {
+            node: settings.name.clone(),
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+        };
+        let engine = Engine::new(
+            translate::engine(&settings),
+            identity,
+            targets,
+            links,
+            platform.urgent(),
+            seed,
+        );
+        let mut tasks = JoinSet::new();
+        spawn_engine(&mut tasks, &engine, &fleet);
+        tasks.spawn(follow_share(fleet.view(), platform.clone()));
+        let listener = TcpListener::from_std(listeners.links)?;
+        let link_engine = engine.clone();
+        tasks.spawn(async move {
+            if let Err(error) = serve_links(listener, link_engine, secret).await {
+                log::error!(target: "siskinhook::node", event = 1003_u32; "links are no longer accepted: {error}");
+            }
+        });
+        let (drain, drained) = watch::channel(false);
+        let frontend = Arc::new(Frontend::new(
+            translate::frontend(&settings),
+            translate::users(&settings)?,
+            engine.clone(),
+            drained,
+        ));
+        let mut callers = JoinSet::new();
+        let listener = TcpListener::from_std(listeners.callers)?;
+        callers.spawn(serve(listener, Arc::clone(&frontend)));
+        let view = View::new(
+            settings.clone(),
+            engine.clone(),
+            fleet.clone(),
+            frontend,
+            platform.urgent(),
+            drain.clone(),
+        );
+        tasks.spawn(view.clone().follow_contact());
+        let metrics = start_metrics(&mut tasks, listeners.metrics, &view, &engine, &platform)?;
+        let operators =
+            start_operators(&mut tasks, listeners.operators, &settings, view, platform).await?;
+        log::info!(
+            target: "siskinhook::node", event = 1000_u32;
+            "node {} started in zone {}", settings.name, settings.zone
+        );
+        Ok(Self {
+            settings,
+            addresses,
+            engine,
+            fleet,
+            drain,
+            callers,
+            tasks,
+            metrics,
+            _servers: [peers, operators],
+        })
+    }
+
+    /// Returns the addresses the node listens on.
+    #[must_use]
+    pub const fn addresses(&self) -> &Addresses {
+        &self.addresses
+    }
+
+    /// Returns the settings of the node.
+    #[must_use]
+    pub const fn settings(&self) -> &NodeSettings {
+        &self.settings
+    }
+
+    /// Waits until an operator tells the node to drain.
+    pub async fn drain_requested(&self) {
+        let mut requested = self.drain.subscribe();
+        // The sender lives as long as the node.
+        let _ = requested.wait_for(|drain| *drain).await;
+    }
+
+    /// Shuts down gracefully: announces that it leaves, lets work in flight finish up to the
+    /// deadline of the settings, and ends. Returns whether all work was finished.
+    pub async fn drain(mut self) -> bool {
+        let deadline = Instant::now() + self.settings.drain.deadline;
+        log::info!(target: "siskinhook::node", event = 1001_u32; "node {} is draining", self.settings.name);
+        self.fleet.announce_leaving().await;
+        tokio::time::sleep(self.settings.drain.notice).await;
+        self.drain.send_replace(true);
+        let callers = tokio::time::timeout_at(deadline, async {
+            while self.callers.join_next().await.is_some() {}
+        });
+        let finished = callers.await.is_ok();
+        let finished = self.engine.drain(deadline.into_std()).await && finished;
+        self.engine.shutdown();
+        self.fleet.stop().await;
+        self.tasks.shutdown().await;
+        self.metrics.shutdown();
+        log::info!(
+            target: "siskinhook::node", event = 1002_u32;
+            "node {} stopped; all work finished: {finished}", self.settings.name
+        );
+        finished
+    }
+}
+
+fn start_metrics(
+    tasks: &mut JoinSet<()>,
+    listener: std::net::TcpListener,
+    view: &View,
+    engine: &NodeEngine,
+    platform: &NodePlatform,
+) -> anyhow::Result<Metrics> {
+    let metrics = Metrics::new()?;
+    let readiness = Readiness::waiting("the node is starting");
+    let monitor = Monitor {
+        view: view.clone(),
+        engine: engine.clone(),
+        platform: platform.clone(),
+        metrics: metrics.clone(),
+        readiness: readiness.clone(),
+    };
+    tasks.spawn(monitor.run());
+    let listener = TcpListener::from_std(listener)?;
+    let served = metrics.clone();
+    tasks.spawn(async move {
+        // The task is aborted with the node, which closes the listener.
+        let end = std::future::pending();
+        if let Err(error) = siskinhook_telemetry::serve(listener, served, readiness, end).await {
+            log::error!(target: "siskinhook::node", event = 1010_u32; "the metrics endpoint ended: {error:#}");
+        }
+    });
+    Ok(metrics)
+}
+
+async fn start_operators(
+    tasks: &mut JoinSet<()>,
+    listener: std::net::TcpListener,
+    settings: &NodeSettings,
+    view: View,
+    platform: NodePlatform,
+) -> anyhow::Result<ServerHandle> {
+    let address = listener.local_addr().context("no local address")?;
+    // The interface opens its own socket on the address that was reserved.
+    drop(listener);
+    let seed: u64 = rand::rng().random();
+    let store = CatalogueStore::new(platform.urgent(), seed);
+    let audit = AuditLog::new(platform);
+    let flushed = audit.clone();
+    tasks.spawn(async move { flushed.run(AUDIT_INTERVAL, seed).await });
+    let service = OperatorService::new(view, store, audit, SystemTime::now);
+    let operators = Operators::read(&settings.operators).context("setting operators")?;
+    let (_, handle) = siskinhook_operator::serve(address, service, operators).await?;
+    Ok(handle)
+}
+
+fn platform(settings: &NodeSettings, seed: u64) -> anyhow::Result<NodePlatform> {
+    let address = &settings.platform.address;
+    let dialed = settings.dial.get(address).unwrap_or(address);
+    let client = RpcPlatform::new(dialed, settings.platform.timeout)
+        .with_context(|| format!("cannot create a client for the platform at {dialed}"))?;
+    Ok(Budgeted::new(client, translate::budget(settings), seed))
+}
+
+fn start_fleet(
+    settings: &NodeSettings,
+    addresses: &Addresses,
+    secret: &str,
+    seed: u64,
+    platform: NodePlatform,
+) -> Fleet {
+    let identity = siskinhook_fleet::Identity {
+        name: settings.name.clone(),
+        profile: Profile {
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            peer: addresses.peers.clone(),
+            link: addresses.links.clone(),
+        },
+        seeds: Vec::new(),
+    };
+    let peers = RpcPeers::new(Secret::new(secret)).with_dials(settings.dial.clone());
+    Fleet::start(translate::fleet(settings), identity, seed, peers, platform)
+}
+
+fn spawn_engine(tasks: &mut JoinSet<()>, engine: &NodeEngine, fleet: &Fleet) {
+    let engine = engine.clone();
+    let (catalogue, view) = (fleet.catalogue(), fleet.view());
+    tasks.spawn(async move { engine.run(catalogue, view).await });
+}
+
+/// Keeps the node's share of the platform's capacity in step with the size of the fleet.
+async fn follow_share(
+    view: watch::Receiver<Arc<siskinhook_types::FleetView>>,
+    platform: NodePlatform,
+) {
+    loop {
+        let live = view
+            .borrow()
+            .members
+            .values()
+            .filter(|m| m.state != siskinhook_types::MemberState::Dead)
+            .count();
+        platform.set_nodes(live.max(1));
+        tokio::time::sleep(SHARE_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/siskinhook-node/src/view.rs
@@ -0,0 +1,226 @@
+//! The running node as the operator interface sees it.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use siskinhook_catalogue::CatalogueReader;
+use siskinhook_engine::{Operation, classify};
+use siskinhook_fleet::Fleet;
+use siskinhook_frontend::Frontend;
+use siskinhook_operator::{Explain, NodeState, NodeStatus, NodeView, Report};
+use siskinhook_settings::NodeSettings;
+use siskinhook_types::{Catalogue, FleetView, MemberState, NodeId, Revision};
+use tokio::{sync::watch, time::Instant};
+
+use crate::node::{NodeEngine, NodePlatform};
+
+/// Interval at which the node looks whether it reaches the fleet.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// View of a node for operators; clones share it.
+#[derive(Clone)]
+pub(crate) struct View {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    settings: NodeSettings,
+    engine: NodeEngine,
+    fleet: Fleet,
+    frontend: Arc<Frontend<NodeEngine>>,
+    reader: CatalogueReader<NodePlatform>,
+    drain: watch::Sender<bool>,
+    /// When most of the known nodes were last alive in this node's view.
+    reached: Mutex<Instant>,
+}
+
+impl View {
+    pub(crate) fn new(
+        settings: NodeSettings,
+        engine: NodeEngine,
+        fleet: Fleet,
+        frontend: Arc<Frontend<NodeEngine>>,
+        platform: NodePlatform,
+        drain: watch::Sender<bool>,
+    ) -> Self {
+        Self {
+            inner: Arc::new(Inner {
+                settings,
+                engine,
+                fleet,
+                frontend,
+                reader: CatalogueReader::new(platform),
+                drain,
+                reached: Mutex::new(Instant::now()),
+            }),
+        }
+    }
+
+    /// Keeps track of when the node last reached most of the fleet.
+    pub(crate) async fn follow_contact(self) {
+        loop {
+            if !self.cut_off() {
+                *self.reached() = Instant::now();
+            }
+            tokio::time::sleep(CONTACT_INTERVAL).await;
+        }
+    }
+
+    fn reached(&self) -> std::sync::MutexGuard<'_, Instant> {
+        self.inner
+            .reached
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether less than half of the other nodes are alive in this node's view.
+    fn cut_off(&self) -> bool {
+        let fleet = self.inner.fleet.view();
+        let view = fleet.borrow();
+        let others = view.members.values().filter(|m| m.name != view.local);
+        let (alive, all) = others.fold((0, 0), |(alive, all), member| {
+            let counts = matches!(member.state, MemberState::Alive | MemberState::Leaving);
+            (alive + usize::from(counts), all + 1)
+        });
+        alive * 2 < all
+    }
+
+    /// Returns what the node waits for before it can serve callers.
+    pub(crate) fn waits_for(&self) -> Option<String> {
+        if self.inner.fleet.catalogue().borrow().revision > 0 {
+            return None;
+        }
+        let status = self.inner.fleet.status();
+        let reason = status.borrow().waits_for.clone();
+        Some(reason.unwrap_or_else(|| "the catalogue is not loaded yet".into()))
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.inner.drain.borrow()
+    }
+
+    pub(crate) fn sessions(&self) -> usize {
+        self.inner.frontend.sessions()
+    }
+
+    fn database(&self, name: &str) -> Result<Value, String> {
+        let report = self.inner.engine.report();
+        let Some(database) = report.databases.get(name) else {
+            return Err(unknown(name));
+        };
+        let mut value = json!(database);
+        value["database"] = json!(name);
+        Ok(value)
+    }
+
+    /// Spreads an accepted change without waiting for the next poll of the platform.
+    async fn spread(self, revision: Revision) {
+        match self.inner.reader.changes(revision - 1).await {
+            Ok(changes) => {
+                for change in changes {
+                    self.inner.fleet.publish(change).await;
+                }
+            }
+            Err(error) => log::warn!(
+                target: "siskinhook::node", event = 3021_u32;
+                "revision {revision} was accepted but not read back, it spreads with the next poll: {error}"
+            ),
+        }
+    }
+}
+
+impl NodeView for View {
+    fn status(&self) -> NodeStatus {
+        let settings = &self.inner.settings;
+        let state = match self.waits_for() {
+            _ if self.is_draining() => NodeState::Draining,
+            Some(reason) => NodeState::Waiting(reason),
+            None => NodeState::Ready,
+        };
+        let heard = self.reached().elapsed().as_millis();
+        NodeStatus {
+            name: settings.name.clone(),
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            version: env!("CARGO_PKG_VERSION").into(),
+            state,
+            cut_off: self.cut_off(),
+            heard: u64::try_from(heard).unwrap_or(u64::MAX),
+            revision: self.catalogue().revision,
+        }
+    }
+
+    fn fleet(&self) -> FleetView {
+        FleetView::clone(&self.inner.fleet.view().borrow())
+    }
+
+    fn catalogue(&self) -> Arc<Catalogue> {
+        self.inner.fleet.catalogue().borrow().clone()
+    }
+
+    async fn report(&self, report: Report) -> Result<Value, String> {
+        match report {
+            Report::Node => Ok(json!(self.inner.engine.report())),
+            Report::Database(name) => self.database(&name),
+            Report::Sessions(database) => Ok(json!(
+                self.inner
+                    .frontend
+                    .list()
+                    .into_iter()
+                    .filter(|s| database.as_ref().is_none_or(|name| s.database == *name))
+                    .collect::<Vec<_>>()
+            )),
+        }
+    }
+
+    async fn drain(&self, node: &NodeId, drain: bool) -> Result<(), String> {
+        if *node != self.inner.settings.name {
+            return Err(format!(
+                "this is node {}; connect to {node} itself with --node, its address is in \
+                 siskinctl fleet",
+                self.inner.settings.name
+            ));
+        }
+        if !drain && self.is_draining() {
+            return Err(format!(
+                "node {node} has begun to drain and ends; the platform starts a fresh one"
+            ));
+        }
+        self.inner.drain.send_replace(drain);
+        Ok(())
+    }
+
+    async fn explain(&self, question: Explain) -> Result<Value, String> {
+        let mut value = self.database(&question.database)?;
+        let operation = classify(&question.sql);
+        let read = matches!(operation, Operation::Read | Operation::BeginReadOnly);
+        let needs = match (&question.token, question.max_age) {
+            _ if !read => "the primary, and confirmation by a majority before the answer".into(),
+            (Some(token), _) => format!("a server whose log covers {token}"),
+            (None, Some(age)) => format!("a server with all data acknowledged {age} ms ago"),
+            (None, None) => {
+                "a server with all data acknowledged before the session began and all own writes"
+                    .into()
+            }
+        };
+        value["operation"] = json!(format!("{operation:?}"));
+        value["goes_to"] = json!(if read {
+            "a replica that is fresh enough, own zone first; else the primary"
+        } else {
+            "the primary"
+        });
+        value["needs"] = json!(needs);
+        Ok(value)
+    }
+
+    fn accepted(&self, revision: Revision) {
+        tokio::spawn(self.clone().spread(revision));
+    }
+}
+
+fn unknown(database: &str) -> String {
+    format!("database {database:?} is not in the catalogue; siskinctl catalogue list shows all")
+}
--- a/crates/siskinhook-standin/src/platform.rs
+++ b/crates/siskinhook-standin/src/platform.rs
@@ -101,6 +101,11 @@
         lock(&self.inner).counts
     }
 
+    /// Sets the list of VMs as if it had always been so; without the lag of `set_vms`.
+    pub fn start_with_vms(&self, vms: Vec<VmRecord>) {
+        lock(&self.inner).vms = vec![(Instant::now(), vms)];
+    }
+
     /// Sets the VMs; the list shows them after its lag, the first one at once.
     pub fn set_vms(&self, vms: Vec<VmRecord>) {
         lock(&self.inner).vms.push((Instant::now(), vms));
--- a/src/bin/siskinhook.rs
+++ /dev/null
@@ -1,2 +0,0 @@
-//! Placeholder.
-fn main() {}
--- /dev/null
+++ b/src/bin/siskinhook/check.rs
@@ -0,0 +1,24 @@
+//! `siskinhook check`: checks a settings file.
+
+use std::process::ExitCode;
+
+use crate::flags::Check;
+
+/// Checks the file; exit code 0 when it is right, 1 when not.
+pub fn run(flags: &Check) -> anyhow::Result<ExitCode> {
+    match siskinhook_settings::load(&flags.settings) {
+        Ok(settings) => {
+            println!(
+                "{}: settings of node {} in zone {} are valid",
+                flags.settings.display(),
+                settings.name,
+                settings.zone
+            );
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            Ok(ExitCode::FAILURE)
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/siskinhook/run.rs
@@ -0,0 +1,31 @@
+//! `siskinhook run`: a node.
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+use siskinhook_node::{Listeners, Node};
+use tokio::runtime::Runtime;
+
+use crate::{flags::Run, shutdown};
+
+/// Runs a node until it is told to stop. The exit code is 0 when all work was finished, 2 when
+/// the drain deadline cut off work.
+pub fn run(flags: &Run) -> anyhow::Result<ExitCode> {
+    let settings = siskinhook_settings::load(&flags.settings)?;
+    siskinhook_telemetry::init(&settings.log)?;
+    let listeners = Listeners::bind(&settings.addresses)?;
+    let runtime = Runtime::new().context("cannot create the runtime")?;
+    runtime.block_on(async {
+        let node = Node::start(settings, listeners).await?;
+        tokio::select! {
+            biased;
+            requested = shutdown::requested() => requested?,
+            () = node.drain_requested() => {}
+        }
+        Ok(if node.drain().await {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::from(2)
+        })
+    })
+}
