--- /dev/null
+++ b/crates/siskinhook-policy/tests/watch.rs
@@ -0,0 +1,222 @@
+//! Single situations of the group watch.
+
+use std::time::{Duration, Instant};
+
+use siskinhook_policy::{GroupConfig, GroupWatch, LeaseAnswer, WatchAction, WatchSettings};
+use siskinhook_types::{Control, Freshness, LogPoint, Role, ServerId, ServerStatus, Term};
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+fn watch(rank: u32, seed: u64, now: Instant) -> GroupWatch {
+    let config = GroupConfig {
+        database: "shifts".into(),
+        servers: NAMES.map(ServerId::from).to_vec(),
+        leaving: Vec::new(),
+        node: "node-1".into(),
+        rank,
+    };
+    GroupWatch::new(WatchSettings::default(), config, seed, now)
+}
+
+fn status(server: &str, term: Term, contact: u64) -> ServerStatus {
+    let primary = server == "a";
+    ServerStatus {
+        server: server.into(),
+        role: if primary {
+            Role::Primary
+        } else {
+            Role::Replica
+        },
+        term,
+        promoter: None,
+        last: LogPoint::new(term, 10),
+        primary: Some("a".into()),
+        contact: Some(contact),
+        connections: 1,
+        running: 0,
+        holder: None,
+    }
+}
+
+/// Runs the watch for `length`; `answer` gives the status of a server after its time of answer.
+fn drive(
+    watch: &mut GroupWatch,
+    from: Instant,
+    length: Duration,
+    answer: impl Fn(&str, Duration) -> Option<(ServerStatus, Duration)>,
+) -> Vec<WatchAction> {
+    let step = Duration::from_millis(10);
+    let mut now = from;
+    let mut waiting: Vec<(Instant, Instant, ServerStatus)> = Vec::new();
+    let mut commands = Vec::new();
+    while now < from + length {
+        let mut actions = watch.tick(now);
+        let due = waiting.iter().filter(|w| w.0 <= now).cloned();
+        for (_, started, status) in due.collect::<Vec<_>>() {
+            actions.extend(watch.on_status(&status.server.clone(), started, status, now));
+        }
+        waiting.retain(|w| w.0 > now);
+        for action in actions {
+            match action {
+                WatchAction::Probe { server, .. } => {
+                    if let Some((status, delay)) = answer(&server, now - from) {
+                        waiting.push((now + delay, now, status));
+                    }
+                }
+                WatchAction::Lease { term } => {
+                    commands.push(WatchAction::Lease { term });
+                    commands.extend(watch.on_lease(term, LeaseAnswer::Granted, now));
+                }
+                other => commands.push(other),
+            }
+        }
+        now += step;
+    }
+    commands
+}
+
+fn fences(actions: &[WatchAction]) -> usize {
+    let fence = |a: &&WatchAction| {
+        matches!(
+            a,
+            WatchAction::Control {
+                command: Control::Fence { .. },
+                ..
+            }
+        )
+    };
+    actions.iter().filter(fence).count()
+}
+
+const FAST: Duration = Duration::from_millis(2);
+
+/// Guards against a failover that never comes or takes too long to decide.
+#[test]
+fn a_dead_primary_is_fenced_within_two_seconds() {
+    let now = Instant::now();
+    let mut watch = watch(0, 1, now);
+    let actions = drive(&mut watch, now, Duration::from_secs(4), |server, at| {
+        let silent = at.saturating_sub(Duration::from_secs(2));
+        let contact = u64::try_from(silent.as_millis()).unwrap();
+        (server != "a" || silent.is_zero()).then(|| (status(server, 1, contact), FAST))
+    });
+    assert!(fences(&actions) >= 3, "{actions:?}");
+}
+
+/// Guards against a promotion because of a slow primary: its replicas hear from it.
+#[test]
+fn a_slow_primary_is_not_replaced() {
+    let now = Instant::now();
+    let mut watch = watch(0, 1, now);
+    let actions = drive(&mut watch, now, Duration::from_secs(10), |server, at| {
+        let slow = server == "a" && at > Duration::from_secs(2);
+        let delay = if slow { Duration::from_secs(3) } else { FAST };
+        Some((status(server, 1, 20), delay))
+    });
+    assert_eq!(fences(&actions), 0, "{actions:?}");
+}
+
+/// Guards against a promotion by a node that lost only its own path to the primary.
+#[test]
+fn a_lost_path_to_the_primary_is_no_failure() {
+    let now = Instant::now();
+    let mut watch = watch(0, 1, now);
+    let actions = drive(&mut watch, now, Duration::from_secs(10), |server, at| {
+        (server != "a" || at < Duration::from_secs(2)).then(|| (status(server, 1, 20), FAST))
+    });
+    assert_eq!(fences(&actions), 0, "{actions:?}");
+}
+
+/// Guards against a fence by a node that reaches only one server.
+#[test]
+fn a_node_without_a_majority_does_not_fence() {
+    let now = Instant::now();
+    let mut watch = watch(0, 1, now);
+    let actions = drive(&mut watch, now, Duration::from_secs(10), |server, at| {
+        let cut = at > Duration::from_secs(2);
+        (!cut || server == "b").then(|| (status(server, 1, if cut { 9000 } else { 20 }), FAST))
+    });
+    assert_eq!(fences(&actions), 0, "{actions:?}");
+}
+
+/// Guards against two primaries in one term after a restart: the new process must not take a
+/// term that was granted to the former process of the same node for its own.
+#[test]
+fn a_restarted_node_has_another_promoter_name() {
+    let now = Instant::now();
+    let names = [1, 2].map(|seed| watch(0, seed, now).promoter().clone());
+    assert_ne!(names[0], names[1]);
+    assert!(names.iter().all(|name| name.starts_with("node-1#")));
+}
+
+/// Guards against anchors that are newer than the questions that made them, or that count a
+/// server with another term.
+#[test]
+fn an_anchor_needs_a_majority_of_the_primary_term() {
+    let now = Instant::now();
+    let later = now + Duration::from_millis(40);
+    let mut watch = watch(0, 1, now);
+    let since = now + Duration::from_millis(10);
+    let freshness = Freshness {
+        point: None,
+        since: Some(since),
+    };
+    watch.want_anchor(since, later);
+    watch.on_status(&"a".into(), since, status("a", 2, 0), later);
+    watch.on_status(&"b".into(), since, status("b", 1, 0), later);
+    assert_eq!(watch.anchor(), None, "b has another term");
+    watch.on_status(&"c".into(), now, status("c", 2, 0), later);
+    assert_eq!(
+        watch.anchor().map(|a| a.at),
+        Some(now),
+        "as old as the oldest question"
+    );
+    assert_eq!(watch.required_point(&freshness), Err(since));
+    watch.on_status(&"c".into(), since, status("c", 2, 0), later);
+    assert_eq!(
+        watch.required_point(&freshness),
+        Ok(Some(LogPoint::new(2, 10)))
+    );
+}
+
+/// Guards against replicas that stay with an older term or another server.
+#[test]
+fn servers_astray_are_told_to_follow() {
+    let now = Instant::now();
+    let mut watch = watch(0, 1, now);
+    let actions = drive(&mut watch, now, Duration::from_millis(300), |server, _| {
+        let term = if server == "b" { 1 } else { 2 };
+        Some((status(server, term, 20), FAST))
+    });
+    let command = Control::Follow {
+        term: 2,
+        server: "a".into(),
+    };
+    let server = "b".into();
+    assert!(
+        actions.contains(&WatchAction::Control { server, command }),
+        "{actions:?}"
+    );
+}
+
+/// Guards against a leaving primary that keeps its role, and against fencing it before the
+/// others, which would leave it in the majority that the new primary comes from.
+#[test]
+fn a_leaving_primary_is_replaced() {
+    let now = Instant::now();
+    let mut watch = watch(0, 1, now);
+    watch.set_leaving(vec!["a".into()]);
+    let actions = drive(&mut watch, now, Duration::from_secs(2), |server, _| {
+        Some((status(server, 1, 20), FAST))
+    });
+    let fenced = |name: &str| {
+        actions.iter().any(|a| {
+            matches!(a, WatchAction::Control { server, command: Control::Fence { .. } } if server == name)
+        })
+    };
+    assert_eq!(
+        ["a", "b", "c"].map(fenced),
+        [false, true, true],
+        "{actions:?}"
+    );
+}
