Report an edit without an answer as unknown

Cause: when a node went away after it got an edit, siskinctl said that nothing was done. Change: a change whose connection was not refused is reported with exit code 6. Conclusion: exit code 5 means that nothing was done.

--- a/crates/siskinhook-operator/src/client.rs
+++ b/crates/siskinhook-operator/src/client.rs
@@ -1,6 +1,10 @@
 //! Calls to the first node that answers.
 
-use std::{io::Write, time::Duration};
+use std::{
+    error::Error,
+    io::{self, ErrorKind, Write},
+    time::Duration,
+};
 
 use jsonrpsee::{
     core::ClientError,
@@ -20,6 +24,15 @@
 /// Time after which a person is told that a call takes long, and the interval between notes.
 const PATIENCE: Duration = Duration::from_secs(1);
 
+/// Whether a call changes something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It only reads.
+    None,
+    /// It changes something, and may be repeated.
+    Change,
+}
+
 /// The nodes that a command may ask, in this order.
 #[derive(Clone, Debug)]
 pub struct Nodes {
@@ -46,10 +59,12 @@
     }
 
     /// Calls the first node that answers. Calls must be repeatable: when a node's answer is
-    /// lost, the next one gets the same call.
+    /// lost, the next one gets the same call. `effect` says whether the call changes something,
+    /// so that a lost answer is reported as an unknown outcome.
     pub async fn call<T>(
         &self,
         notes: &mut dyn Write,
+        effect: Effect,
         call: impl AsyncFn(&HttpClient) -> Result<T, ClientError>,
     ) -> Result<T, ExitError> {
         let mut last = None;
@@ -64,7 +79,13 @@
             let error = match noted(notes, address, call(&client)).await? {
                 Ok(value) => return Ok(value),
                 Err(ClientError::Call(object)) => ExitError::from(&object),
-                Err(error) => ExitError::Unavailable(format!("{address}: {error}")),
+                Err(error) if effect == Effect::None || never_sent(&error) => {
+                    ExitError::Unavailable(format!("{address}: {error}"))
+                }
+                Err(error) => ExitError::Unknown(format!(
+                    "{address}: {error}; the request may have taken effect, repeat it with the \
+                     same arguments and --id"
+                )),
             };
             if !error.worth_another_node() {
                 return Err(error);
@@ -81,6 +102,29 @@
     }
 }
 
+/// Returns whether the connection was refused, so that the request cannot have arrived.
+fn never_sent(error: &ClientError) -> bool {
+    let ClientError::Transport(error) = error else {
+        return false;
+    };
+    let mut cause: Option<&(dyn Error + 'static)> = Some(error.as_ref());
+    while let Some(error) = cause {
+        let refused = error.downcast_ref::<io::Error>().is_some_and(|error| {
+            matches!(
+                error.kind(),
+                ErrorKind::ConnectionRefused
+                    | ErrorKind::HostUnreachable
+                    | ErrorKind::NetworkUnreachable
+            )
+        });
+        if refused {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
 /// Waits for a call and notes every second that it is still in progress.
 async fn noted<T>(
     notes: &mut dyn Write,
--- a/crates/siskinhook-operator/src/commands/catalogue_edit.rs
+++ b/crates/siskinhook-operator/src/commands/catalogue_edit.rs
@@ -37,7 +37,7 @@
         confirmed: flags.confirm,
     };
     let accepted = context
-        .call(async |node| node.edit(request.clone()).await)
+        .change(async |node| node.edit(request.clone()).await)
         .await?;
     report(context, &accepted, flags.wait).await
 }
--- a/crates/siskinhook-operator/src/commands/catalogue_undo.rs
+++ b/crates/siskinhook-operator/src/commands/catalogue_undo.rs
@@ -13,7 +13,7 @@
         confirmed: flags.confirm,
     };
     let accepted = context
-        .call(async |node| node.undo(request.clone()).await)
+        .change(async |node| node.undo(request.clone()).await)
         .await?;
     report(context, &accepted, flags.wait).await
 }
--- a/crates/siskinhook-operator/src/commands/drain.rs
+++ b/crates/siskinhook-operator/src/commands/drain.rs
@@ -15,7 +15,7 @@
 ) -> Result<(), ExitError> {
     let reason = reason.unwrap_or_default();
     context
-        .call(async |node| node.drain(name.into(), drain, reason.into()).await)
+        .change(async |node| node.drain(name.into(), drain, reason.into()).await)
         .await?;
     let verb = if drain { "drains" } else { "serves again" };
     context.show(&(name, drain), |_| format!("node {name} {verb}"))
--- a/crates/siskinhook-operator/src/context.rs
+++ b/crates/siskinhook-operator/src/context.rs
@@ -5,7 +5,11 @@
 use jsonrpsee::{core::ClientError, http_client::HttpClient};
 use serde::Serialize;
 
-use crate::{Answer, ExitError, client::Nodes, render};
+use crate::{
+    Answer, ExitError,
+    client::{Effect, Nodes},
+    render,
+};
 
 /// Nodes, output form and outputs of one invocation.
 pub struct Context<'a> {
@@ -27,7 +31,16 @@
         &mut self,
         call: impl AsyncFn(&HttpClient) -> Result<T, ClientError>,
     ) -> Result<T, ExitError> {
-        self.nodes.call(self.notes, call).await
+        self.nodes.call(self.notes, Effect::None, call).await
+    }
+
+    /// Calls the first node that answers with a request that changes something. The request
+    /// must be repeatable.
+    pub async fn change<T>(
+        &mut self,
+        call: impl AsyncFn(&HttpClient) -> Result<T, ClientError>,
+    ) -> Result<T, ExitError> {
+        self.nodes.call(self.notes, Effect::Change, call).await
     }
 
     /// Calls the first node that answers for its own view, and warns when the node is cut off.
--- a/crates/siskinhook-operator/src/exit.rs
+++ b/crates/siskinhook-operator/src/exit.rs
@@ -20,7 +20,7 @@
     Conflict(String),
     /// 5: no node or no platform could be reached; nothing was done.
     Unavailable(String),
-    /// 6: the edit may have been accepted; repeat it with the same id.
+    /// 6: the request may have taken effect; repeat it, an edit with the same id.
     Unknown(String),
     /// 7: operator name or token is wrong.
     Unauthenticated(String),
--- a/crates/siskinhook-operator/tests/operator/session.rs
+++ b/crates/siskinhook-operator/tests/operator/session.rs
@@ -6,6 +6,7 @@
 use crate::common::{Node, siskinctl};
 use siskinhook_platform::Fault;
 use siskinhook_types::Platform;
+use tokio::io::AsyncReadExt;
 
 const ENTRY: &str = r#"// The Shared Shift Desk.
 {
@@ -285,3 +286,48 @@
     let dead = session.run("hetal", "--node DEAD fleet").await;
     assert_eq!(dead, 5);
 }
+
+/// A node that took the request and went away may have accepted the edit; "nothing was done"
+/// would be wrong.
+#[tokio::test]
+async fn edit_without_an_answer_is_unknown() {
+    let mut session = Session::new("unknown").await;
+    session.files.write("new.jsonc", ENTRY);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buffer = [0; 1024];
+            let _ = stream.read(&mut buffer).await;
+        }
+    });
+    let edit = "catalogue edit FILES/new.jsonc --base 0 --id e1";
+    assert_eq!(
+        session
+            .run("hetal", &format!("--node {address} fleet"))
+            .await,
+        5
+    );
+    assert_eq!(
+        session
+            .run("hetal", &format!("--node {address} drain entry-2"))
+            .await,
+        6
+    );
+    assert_eq!(
+        session
+            .run("hetal", &format!("--node {address} {edit}"))
+            .await,
+        6
+    );
+    // The next node is down, so the outcome stays unknown.
+    let line = format!("--node {address} --node DEAD {edit}");
+    assert_eq!(session.run("hetal", &line).await, 6);
+    let line = format!("--node {address} --node NODE {edit}");
+    assert_eq!(session.run("hetal", &line).await, 0);
+    assert_eq!(
+        session.run("hetal", &format!("--node DEAD {edit}")).await,
+        5
+    );
+    server.abort();
+}
