--- a/crates/siskinhook-telemetry/tests/pages.rs
+++ b/crates/siskinhook-telemetry/tests/pages.rs
@@ -161,3 +161,39 @@
             .any(|l| l.starts_with("siskinhook_callers") && l.ends_with(" 10"))
     );
 }
+
+/// The handbook must not send operators to events or metrics that do not exist.
+#[test]
+fn handbook_names_existing_events_and_metrics() {
+    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/handbook");
+    let numbers: HashSet<u64> = EVENTS.iter().map(|info| info.event.number()).collect();
+    let mut found = 0;
+    for file in fs::read_dir(directory).unwrap() {
+        let path = file.unwrap().path();
+        let text = fs::read_to_string(&path).unwrap();
+        let words = text.split(|c: char| !c.is_ascii_alphanumeric() && c != '_');
+        for word in words {
+            if let Ok(number) = word.parse::<u64>()
+                && (1001..7000).contains(&number)
+                && word.len() == 4
+                && number != 2026
+            {
+                assert!(
+                    numbers.contains(&number),
+                    "{}: event {number}",
+                    path.display()
+                );
+                found += 1;
+            }
+            if word.starts_with("siskinhook_") {
+                let known = METRICS.iter().any(|metric| metric.name == word);
+                assert!(known, "{}: metric {word}", path.display());
+                found += 1;
+            }
+        }
+    }
+    assert!(
+        found > 40,
+        "{found} references are too few, the scan is broken"
+    );
+}
