Refuse callers with the reason while a node has no catalogue; test a whole site over TCP

Cause: a test that connected right after the start got 3D000 for a database that exists, because the node had no catalogue yet. Change: the node answers 57P03 with what it waits for; the demo waits for all nodes.

--- a/crates/siskinhook-demo/src/demo.rs
+++ b/crates/siskinhook-demo/src/demo.rs
@@ -47,6 +47,7 @@
     site: Arc<Site>,
     hosts: Arc<IndexMap<NodeId, NodeHost>>,
     summary: Summary,
+    addresses: IndexMap<NodeId, Addresses>,
     _control: jsonrpsee::server::ServerHandle,
 }
 
@@ -72,9 +73,11 @@
         publish_entry(&site, &platform.to_smolstr()).await?;
         let dials = dials(&site, &prepared).await?;
         let mut nodes = Vec::new();
+        let mut addresses = IndexMap::new();
         let mut starting = JoinSet::new();
         for (place, (node, dial)) in prepared.into_iter().zip(dials).enumerate() {
             nodes.push(summary(&node));
+            addresses.insert(node.endpoint.name.clone(), node.addresses.clone());
             let settings = settings::node(
                 site.plan(),
                 &node.endpoint,
@@ -112,6 +115,7 @@
             site,
             hosts,
             summary,
+            addresses,
             _control: handle,
         })
     }
@@ -122,6 +126,12 @@
         &self.summary
     }
 
+    /// Returns the addresses of a node.
+    #[must_use]
+    pub fn addresses(&self, node: &str) -> Option<&Addresses> {
+        self.addresses.get(node)
+    }
+
     /// Returns the site, for faults and for a look behind the nodes.
     #[must_use]
     pub fn site(&self) -> &Arc<Site> {
--- a/crates/siskinhook-demo/src/host.rs
+++ b/crates/siskinhook-demo/src/host.rs
@@ -36,7 +36,7 @@
 }
 
 impl NodeHost {
-    /// Starts a node and waits until it runs.
+    /// Starts a node and waits until it can serve callers.
     ///
     /// # Errors
     /// Fails when the node or its thread cannot be started.
@@ -54,6 +54,7 @@
             let finished = runtime.block_on(async {
                 let node = match Node::start(settings, listeners).await {
                     Ok(node) => {
+                        node.ready().await;
                         let _ = started_in.send(Ok(()));
                         node
                     }
--- /dev/null
+++ b/crates/siskinhook-demo/tests/site.rs
@@ -0,0 +1,224 @@
+//! A whole site over TCP: eight nodes, three databases, faults.
+//!
+//! These tests run on the real clock, because they cross real sockets. None of them asserts a
+//! speed: each waits for an outcome within a limit that is far above the expected time.
+
+use std::time::Duration;
+
+use siskinhook_demo::{Demo, DemoOptions};
+use siskinhook_standin::{Cut, Fault, NodeFault, PlatformState};
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+
+/// Limit of one outcome; the expected time is a second or two.
+const LIMIT: Duration = Duration::from_secs(30);
+
+async fn start() -> Demo {
+    Demo::start(DemoOptions::default()).await.unwrap()
+}
+
+async fn connect(demo: &Demo, node: usize, database: &str, options: &str) -> Client {
+    let summary = demo.summary();
+    let address: std::net::SocketAddr = summary.nodes[node].address.parse().unwrap();
+    let mut config = tokio_postgres::Config::new();
+    config
+        .host("127.0.0.1")
+        .port(address.port())
+        .user(summary.user.as_str())
+        .password(summary.password.as_str())
+        .dbname(database)
+        .options(options);
+    let (client, connection) = config.connect(NoTls).await.unwrap();
+    tokio::spawn(connection);
+    client
+        .simple_query("SET siskinhook.deadline = 25000")
+        .await
+        .unwrap();
+    client
+}
+
+/// First column of the first row.
+async fn value(client: &Client, sql: &str) -> String {
+    let messages = tokio::time::timeout(LIMIT, client.simple_query(sql))
+        .await
+        .unwrap()
+        .unwrap();
+    messages
+        .iter()
+        .find_map(|message| match message {
+            SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+            _ => None,
+        })
+        .unwrap_or_default()
+}
+
+async fn run(client: &Client, sql: &str) {
+    tokio::time::timeout(LIMIT, client.simple_query(sql))
+        .await
+        .unwrap()
+        .unwrap();
+}
+
+/// Name of the primary of a database as the servers themselves report it.
+fn primary(demo: &Demo, database: &str) -> String {
+    let state = demo.site().state();
+    let leading = state
+        .servers
+        .iter()
+        .filter(|(name, server)| {
+            name.starts_with(database)
+                && !server.crashed
+                && server.status.role == siskinhook_types::Role::Primary
+        })
+        .max_by_key(|(_, server)| server.status.term);
+    leading.unwrap().0.to_string()
+}
+
+/// Guards against a caller that misses its own write on another node.
+#[tokio::test(flavor = "multi_thread")]
+async fn writes_are_seen_on_every_node() {
+    let demo = start().await;
+    let writer = connect(&demo, 0, "claims", "").await;
+    run(&writer, "CREATE TABLE seen (id int PRIMARY KEY)").await;
+    for node in 0..demo.summary().nodes.len() {
+        run(&writer, &format!("INSERT INTO seen VALUES ({node})")).await;
+        let token = value(&writer, "SHOW siskinhook.token").await;
+        let count = (node + 1).to_string();
+        let with_token = format!("-c siskinhook.token={token}");
+        let resumed = connect(&demo, node, "claims", &with_token).await;
+        assert_eq!(value(&resumed, "SELECT count(*) FROM seen").await, count);
+        let unnamed = connect(&demo, node, "claims", "").await;
+        assert_eq!(value(&unnamed, "SELECT count(*) FROM seen").await, count);
+    }
+    assert!(demo.stop().await);
+}
+
+/// Writes rows with request ids through all nodes until told to stop; repeats each one until
+/// its outcome is known. Returns the number of acknowledged rows.
+async fn write_rows(demo: &Demo, database: &str, rows: usize) -> usize {
+    let mut clients = Vec::new();
+    for node in 0..demo.summary().nodes.len() {
+        clients.push(connect(demo, node, database, "").await);
+    }
+    for row in 0..rows {
+        let mut attempt = 0;
+        loop {
+            let client = &clients[(row + attempt) % clients.len()];
+            let sql =
+                format!("SET siskinhook.request_id = 'row-{row}'; INSERT INTO kept VALUES ({row})");
+            let result = tokio::time::timeout(LIMIT, client.simple_query(&sql))
+                .await
+                .unwrap();
+            if result.is_ok() {
+                break;
+            }
+            attempt += 1;
+            assert!(
+                attempt < 50,
+                "row {row} is refused again and again: {result:?}"
+            );
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    rows
+}
+
+/// Guards against a failover that loses an acknowledged write, doubles one or never ends.
+async fn failover_keeps_writes(demo: &Demo, database: &str, fault: Fault) {
+    let client = connect(demo, 0, database, "").await;
+    run(&client, "CREATE TABLE kept (id int)").await;
+    let before = primary(demo, database);
+    let (rows, ()) = tokio::join!(write_rows(demo, database, 60), async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        demo.site().apply(&fault).unwrap();
+    });
+    assert_ne!(
+        primary(demo, database),
+        before,
+        "no other server was promoted"
+    );
+    // A node outside of the zone of the old primary.
+    let state = demo.site().state();
+    let zone = &state.servers[before.as_str()].zone;
+    let node = demo
+        .summary()
+        .nodes
+        .iter()
+        .position(|node| node.zone != *zone)
+        .unwrap();
+    let reader = connect(demo, node, database, "").await;
+    assert_eq!(
+        value(&reader, "SELECT count(*) FROM kept").await,
+        rows.to_string()
+    );
+    assert_eq!(
+        value(&reader, "SELECT count(DISTINCT id) FROM kept").await,
+        rows.to_string()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_of_the_primary_keeps_writes() {
+    let demo = start().await;
+    let server = primary(&demo, "shifts");
+    failover_keeps_writes(&demo, "shifts", Fault::Crash(server.into())).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn partition_of_the_primary_keeps_writes() {
+    let demo = start().await;
+    let server = primary(&demo, "payroll");
+    failover_keeps_writes(&demo, "payroll", Fault::Cut(Cut::Name(server.into()))).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn failover_needs_no_platform() {
+    let demo = start().await;
+    // The nodes have their catalogue before the platform goes down.
+    connect(&demo, 0, "shifts", "").await;
+    demo.site()
+        .apply(&Fault::Platform(PlatformState::Down))
+        .unwrap();
+    let server = primary(&demo, "shifts");
+    failover_keeps_writes(&demo, "shifts", Fault::Crash(server.into())).await;
+}
+
+/// Guards against statements that stay with a dead or frozen node.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_nodes_take_over() {
+    let demo = start().await;
+    let client = connect(&demo, 0, "shifts", "").await;
+    run(&client, "CREATE TABLE moved (id int)").await;
+    demo.site()
+        .apply(&Fault::Node(NodeFault::Kill("n7".into())))
+        .unwrap();
+    demo.site()
+        .apply(&Fault::Node(NodeFault::Pause("n8".into())))
+        .unwrap();
+    for row in 0..5 {
+        // Each value is unique, so a repeated row would show in the count.
+        run(
+            &client,
+            &format!("SET siskinhook.request_id = 'm{row}'; INSERT INTO moved VALUES ({row})"),
+        )
+        .await;
+    }
+    assert_eq!(value(&client, "SELECT count(*) FROM moved").await, "5");
+    demo.site()
+        .apply(&Fault::Node(NodeFault::Resume("n8".into())))
+        .unwrap();
+    let resumed = connect(&demo, 7, "shifts", "").await;
+    assert_eq!(value(&resumed, "SELECT count(*) FROM moved").await, "5");
+}
+
+/// Guards against a shutdown that cuts off work in progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_finishes_statements() {
+    let demo = start().await;
+    let client = connect(&demo, 2, "shifts", "").await;
+    run(&client, "CREATE TABLE worked (id int)").await;
+    let running = tokio::spawn(async move { value(&client, "SELECT work_ms(1500)").await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let finished = demo.stop().await;
+    assert_eq!(running.await.unwrap(), "1500");
+    assert!(finished, "the drain reported unfinished work");
+}
--- a/crates/siskinhook-node/src/lib.rs
+++ b/crates/siskinhook-node/src/lib.rs
@@ -4,6 +4,7 @@
 //! operator interface and metrics. The parts know each other only through the traits and
 //! channels that are connected here.
 
+mod backend;
 mod listeners;
 mod monitor;
 mod node;
--- a/crates/siskinhook-node/src/node.rs
+++ b/crates/siskinhook-node/src/node.rs
@@ -18,7 +18,7 @@
 use siskinhook_telemetry::{Metrics, Readiness};
 use tokio::{net::TcpListener, sync::watch, task::JoinSet, time::Instant};
 
-use crate::{Listeners, monitor::Monitor, translate, view::View};
+use crate::{Listeners, backend::NodeBackend, monitor::Monitor, translate, view::View};
 
 /// The platform client of a node.
 pub(crate) type NodePlatform = Budgeted<RpcPlatform>;
@@ -47,8 +47,8 @@
 impl Node {
     /// Starts a node on bound sockets.
     ///
-    /// The node accepts callers at once; statements wait, within their deadlines, until it has
-    /// a catalogue and knows the primary.
+    /// Callers are refused with the reason until the node has a catalogue; statements wait,
+    /// within their deadlines, until the primary is known.
     ///
     /// # Errors
     /// Fails when a secret cannot be read or a server cannot be started.
@@ -101,10 +101,14 @@
             }
         });
         let (drain, drained) = watch::channel(false);
+        let backend = NodeBackend {
+            engine: engine.clone(),
+            fleet: fleet.clone(),
+        };
         let frontend = Arc::new(Frontend::new(
             translate::frontend(&settings),
             translate::users(&settings)?,
-            engine.clone(),
+            backend.clone(),
             drained,
         ));
         let mut callers = JoinSet::new();
@@ -112,8 +116,7 @@
         callers.spawn(serve(listener, Arc::clone(&frontend)));
         let view = View::new(
             settings.clone(),
-            engine.clone(),
-            fleet.clone(),
+            backend,
             frontend,
             platform.urgent(),
             drain.clone(),
@@ -151,6 +154,13 @@
         &self.settings
     }
 
+    /// Waits until the node has a catalogue.
+    pub async fn ready(&self) {
+        let mut catalogue = self.fleet.catalogue();
+        // The channel closes only with the node.
+        let _ = catalogue.wait_for(|catalogue| catalogue.revision > 0).await;
+    }
+
     /// Waits until an operator tells the node to drain.
     pub async fn drain_requested(&self) {
         let mut requested = self.drain.subscribe();
--- a/crates/siskinhook-node/src/view.rs
+++ b/crates/siskinhook-node/src/view.rs
@@ -8,14 +8,13 @@
 use serde_json::{Value, json};
 use siskinhook_catalogue::CatalogueReader;
 use siskinhook_engine::{Operation, classify};
-use siskinhook_fleet::Fleet;
 use siskinhook_frontend::Frontend;
 use siskinhook_operator::{Explain, NodeState, NodeStatus, NodeView, Report};
 use siskinhook_settings::NodeSettings;
 use siskinhook_types::{Catalogue, FleetView, MemberState, NodeId, Revision};
 use tokio::{sync::watch, time::Instant};
 
-use crate::node::{NodeEngine, NodePlatform};
+use crate::{backend::NodeBackend, node::NodePlatform};
 
 /// Interval at which the node looks whether it reaches the fleet.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
@@ -28,9 +27,8 @@
 
 struct Inner {
     settings: NodeSettings,
-    engine: NodeEngine,
-    fleet: Fleet,
-    frontend: Arc<Frontend<NodeEngine>>,
+    backend: NodeBackend,
+    frontend: Arc<Frontend<NodeBackend>>,
     reader: CatalogueReader<NodePlatform>,
     drain: watch::Sender<bool>,
     /// When most of the known nodes were last alive in this node's view.
@@ -40,17 +38,15 @@
 impl View {
     pub(crate) fn new(
         settings: NodeSettings,
-        engine: NodeEngine,
-        fleet: Fleet,
-        frontend: Arc<Frontend<NodeEngine>>,
+        backend: NodeBackend,
+        frontend: Arc<Frontend<NodeBackend>>,
         platform: NodePlatform,
         drain: watch::Sender<bool>,
     ) -> Self {
         Self {
             inner: Arc::new(Inner {
                 settings,
-                engine,
-                fleet,
+                backend,
                 frontend,
                 reader: CatalogueReader::new(platform),
                 drain,
@@ -78,7 +74,7 @@
 
     /// Returns whether less than half of the other nodes are alive in this node's view.
     fn cut_off(&self) -> bool {
-        let fleet = self.inner.fleet.view();
+        let fleet = self.inner.backend.fleet.view();
         let view = fleet.borrow();
         let others = view.members.values().filter(|m| m.name != view.local);
         let (alive, all) = others.fold((0, 0), |(alive, all), member| {
@@ -88,14 +84,8 @@
         alive * 2 < all
     }
 
-    /// Returns what the node waits for before it can serve callers.
     pub(crate) fn waits_for(&self) -> Option<String> {
-        if self.inner.fleet.catalogue().borrow().revision > 0 {
-            return None;
-        }
-        let status = self.inner.fleet.status();
-        let reason = status.borrow().waits_for.clone();
-        Some(reason.unwrap_or_else(|| "the catalogue is not loaded yet".into()))
+        self.inner.backend.waits_for()
     }
 
     pub(crate) fn is_draining(&self) -> bool {
@@ -107,7 +97,7 @@
     }
 
     fn database(&self, name: &str) -> Result<Value, String> {
-        let report = self.inner.engine.report();
+        let report = self.inner.backend.engine.report();
         let Some(database) = report.databases.get(name) else {
             return Err(unknown(name));
         };
@@ -121,7 +111,7 @@
         match self.inner.reader.changes(revision - 1).await {
             Ok(changes) => {
                 for change in changes {
-                    self.inner.fleet.publish(change).await;
+                    self.inner.backend.fleet.publish(change).await;
                 }
             }
             Err(error) => log::warn!(
@@ -154,16 +144,16 @@
     }
 
     fn fleet(&self) -> FleetView {
-        FleetView::clone(&self.inner.fleet.view().borrow())
+        FleetView::clone(&self.inner.backend.fleet.view().borrow())
     }
 
     fn catalogue(&self) -> Arc<Catalogue> {
-        self.inner.fleet.catalogue().borrow().clone()
+        self.inner.backend.fleet.catalogue().borrow().clone()
     }
 
     async fn report(&self, report: Report) -> Result<Value, String> {
         match report {
-            Report::Node => Ok(json!(self.inner.engine.report())),
+            Report::Node => Ok(json!(self.inner.backend.engine.report())),
             Report::Database(name) => self.database(&name),
             Report::Sessions(database) => Ok(json!(
                 self.inner
