Test each rule of terms, FOLLOW and termination against its removal

Cause: with single rules of Server removed, the tests still passed: a late or wrong FOLLOW, entries from a server that does not lead or is no longer followed, a commit after the answer to OWNER TERMINATE. Change: a new test, two more cases in a present one, and the race of termination in process on four threads, where removing the check shows, instead of over TCP, where it did not.

--- a/crates/siskinhook-standin/tests/local.rs
+++ b/crates/siskinhook-standin/tests/local.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use siskinhook_standin::{Cut, Fault, LocalSession, Plan, Site};
+use siskinhook_standin::{Cut, Fault, Latencies, LocalSession, Plan, Site};
 use siskinhook_types::{
     Control, Failure, FailureKind, LogPoint, Part, Purpose, Role, ServerStatus, Statement,
     TargetSession, Targets, Verdict,
@@ -161,6 +161,16 @@
     claim(&mut old, 2).await.unwrap();
     let status = control(&mut replica, "SHOW GROUP STATUS WAIT FOR 1 2 2000").await;
     assert_eq!((status.last, status.contact), (LogPoint::new(1, 1), None));
+    // The same for a change of the primary within a term.
+    let mut third = connect(&site, 0, "claims-c").await.unwrap();
+    let far = Cut::Pair("claims-a".into(), "claims-c".into());
+    site.network().delay(&far, Duration::from_millis(90));
+    sleep(Duration::from_secs(1)).await;
+    claim(&mut old, 3).await.unwrap();
+    sleep(Duration::from_millis(30)).await;
+    control(&mut third, "GROUP FOLLOW 1 claims-b").await;
+    let status = control(&mut third, "SHOW GROUP STATUS WAIT FOR 1 4 2000").await;
+    assert_eq!((status.last, status.contact), (LogPoint::new(1, 3), None));
     assert_eq!(
         site.server("claims-c").unwrap().status().last,
         LogPoint::new(1, 3)
@@ -303,6 +313,79 @@
     assert_eq!((status.holder.as_deref(), status.running), (Some("n2"), 0));
 }
 
+/// Guards against a statement on another thread that commits after the answer to
+/// `OWNER TERMINATE`, on which the verdict "not run" of an unresolved request rests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn nothing_commits_after_termination() {
+    let mut plan = Plan::shiftdesk();
+    plan.latencies = Latencies {
+        local: Duration::ZERO,
+        zones: Duration::ZERO,
+        ..Latencies::default()
+    };
+    plan.server.slots = 16;
+    plan.server.setup = Duration::ZERO;
+    plan.server.service = Duration::ZERO;
+    let site = Site::local(7, plan).unwrap();
+    let mut admin = connect(&site, 1, "claims-a").await.unwrap();
+    for round in 0..100 {
+        let mut sessions = Vec::new();
+        for session in 0..8 {
+            let mut opened = connect(&site, 0, "claims-a").await.unwrap();
+            for row in 0..20 {
+                let shift = 1_000 + round * 160 + session * 20 + row;
+                let statement = Statement::with_text_params(WRITE, [shift.to_string()]);
+                opened.start(&statement).await.unwrap();
+            }
+            sessions.push(opened);
+        }
+        let after = control(&mut admin, "OWNER TERMINATE n1").await;
+        for session in &mut sessions {
+            while session.next().await.is_ok() {}
+        }
+        let last = control(&mut admin, "SHOW GROUP STATUS").await.last;
+        assert_eq!(last, after.last, "round {round}");
+    }
+}
+
+/// Guards against a late or wrong `FOLLOW`: to a lower term, to the server itself, or to the
+/// primary of the term; and against entries from a server that does not lead.
+#[tokio::test(start_paused = true)]
+async fn a_wrong_follow_changes_nothing() {
+    let site = site();
+    let mut a = connect(&site, 0, "claims-a").await.unwrap();
+    let mut b = connect(&site, 0, "claims-b").await.unwrap();
+    let mut c = connect(&site, 0, "claims-c").await.unwrap();
+    let before = control(&mut a, "SHOW GROUP STATUS").await;
+    for wrong in [
+        "GROUP FOLLOW 1 claims-b",
+        "GROUP FOLLOW 0 claims-b",
+        "GROUP FOLLOW 9 claims-a",
+    ] {
+        assert_eq!(control(&mut a, wrong).await, before, "{wrong}");
+    }
+    control(&mut b, "GROUP FENCE 3 n1").await;
+    control(&mut b, "GROUP FOLLOW 3 claims-c").await;
+    let status = control(&mut b, "GROUP FOLLOW 2 claims-a").await;
+    assert_eq!(
+        (status.term, status.primary.as_deref()),
+        (3, Some("claims-c"))
+    );
+    // claims-c gets an entry in term 1, then joins term 3 as a replica.
+    claim(&mut a, 1).await.unwrap();
+    sleep(Duration::from_secs(1)).await;
+    control(&mut c, "GROUP FOLLOW 3 claims-b").await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(
+        control(&mut c, "SHOW GROUP STATUS").await.last,
+        LogPoint::new(1, 2)
+    );
+    assert_eq!(
+        control(&mut b, "SHOW GROUP STATUS").await.last,
+        LogPoint::new(1, 1)
+    );
+}
+
 /// Guards against more statements at a time than slots.
 #[tokio::test(start_paused = true)]
 async fn two_statements_run_at_a_time() {
