Open data connections only while the lock is known to be held

Cause: while a live node was held to be dead, it opened connections after it had been terminated: 14 for data on one server, limit 12, and 869 refused by the server.

--- a/crates/siskinhook-engine/src/answer.rs
+++ b/crates/siskinhook-engine/src/answer.rs
@@ -9,7 +9,6 @@
 
 use crate::{
     TransactionState,
-    core::Active,
     counters::count,
     engine::Inner,
     entry::{Pinned, node_lost},
@@ -28,7 +27,6 @@
     path: Option<Pinned<T, L>>,
     ready: VecDeque<Result<Part, Failure>>,
     cancel: CancellationToken,
-    active: Option<Active<T>>,
 }
 
 impl<T: Targets, L: Links, P: Platform> Answer<T, L, P> {
@@ -45,7 +43,6 @@
             path: None,
             ready: VecDeque::from([Ok(done)]),
             cancel: CancellationToken::new(),
-            active: None,
         }
     }
 
@@ -56,7 +53,6 @@
         kind: Kind,
         path: Pinned<T, L>,
         cancel: CancellationToken,
-        active: Active<T>,
     ) -> Self {
         lock(&shared).busy = true;
         Self {
@@ -66,7 +62,6 @@
             path: Some(path),
             ready: VecDeque::new(),
             cancel,
-            active: Some(active),
         }
     }
 
@@ -151,7 +146,6 @@
             }
             Kind::Read | Kind::Describe | Kind::Lookup => {}
         }
-        self.active = None;
     }
 
     fn fail(&mut self, failure: &Failure) {
--- a/crates/siskinhook-engine/src/controller.rs
+++ b/crates/siskinhook-engine/src/controller.rs
@@ -19,8 +19,8 @@
 struct Plan {
     /// Servers that it owns.
     owned: IndexMap<ServerId, (Server, Arc<Route>)>,
-    /// Groups that it monitors, and its rank among the watchers.
-    groups: IndexMap<DatabaseId, (Arc<Route>, u32)>,
+    /// Groups that it monitors, with its rank and the number of nodes that do.
+    groups: IndexMap<DatabaseId, (Arc<Route>, (u32, usize))>,
 }
 
 /// Follows catalogue and fleet until `stop`.
@@ -91,7 +91,8 @@
         }
         if let Some(rank) = watchers.get_index_of(local) {
             let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-            plan.groups.insert(database.clone(), (route.clone(), rank));
+            let place = (rank, watchers.len());
+            plan.groups.insert(database.clone(), (route.clone(), place));
         }
     }
     plan
@@ -100,15 +101,15 @@
 fn apply_groups<T: Targets, P: Platform>(core: &Arc<Core<T>>, platform: &P, plan: &Plan) {
     let mut groups = core.groups();
     groups.retain(|database, _| plan.groups.contains_key(database));
-    for (database, (route, rank)) in &plan.groups {
+    for (database, (route, place)) in &plan.groups {
         let same = groups
             .get(database)
             .filter(|group| group.serves(&route.servers));
         if let Some(group) = same {
-            group.update(&route.servers, *rank);
+            group.update(&route.servers, place.0, place.1);
             continue;
         }
-        let group = Group::start(core, platform.clone(), database, &route.servers, *rank);
+        let group = Group::start(core, platform.clone(), database, &route.servers, *place);
         groups.insert(database.clone(), group);
     }
 }
--- a/crates/siskinhook-engine/src/entry/job.rs
+++ b/crates/siskinhook-engine/src/entry/job.rs
@@ -224,6 +224,7 @@
             node: (!local).then_some(owner),
             term: None,
             id: self.id.clone(),
+            active: core.track(),
         })
     }
 
@@ -253,7 +254,6 @@
             kind,
             path,
             self.cancel.clone(),
-            self.engine.core.track(),
         ))
     }
 
--- a/crates/siskinhook-engine/src/entry/mod.rs
+++ b/crates/siskinhook-engine/src/entry/mod.rs
@@ -8,10 +8,14 @@
 use std::sync::Arc;
 
 use siskinhook_types::{
-    DatabaseId, Failure, FailureKind, Links, MemberState, NodeId, ServerId, Targets, Term,
+    DatabaseId, Failure, FailureKind, Links, MemberState, NodeId, RequestId, ServerId, Targets,
+    Term,
 };
 
-use crate::{core::Core, path::Path};
+use crate::{
+    core::{Active, Core},
+    path::Path,
+};
 
 pub use budget::Budget;
 pub use choose::Choices;
@@ -27,7 +31,9 @@
     /// Term of the primary when the transaction began.
     pub term: Option<Term>,
     /// Id of the transaction, if the caller gave one.
-    pub id: Option<siskinhook_types::RequestId>,
+    pub id: Option<RequestId>,
+    /// Counts an open transaction as in progress between its statements.
+    pub active: Active<T>,
 }
 
 /// Waits until membership holds a node to be gone; never for this node.
--- a/crates/siskinhook-engine/src/group/confirm.rs
+++ b/crates/siskinhook-engine/src/group/confirm.rs
@@ -166,7 +166,10 @@
 ) -> (ServerId, Instant, Option<ServerStatus>) {
     let started = now();
     let limit = started + group.core.settings.probe_timeout;
+    // The primary answers at once, and a replica's answer waits for the write. Waiting on the
+    // control connection would delay probes.
     let status = match group.lines.get(&server) {
+        Some(lines) if group.is_primary(&server) => lines.control.send(&command, limit).await.ok(),
         Some(lines) => lines.wait.send(&command, limit).await.ok(),
         None => None,
     };
--- a/crates/siskinhook-engine/src/group/mod.rs
+++ b/crates/siskinhook-engine/src/group/mod.rs
@@ -5,7 +5,10 @@
 mod watcher;
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering::Relaxed},
+    },
     time::Instant,
 };
 
@@ -49,17 +52,18 @@
     confirmer: Arc<Confirmer>,
     /// Last log points that were learnt outside the polls.
     learnt: Mutex<IndexMap<ServerId, LogPoint>>,
+    monitors: AtomicUsize,
     _guard: DropGuard,
 }
 
 impl<T: Targets> Group<T> {
-    /// Starts to monitor a group.
+    /// Starts to monitor a group as the watcher of a rank among a number of monitors.
     pub fn start<P: Platform>(
         core: &Arc<Core<T>>,
         platform: P,
         database: &DatabaseId,
         servers: &[Server],
-        rank: u32,
+        (rank, monitors): (u32, usize),
     ) -> Arc<Self> {
         let settings = &core.settings;
         let config = GroupConfig {
@@ -96,6 +100,7 @@
             anchor: watch::Sender::new(None),
             confirmer: Arc::new(Confirmer::new(servers)),
             learnt: Mutex::default(),
+            monitors: AtomicUsize::new(monitors),
             _guard: stop.clone().drop_guard(),
         });
         tokio::spawn(watcher::run(
@@ -112,8 +117,15 @@
         group
     }
 
-    /// Takes over a change of the group's servers' state and of this node's rank.
-    pub fn update(&self, servers: &[Server], rank: u32) {
+    /// Nodes that monitor the group, as membership of this node has it.
+    pub fn monitors(&self) -> usize {
+        self.monitors.load(Relaxed)
+    }
+
+    /// Takes over a change of the group's servers' state, of this node's rank and of the number
+    /// of nodes that monitor the group.
+    pub fn update(&self, servers: &[Server], rank: u32, monitors: usize) {
+        self.monitors.store(monitors, Relaxed);
         let mut watch = self.watch();
         watch.set_rank(rank);
         watch.set_leaving(leaving(servers));
--- a/crates/siskinhook-engine/src/owner/execute.rs
+++ b/crates/siskinhook-engine/src/owner/execute.rs
@@ -98,7 +98,9 @@
             };
             match sent {
                 Ok(()) => return Ok(connection),
-                Err(failure) if failure.verdict == Verdict::NotRun && connection.reused => {}
+                Err(failure) if failure.verdict == Verdict::NotRun && connection.reused => {
+                    self.note_loss(&failure);
+                }
                 Err(failure) => return Err(failure),
             }
         }
@@ -114,7 +116,8 @@
         let mut reported = now();
         loop {
             let watch = watched.get_or_insert_with(|| self.silence.watch());
-            let part = receive(&mut connection.session, watch).await?;
+            let part = receive(&mut connection.session, watch).await;
+            let part = part.inspect_err(|failure| self.note_loss(failure))?;
             // Noting each row would take a lock per row.
             if now().saturating_duration_since(reported) > NOTE_INTERVAL {
                 reported = now();
@@ -133,6 +136,13 @@
         }
     }
 
+    /// Doubts the lock when a connection was lost: another node may have terminated it.
+    pub fn note_loss(&self, failure: &Failure) {
+        if failure.kind == FailureKind::ConnectionLost {
+            self.pool.doubt();
+        }
+    }
+
     /// Gives a connection back after its statement, or closes it; passes the result on.
     pub fn settle(
         &self,
@@ -169,7 +179,8 @@
         connection: &mut DataConnection<T>,
         statement: &Statement,
     ) -> Result<Done, Failure> {
-        connection.session.start(statement).await?;
+        let sent = connection.session.start(statement).await;
+        sent.inspect_err(|failure| self.note_loss(failure))?;
         self.collect(connection, Rows::Drop).await
     }
 
--- a/crates/siskinhook-engine/src/owner/pool.rs
+++ b/crates/siskinhook-engine/src/owner/pool.rs
@@ -6,9 +6,10 @@
     time::{Duration, Instant},
 };
 
-use siskinhook_types::{Failure, FailureKind, Purpose, Server, Targets};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use siskinhook_types::{Control, Failure, FailureKind, Purpose, Server, TargetSession, Targets};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 
+use super::RESERVED;
 use crate::{
     clock::{now, until},
     core::{Core, deadline_passed, unavailable},
@@ -22,6 +23,10 @@
     idle: VecDeque<(S, Instant)>,
     /// Open connections, used and idle, and those being opened.
     total: usize,
+    /// Those of `total` that are being opened, which the server may not count yet.
+    opening: usize,
+    /// Connections of the former owner that are still in use there.
+    foreign: usize,
     /// Raised when the lock is lost; connections of an older epoch are not used again.
     epoch: u64,
 }
@@ -35,6 +40,8 @@
     permits: Arc<Semaphore>,
     state: Mutex<State<T::Session>>,
     allowed: watch::Sender<bool>,
+    /// Wakes up the task that holds the lock.
+    doubted: Notify,
 }
 
 /// A data connection in use; dropping it closes it.
@@ -55,6 +62,15 @@
     counted: bool,
 }
 
+/// A connection that is being opened.
+struct Opening<'a, T: Targets>(&'a Pool<T>);
+
+impl<T: Targets> Drop for Opening<'_, T> {
+    fn drop(&mut self) {
+        self.0.lock().opening -= 1;
+    }
+}
+
 impl<T: Targets> Drop for Share<T> {
     fn drop(&mut self) {
         if self.counted {
@@ -75,9 +91,12 @@
             state: Mutex::new(State {
                 idle: VecDeque::new(),
                 total: 0,
+                opening: 0,
+                foreign: 0,
                 epoch: 0,
             }),
             allowed: watch::Sender::new(false),
+            doubted: Notify::new(),
         }
     }
 
@@ -90,10 +109,37 @@
         });
     }
 
+    /// Takes over how many connections the server has, and how many nodes monitor it. Those
+    /// beyond this node's own and the monitors' belong to the former owner, which finishes its
+    /// work in flight; they count until they are closed.
+    pub fn set_connections(&self, connections: u32, monitors: usize) {
+        let mut state = self.lock();
+        let known = state.total - state.opening + monitors.min(RESERVED as usize);
+        state.foreign = (connections as usize).saturating_sub(known);
+    }
+
     /// Forbids new connections and closes idle ones; those in use are closed after their
     /// statement or transaction.
     pub fn forbid(&self) {
         self.allowed.send_replace(false);
+        self.renew();
+    }
+
+    /// Opens no connection until the lock was checked: another node may have taken it and
+    /// terminated this node's connections.
+    pub fn doubt(&self) {
+        self.forbid();
+        self.doubted.notify_one();
+    }
+
+    /// Waits until the lock is doubted.
+    pub async fn doubted(&self) {
+        self.doubted.notified().await;
+    }
+
+    /// Closes idle connections, and those in use after their statement: what broke one of them
+    /// may have broken them all.
+    pub fn renew(&self) {
         let mut state = self.lock();
         state.epoch += 1;
         state.total -= state.idle.len();
@@ -116,20 +162,8 @@
         deadline: Instant,
     ) -> Result<DataConnection<T>, Failure> {
         let permit = self.permit(deadline).await?;
-        let mut allowed = self.allowed.subscribe();
-        // Another server or owner may serve the request, so that it does not wait for the lock
-        // up to its deadline.
-        let patience = deadline.min(now() + self.core.settings.connect_timeout);
-        if until(patience, allowed.wait_for(|allowed| *allowed))
-            .await
-            .is_none()
-        {
-            return Err(unavailable(format!(
-                "this node does not hold the lock of server {} yet; retry",
-                self.server.name
-            )));
-        }
         loop {
+            self.permission(deadline).await?;
             if let Some((session, epoch)) = self.take_idle() {
                 return Ok(DataConnection {
                     session,
@@ -140,6 +174,8 @@
                 });
             }
             match self.connect(Purpose::Data, deadline).await {
+                // Opened while the lock was doubted, it may be one too many.
+                Ok((_, epoch, _)) if epoch != self.lock().epoch => {}
                 Ok((session, epoch, share)) => {
                     return Ok(DataConnection {
                         session,
@@ -151,6 +187,7 @@
                 }
                 // The server is full while the connections of the previous owner end.
                 Err(failure) if failure.kind == FailureKind::Overload && now() < deadline => {
+                    self.doubted.notify_one();
                     tokio::time::sleep(FULL_PAUSE).await;
                 }
                 Err(failure) => return Err(failure),
@@ -158,6 +195,22 @@
         }
     }
 
+    /// Waits until the node holds the lock.
+    async fn permission(&self, deadline: Instant) -> Result<(), Failure> {
+        let mut allowed = self.allowed.subscribe();
+        // Another server or owner may serve the request, so that it does not wait for the lock
+        // up to its deadline.
+        let patience = deadline.min(now() + self.core.settings.connect_timeout);
+        let held = until(patience, allowed.wait_for(|allowed| *allowed)).await;
+        match held {
+            Some(Ok(_)) => Ok(()),
+            _ => Err(unavailable(format!(
+                "this node does not hold the lock of server {} now; retry",
+                self.server.name
+            ))),
+        }
+    }
+
     /// Takes over the count of a connection that was idle.
     fn share(self: &Arc<Self>) -> Share<T> {
         Share {
@@ -213,7 +266,7 @@
     fn lacks(&self) -> bool {
         let state = self.lock();
         // Ahead of need: while all connections are used, one more is opened.
-        let busy = state.idle.is_empty() && state.total < self.limit;
+        let busy = state.idle.is_empty() && state.total + state.foreign < self.limit;
         state.total < self.ready || busy && state.total > 0
     }
 
@@ -245,7 +298,7 @@
     ) -> Result<(T::Session, u64, Share<T>), Failure> {
         let epoch = {
             let mut state = self.lock();
-            if state.total >= self.limit {
+            if state.total + state.foreign >= self.limit {
                 let mut failure = unavailable(format!(
                     "all connections of server {} are in use; retry",
                     self.server.name
@@ -254,11 +307,13 @@
                 return Err(failure);
             }
             state.total += 1;
+            state.opening += 1;
             state.epoch
         };
         let share = self.share();
+        let opened = Opening(self);
         let limit = deadline.min(now() + self.core.settings.connect_timeout);
-        let opening = self.core.targets.connect(&self.server, purpose);
+        let opening = self.open_checked(purpose);
         let Some(session) = until(limit, opening).await else {
             return Err(unavailable(format!(
                 "server {} did not accept a connection in time; retry",
@@ -266,10 +321,30 @@
             )));
         };
         let session = session?;
+        drop(opened);
         count(&self.core.counters.connections_opened);
         Ok((session, epoch, share))
     }
 
+    /// Opens a connection. One for data is used only when the server still names this node as
+    /// the holder of the lock, which it may have lost unnoticed.
+    async fn open_checked(&self, purpose: Purpose) -> Result<T::Session, Failure> {
+        let mut session = self.core.targets.connect(&self.server, purpose).await?;
+        if purpose == Purpose::Control {
+            return Ok(session);
+        }
+        let status = session.control(&Control::Status).await;
+        let status = status.map_err(|failure| unavailable(failure.message))?;
+        if status.holder.as_ref() == Some(&self.core.identity.node) {
+            return Ok(session);
+        }
+        self.doubt();
+        Err(unavailable(format!(
+            "another node holds the lock of server {}; retry",
+            self.server.name
+        )))
+    }
+
     fn put(&self, session: T::Session, epoch: u64, mut share: Share<T>) {
         let mut state = self.lock();
         let keep = epoch == state.epoch && self.is_allowed();
--- a/crates/siskinhook-engine/src/owner/silence.rs
+++ b/crates/siskinhook-engine/src/owner/silence.rs
@@ -115,6 +115,7 @@
                 log::warn!(target: "siskinhook::engine", event = 2004, server = server.name.as_str();
                     "closes a silent connection; the server answers on a new one and does not run its statement");
                 count(&self.core.counters.silent_connections);
+                pool.renew();
                 if let Some(hangs) = state.silent.swap_remove(&id) {
                     hangs.cancel();
                 }
--- a/crates/siskinhook-engine/src/owner/transaction.rs
+++ b/crates/siskinhook-engine/src/owner/transaction.rs
@@ -12,7 +12,10 @@
     execute::{Done, Rows},
     worker::Worker,
 };
-use crate::{clock::until, core::deadline_passed};
+use crate::{
+    clock::until,
+    core::{Active, deadline_passed},
+};
 
 /// An open transaction.
 pub struct Transaction<T: Targets> {
@@ -20,6 +23,8 @@
     pub connection: DataConnection<T>,
     pub id: Option<RequestId>,
     _pin: OwnedSemaphorePermit,
+    /// Counts the transaction as in progress between its statements.
+    _active: Active<T>,
 }
 
 impl<T: Targets> Worker<T> {
@@ -46,6 +51,7 @@
             connection,
             id: request.id,
             _pin: pin,
+            _active: self.core.track(),
         });
         self.reply.done(tag, point).await;
         Ok(())
@@ -97,11 +103,12 @@
         let owner = transaction.owner.clone();
         let slot = owner.slots.acquire(request, true).await?;
         let session = &mut transaction.connection.session;
-        if request.kind == Kind::Describe {
-            session.describe(&request.statement).await?;
+        let sent = if request.kind == Kind::Describe {
+            session.describe(&request.statement).await
         } else {
-            session.start(&request.statement).await?;
-        }
+            session.start(&request.statement).await
+        };
+        sent.inspect_err(|failure| owner.note_loss(failure))?;
         let rows = Rows::Pass(&self.reply);
         let done = owner.collect(&mut transaction.connection, rows).await?;
         slot.finish();
--- a/crates/siskinhook-engine/tests/support/mod.rs
+++ b/crates/siskinhook-engine/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A few nodes over the in-process stand-ins, on one paused clock.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod counted;
 pub mod storm;
 
 use std::{
@@ -12,7 +13,7 @@
 use siskinhook_engine::{
     CountersSnapshot, Engine, EngineSettings, Identity, Session, SessionOptions,
 };
-use siskinhook_standin::{Cut, Endpoint, LocalPlatform, LocalTargets, Plan, Site};
+use siskinhook_standin::{Cut, Endpoint, LocalPlatform, Plan, Site};
 use siskinhook_types::{
     Catalogue, Failure, FailureKind, FleetView, Link, Links, Member, MemberState, NodeId, Part,
     Request, Statement, Token,
@@ -20,8 +21,10 @@
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, watch};
 
-pub type Node = Engine<LocalTargets, LocalLinks, LocalPlatform>;
-pub type NodeSession = Session<LocalTargets, LocalLinks, LocalPlatform>;
+use counted::{CountedTargets, Registry};
+
+pub type Node = Engine<CountedTargets, LocalLinks, LocalPlatform>;
+pub type NodeSession = Session<CountedTargets, LocalLinks, LocalPlatform>;
 type Nodes = Arc<Mutex<IndexMap<NodeId, (Endpoint, Node)>>>;
 
 /// Links between the nodes of a test, over the network stand-in.
@@ -101,6 +104,7 @@
 pub struct Cluster {
     pub site: Arc<Site>,
     pub nodes: Nodes,
+    pub connections: Arc<Registry>,
     catalogue: watch::Sender<Arc<Catalogue>>,
     fleets: IndexMap<NodeId, watch::Sender<Arc<FleetView>>>,
 }
@@ -133,6 +137,7 @@
         let mut cluster = Self {
             site: site.clone(),
             nodes: Nodes::default(),
+            connections: Arc::default(),
             catalogue: watch::Sender::new(Arc::new(catalogue)),
             fleets: IndexMap::new(),
         };
@@ -152,10 +157,15 @@
                 site: site.clone(),
                 nodes: cluster.nodes.clone(),
             };
+            let targets = CountedTargets {
+                inner: site.targets(endpoint),
+                node: endpoint.name.clone(),
+                registry: cluster.connections.clone(),
+            };
             let engine = Node::new(
                 settings.clone(),
                 identity,
-                site.targets(endpoint),
+                targets,
                 links,
                 site.platform(endpoint),
                 seed + number as u64 * 100,
@@ -283,11 +293,17 @@
 }
 
 /// Inserts a claim.
-pub async fn claim(session: &mut NodeSession, shift: u64) -> Result<Token, Failure> {
+pub async fn insert(session: &mut NodeSession, shift: u64) -> Result<(), Failure> {
     let sql = format!("INSERT INTO claims VALUES ({shift}, 'dhruv')");
     let (_, tag) = run(session, &sql).await?;
     assert_eq!(tag, "INSERT 0 1");
-    Ok(session.token().unwrap())
+    Ok(())
+}
+
+/// Inserts a claim outside a transaction and returns its token.
+pub async fn claim(session: &mut NodeSession, shift: u64) -> Result<Token, Failure> {
+    insert(session, shift).await?;
+    Ok(session.token().expect("an acknowledged write has a token"))
 }
 
 /// Counts the claims of a shift.
--- /dev/null
+++ b/crates/siskinhook-engine/tests/verdicts.rs
@@ -0,0 +1,323 @@
+//! What callers are told about writes, and how often writes run.
+
+mod support;
+
+use std::time::Duration;
+
+use siskinhook_engine::SessionOptions;
+use siskinhook_standin::Cut;
+use siskinhook_types::{Failure, FailureKind, MemberState, Verdict};
+use support::{Cluster, NodeSession, claim, claims, plan, run, storm::Storm};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+const NODES: [&str; 4] = ["n1", "n2", "n3", "n4"];
+/// Adds one character for each run.
+const ADJUST: &str = "UPDATE claims SET barista = barista || 'x' WHERE shift_id = 90";
+/// Length of the text that `ADJUST` starts from.
+const START: usize = "meera".len();
+
+async fn adjustments(cluster: &Cluster) -> usize {
+    let mut session = cluster.session("n1");
+    let token = claim(&mut session, 1).await.unwrap();
+    session.options_mut().token = Some(token);
+    let sql = "SELECT barista FROM claims WHERE shift_id = 90";
+    run(&mut session, sql).await.unwrap().0[0][0].len() - START
+}
+
+async fn adjust(session: &mut NodeSession, id: Option<String>) -> Result<String, Failure> {
+    session.options_mut().request = id.map(Into::into);
+    Ok(run(session, ADJUST).await?.1)
+}
+
+/// Guards against a repeated request that runs twice, on the same node or another one, and
+/// against an outcome other than the first.
+#[tokio::test(start_paused = true)]
+async fn repeated_request_returns_the_first_outcome() {
+    let cluster = Cluster::start(61, plan(4)).await;
+    for node in NODES {
+        let mut session = cluster.session(node);
+        let tag = adjust(&mut session, Some("payroll-1".into()))
+            .await
+            .unwrap();
+        assert_eq!(tag, "UPDATE 1");
+        assert!(
+            session.token().is_some(),
+            "the first outcome carries a token"
+        );
+    }
+    assert_eq!(adjustments(&cluster).await, 1);
+}
+
+/// Guards against two attempts at the same time that both run.
+#[tokio::test(start_paused = true)]
+async fn concurrent_attempts_run_once() {
+    let cluster = Cluster::start(62, plan(4)).await;
+    let mut tasks = JoinSet::new();
+    for node in NODES {
+        let mut session = cluster.session(node);
+        tasks.spawn(async move { adjust(&mut session, Some("payroll-1".into())).await });
+    }
+    while let Some(result) = tasks.join_next().await {
+        assert_eq!(result.unwrap().unwrap(), "UPDATE 1");
+    }
+    assert_eq!(adjustments(&cluster).await, 1);
+}
+
+/// Guards against a transaction with an id that is applied twice.
+#[tokio::test(start_paused = true)]
+async fn repeated_transaction_runs_once() {
+    let cluster = Cluster::start(63, plan(4)).await;
+    for node in NODES {
+        let mut session = cluster.session(node);
+        session.options_mut().request = Some("payroll-2".into());
+        run(&mut session, "BEGIN").await.unwrap();
+        run(&mut session, ADJUST).await.unwrap();
+        run(&mut session, ADJUST).await.unwrap();
+        assert_eq!(run(&mut session, "COMMIT").await.unwrap().1, "COMMIT");
+    }
+    assert_eq!(adjustments(&cluster).await, 2);
+}
+
+/// Guards against an id that a failed attempt uses up although it did not run.
+#[tokio::test(start_paused = true)]
+async fn rejected_attempt_leaves_the_id_free() {
+    let cluster = Cluster::start(64, plan(4)).await;
+    let mut session = cluster.session("n2");
+    session.options_mut().request = Some("claim-1".into());
+    let failure = run(&mut session, "INSERT INTO claims VALUES (90, 'x')")
+        .await
+        .unwrap_err();
+    assert_eq!(
+        (failure.verdict, failure.code.as_str()),
+        (Verdict::Ran, "23505")
+    );
+    session.options_mut().request = Some("claim-1".into());
+    claim(&mut session, 7).await.unwrap();
+    assert_eq!(claims(&mut session, 7).await.unwrap(), 1);
+}
+
+/// What goes wrong while adjustments run.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    PrimaryCrash,
+    OwnerDies,
+    SilentServer,
+    ZoneCut,
+}
+
+async fn trouble(cluster: &Cluster, trouble: Trouble) {
+    let primary = cluster.primary();
+    match trouble {
+        Trouble::PrimaryCrash => {
+            cluster.site.server(&primary).unwrap().crash();
+            sleep(Duration::from_secs(3)).await;
+            cluster.site.server(&primary).unwrap().restart();
+        }
+        Trouble::OwnerDies => {
+            let owner = cluster.owner(&primary);
+            cluster.cut(Cut::Name(owner.clone()));
+            sleep(Duration::from_secs(2)).await;
+            cluster.set_state(&owner, MemberState::Dead, None);
+            sleep(Duration::from_secs(3)).await;
+            cluster.heal(&Cut::Name(owner.clone()));
+            cluster.set_state(&owner, MemberState::Alive, None);
+        }
+        Trouble::SilentServer => {
+            cluster.site.network().silence(&Cut::Name(primary));
+            sleep(Duration::from_secs(3)).await;
+        }
+        Trouble::ZoneCut => {
+            let zone = cluster
+                .site
+                .server(&primary)
+                .unwrap()
+                .endpoint()
+                .zone
+                .clone();
+            cluster.cut(Cut::Zone(zone.clone()));
+            sleep(Duration::from_secs(4)).await;
+            cluster.heal(&Cut::Zone(zone));
+        }
+    }
+    sleep(Duration::from_secs(3)).await;
+}
+
+const TROUBLES: [Trouble; 4] = [
+    Trouble::PrimaryCrash,
+    Trouble::OwnerDies,
+    Trouble::SilentServer,
+    Trouble::ZoneCut,
+];
+
+/// Runs adjustments on all nodes during trouble; with ids, callers repeat an adjustment on
+/// another node until its outcome is known. Returns how many ran for sure and how many may have.
+async fn adjust_through(cluster: &Cluster, kind: Trouble, with_ids: bool) -> (usize, usize) {
+    let end = Instant::now() + Duration::from_secs(8);
+    let mut tasks = JoinSet::new();
+    for start in 0..NODES.len() {
+        let sessions: Vec<NodeSession> = NODES
+            .iter()
+            .map(|node| {
+                let options = SessionOptions {
+                    deadline: Some(Duration::from_secs(2)),
+                    ..SessionOptions::default()
+                };
+                cluster.session_with(node, options)
+            })
+            .collect();
+        tasks.spawn(adjuster(sessions, start, with_ids, end));
+    }
+    trouble(cluster, kind).await;
+    let (mut ran, mut open) = (0, 0);
+    while let Some(result) = tasks.join_next().await {
+        let (sure, may) = result.unwrap();
+        ran += sure;
+        open += may;
+    }
+    sleep(Duration::from_secs(2)).await;
+    (ran, open)
+}
+
+async fn adjuster(
+    mut sessions: Vec<NodeSession>,
+    start: usize,
+    with_ids: bool,
+    end: Instant,
+) -> (usize, usize) {
+    let (mut ran, mut open) = (0, 0);
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let id = with_ids.then(|| format!("{start}-{number}"));
+        let mut may = false;
+        for attempt in 0.. {
+            let session = &mut sessions[(start + attempt) % NODES.len()];
+            match adjust(session, id.clone()).await {
+                Ok(_) => {
+                    ran += 1;
+                    break;
+                }
+                Err(failure) => may |= failure.verdict != Verdict::NotRun,
+            }
+            // Without an id, what may have run must not be sent again.
+            if may && !with_ids || Instant::now() > end + Duration::from_secs(10) {
+                open += usize::from(may);
+                break;
+            }
+        }
+        sleep(Duration::from_millis(7)).await;
+    }
+    (ran, open)
+}
+
+/// Guards against an adjustment that is applied twice or lost when its caller repeats it with
+/// its id on other nodes and across failovers.
+#[tokio::test(start_paused = true)]
+async fn at_most_once_with_ids() {
+    for (seed, kind) in (70..).zip(TROUBLES) {
+        let cluster = Cluster::start(seed, plan(4)).await;
+        let (ran, open) = adjust_through(&cluster, kind, true).await;
+        println!("{kind:?}: {ran} ran, {open} open");
+        assert_eq!(open, 0, "{kind:?}: callers with ids learn every outcome");
+        assert_eq!(adjustments(&cluster).await, ran, "{kind:?}");
+    }
+}
+
+/// Guards against an adjustment without an id that the system itself sends again after it may
+/// have run.
+#[tokio::test(start_paused = true)]
+async fn at_most_once_without_ids() {
+    for (seed, kind) in (80..).zip(TROUBLES) {
+        let cluster = Cluster::start(seed, plan(4)).await;
+        let (ran, open) = adjust_through(&cluster, kind, false).await;
+        let found = adjustments(&cluster).await;
+        println!("{kind:?}: {ran} ran, {open} may have, {found} found");
+        assert!(
+            (ran..=ran + open).contains(&found),
+            "{kind:?}: {ran} and {open}, found {found}"
+        );
+    }
+}
+
+/// Guards against a wrong verdict in any trouble, with and without ids.
+#[tokio::test(start_paused = true)]
+async fn verdicts_are_true() {
+    for (seed, kind) in (90..).zip(TROUBLES) {
+        for with_ids in [false, true] {
+            let cluster = Cluster::start(seed, plan(4)).await;
+            let storm = Storm::start(&cluster, &NODES, with_ids);
+            sleep(Duration::from_millis(500 + seed)).await;
+            trouble(&cluster, kind).await;
+            println!("{kind:?}, ids: {with_ids}");
+            storm.finish(&cluster).await;
+        }
+    }
+}
+
+/// Guards against a connection that hangs for good: its statement must end with a true
+/// verdict, and later statements must not hang.
+#[tokio::test(start_paused = true)]
+async fn silent_connection_is_closed() {
+    let cluster = Cluster::start(65, plan(3)).await;
+    let server = cluster.site.server("claims-a").unwrap().clone();
+    server.set_slowness(Duration::from_millis(300));
+    let mut session = cluster.session("n1");
+    let sent = Instant::now();
+    let silence = async {
+        sleep(Duration::from_millis(100)).await;
+        cluster
+            .site
+            .network()
+            .silence(&Cut::Name("claims-a".into()));
+    };
+    let (result, ()) = tokio::join!(claim(&mut session, 7), silence);
+    let failure = result.unwrap_err();
+    assert_eq!(failure.verdict, Verdict::MayHaveRun, "{failure}");
+    assert!(
+        sent.elapsed() < Duration::from_secs(5),
+        "took {:?}",
+        sent.elapsed()
+    );
+    server.set_slowness(Duration::ZERO);
+    claim(&mut session, 8).await.unwrap();
+    assert_eq!(claims(&mut session, 8).await.unwrap(), 1);
+    assert!(cluster.total(|c| c.silent_connections) > 0);
+}
+
+/// Guards against a long statement that is taken for a hanging connection.
+#[tokio::test(start_paused = true)]
+async fn slow_statement_is_not_silent() {
+    let cluster = Cluster::start(66, plan(3)).await;
+    let mut session = cluster.session("n1");
+    session.options_mut().deadline = Some(Duration::from_secs(60));
+    run(&mut session, "SELECT work_ms(20000)").await.unwrap();
+    assert_eq!(cluster.total(|c| c.silent_connections), 0);
+}
+
+/// Guards against work that starts after its deadline.
+#[tokio::test(start_paused = true)]
+async fn work_past_its_deadline_does_not_run() {
+    let cluster = Cluster::start(67, plan(1)).await;
+    let mut tasks = JoinSet::new();
+    for _ in 0..4 {
+        let mut session = cluster.session("n1");
+        tasks.spawn(async move {
+            let sql = "UPDATE claims SET barista = barista WHERE work_ms(2000) >= 0";
+            run(&mut session, sql).await.map(|_| ())
+        });
+    }
+    sleep(Duration::from_millis(50)).await;
+    let mut session = cluster.session("n1");
+    session.options_mut().deadline = Some(Duration::from_millis(200));
+    let failure = claim(&mut session, 7).await.unwrap_err();
+    assert_eq!(failure.verdict, Verdict::NotRun);
+    assert!(
+        matches!(failure.kind, FailureKind::Deadline | FailureKind::Overload),
+        "{failure:?}"
+    );
+    tasks.join_all().await;
+    assert_eq!(claims(&mut cluster.session("n1"), 7).await.unwrap(), 0);
+}
