Read the member list a second time after joining

Cause: 128 nodes that start together knew each other after 42 s only, 620 after 49 s: nodes that join later are missing from the first member list, and rumours about them are pushed before all are reachable.

--- a/crates/siskinhook-fleet/src/membership.rs
+++ b/crates/siskinhook-fleet/src/membership.rs
@@ -118,6 +118,8 @@
     push_at: Option<Instant>,
     next_probe: Instant,
     next_hello: Instant,
+    /// Time of a second member list: nodes that start together are missing from the first.
+    relist_at: Option<Instant>,
     next_cleanup: Instant,
     seeds: Vec<SmolStr>,
     listed: IndexMap<NodeId, SmolStr>,
@@ -163,6 +165,7 @@
             push_at: None,
             next_probe: now + first,
             next_hello: now,
+            relist_at: None,
             next_cleanup: now + CLEANUP_INTERVAL,
             seeds,
             listed: IndexMap::new(),
@@ -287,6 +290,7 @@
             Some(self.next_probe),
             Some(self.next_hello),
             self.push_at,
+            self.relist_at,
             suspects,
         ]
         .into_iter()
@@ -312,6 +316,13 @@
             self.next_probe = now + self.settings.probe_interval;
             self.probe();
         }
+        if self.relist_at.is_some_and(|at| at <= now) {
+            self.relist_at = None;
+            let helper = self.pick(1).pop();
+            if let Some(address) = helper.and_then(|name| self.address(&name)) {
+                self.introduce(address, true);
+            }
+        }
         if self.push_at.is_some_and(|at| at <= now) {
             self.push(now);
         }
@@ -412,6 +423,9 @@
                     for rumour in members {
                         self.apply(now, rumour, false);
                     }
+                    if self.contact == Contact::Joining {
+                        self.relist_at = Some(now + self.settings.join_patience);
+                    }
                     self.settle();
                     self.next_hello = self.next_hello.min(now + self.settings.join_interval);
                 }
@@ -446,6 +460,8 @@
     pub fn stop(&mut self, now: Instant) {
         self.leave(now);
         self.departure = Departure::Stopped;
+        self.suspects.clear();
+        self.relist_at = None;
         self.push_at = Some(now);
         self.spread(now, &self.local.clone());
     }
@@ -558,6 +574,7 @@
             MemberState::Alive | MemberState::Leaving if newer => MemberState::Alive,
             MemberState::Dead if record.state == MemberState::Dead => {
                 record.incarnation = record.incarnation.max(rumour.incarnation);
+                self.count_transmission(&rumour.name);
                 return;
             }
             MemberState::Dead if record.leaving && (newer || same) => MemberState::Dead,
@@ -568,7 +585,13 @@
             {
                 MemberState::Suspect
             }
-            _ => return,
+            _ => {
+                if same {
+                    // Others spread it as well, so fewer transmissions of this node suffice.
+                    self.count_transmission(&rumour.name);
+                }
+                return;
+            }
         };
         record.incarnation = rumour.incarnation;
         if state == MemberState::Alive {
