--- a/crates/siskinhook-fleet/src/membership.rs
+++ b/crates/siskinhook-fleet/src/membership.rs
@@ -785,10 +785,11 @@
                 self.settle();
             }
         }
+        let joining = !self.is_joined();
         let mut addresses: Vec<SmolStr> = self
             .members
             .values()
-            .filter(|r| r.state == MemberState::Dead)
+            .filter(|r| joining || r.state == MemberState::Dead)
             .map(|r| r.profile.peer.clone())
             .collect();
         let unknown = self
--- a/crates/siskinhook-fleet/tests/support/mod.rs
+++ b/crates/siskinhook-fleet/tests/support/mod.rs
@@ -291,8 +291,12 @@
                         };
                         let target = probe.address.clone();
                         // The relay's own probe, answered at once when it gets through.
+                        let time = self.now;
                         let through = self.connected(&to, &target) && !self.lost();
-                        let up = self.nodes.get_mut(&target).filter(|n| n.paused.is_none());
+                        let up = self
+                            .nodes
+                            .get_mut(&target)
+                            .filter(|n| n.paused.is_none_or(|until| until <= time));
                         let result = up.filter(|_| through).map(|n| {
                             let Answer::Reply(r) = n.controller.request(now, probe.message) else {
                                 unreachable!("a probe is answered directly")
