--- a/crates/siskinhook-standin/src/platform.rs
+++ b/crates/siskinhook-standin/src/platform.rs
@@ -101,6 +101,11 @@
         lock(&self.inner).counts
     }
 
+    /// Sets the list of VMs as if it had always been so; without the lag of `set_vms`.
+    pub fn start_with_vms(&self, vms: Vec<VmRecord>) {
+        lock(&self.inner).vms = vec![(Instant::now(), vms)];
+    }
+
     /// Sets the VMs; the list shows them after its lag, the first one at once.
     pub fn set_vms(&self, vms: Vec<VmRecord>) {
         lock(&self.inner).vms.push((Instant::now(), vms));
@@ -108,7 +113,7 @@
 
     /// Takes the platform's time for a number of reads or writes and fails when it is down.
     async fn serve(&self, reads: u32, writes: u32) -> Result<(), PlatformError> {
-        let ready = {
+        let done = {
             let mut inner = lock(&self.inner);
             let now = Instant::now();
             let slow = match inner.state {
@@ -129,7 +134,7 @@
             };
             queue + SERVICE + slow
         };
-        sleep_until(ready).await;
+        sleep_until(done).await;
         if lock(&self.inner).state == PlatformState::Down {
             return Err(PlatformError::NotDone("the service went down".into()));
         }
