Add property tests and heal missed refutations

Cause: the property test against a naive full mesh found a node that held a live member dead for 130 s: it had missed the refutation, and the member ignored the outdated rumour in the answers to its probes. Change: digests carry the sender's incarnation; a node that knows an older one asks the sender to introduce itself. Dead members are re-probed in turn instead of at random. A joining node also asks members that it knows already. Conclusion: every direct contact now heals a missed refutation or announcement.

--- a/crates/siskinhook-fleet/examples/slopes.rs
+++ b/crates/siskinhook-fleet/examples/slopes.rs
@@ -448,6 +448,7 @@
     let client = RpcPeers::new(secret.clone());
     let probe = PeerMessage::Probe(Digest {
         from: "node-0002".into(),
+        incarnation: 0,
         revision: Some(1000),
         unknown: false,
         rumours: Vec::new(),
--- a/crates/siskinhook-fleet/src/membership.rs
+++ b/crates/siskinhook-fleet/src/membership.rs
@@ -57,6 +57,9 @@
     /// Kept apart from the state, so that a suspicion does not make a leaving node an owner.
     leaving: bool,
     incarnation: u64,
+    /// Highest incarnation that the member itself stated. A higher one than the record's
+    /// means that the gossip about it did not arrive.
+    stated: u64,
     revision: Revision,
     /// Start of the state.
     since: Instant,
@@ -118,6 +121,7 @@
     push_at: Option<Instant>,
     next_probe: Instant,
     next_hello: Instant,
+    hello_turn: usize,
     /// Time of a second member list: nodes that start together are missing from the first.
     relist_at: Option<Instant>,
     next_cleanup: Instant,
@@ -143,6 +147,7 @@
     ) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
         let first = settings.probe_interval.mul_f64(random.random());
+        let hello_turn = random.random_range(0..1024);
         Self {
             random,
             local,
@@ -165,6 +170,7 @@
             push_at: None,
             next_probe: now + first,
             next_hello: now,
+            hello_turn,
             relist_at: None,
             next_cleanup: now + CLEANUP_INTERVAL,
             seeds,
@@ -405,6 +411,11 @@
             Purpose::Direct(target) => {
                 if digest.is_none_or(|d| d.from != target) {
                     self.relay(now, &target);
+                } else if let Some(record) = self.members.get(&target)
+                    && record.stated > record.incarnation
+                {
+                    // Its answer to an introduction has its own rumour.
+                    self.introduce(record.profile.peer.clone(), false);
                 }
             }
             Purpose::Relayed(target) => {
@@ -480,16 +491,20 @@
         rumours.extend(self.take_rumours(limit));
         Digest {
             from: self.local.clone(),
+            incarnation: self.incarnation,
             revision: self.revision,
             unknown: false,
             rumours,
         }
     }
 
-    /// Digest of an answer; asks a sender that is not known to introduce itself.
+    /// Digest of an answer; asks a sender whose incarnation is not known to introduce itself.
     fn reply_digest(&mut self, from: Option<&NodeId>) -> Digest {
         let mut digest = self.digest(from, self.settings.probe_rumours);
-        digest.unknown = from.is_some_and(|name| !self.members.contains_key(name));
+        digest.unknown = from.is_some_and(|name| {
+            let record = self.members.get(name);
+            record.is_none_or(|r| r.stated > r.incarnation)
+        });
         digest
     }
 
@@ -552,6 +567,7 @@
         }
         if let Some(record) = self.members.get_mut(&digest.from) {
             record.revision = record.revision.max(digest.revision.unwrap_or_default());
+            record.stated = record.stated.max(digest.incarnation);
             if digest.unknown {
                 let address = record.profile.peer.clone();
                 self.introduce(address, false);
@@ -632,6 +648,7 @@
             state: MemberState::Dead,
             leaving: rumour.state == MemberState::Leaving,
             incarnation: rumour.incarnation,
+            stated: 0,
             revision: 0,
             since: now,
         };
@@ -785,10 +802,11 @@
                 self.settle();
             }
         }
+        let joining = !self.is_joined();
         let mut addresses: Vec<SmolStr> = self
             .members
             .values()
-            .filter(|r| r.state == MemberState::Dead)
+            .filter(|r| joining || r.state == MemberState::Dead)
             .map(|r| r.profile.peer.clone())
             .collect();
         let unknown = self
@@ -806,7 +824,12 @@
             let jitter = self.random.random_range(0.5..1.5);
             self.next_hello = now + self.settings.reprobe_interval.mul_f64(jitter);
         }
-        if let Some(address) = addresses.choose(&mut self.random).cloned() {
+        addresses.sort_unstable();
+        addresses.dedup();
+        if !addresses.is_empty() {
+            // In turn: a random choice may miss a live node for long among many dead ones.
+            self.hello_turn = (self.hello_turn + 1) % addresses.len();
+            let address = addresses.swap_remove(self.hello_turn);
             let all = !self.is_joined() || self.members.len() * 2 < self.listed.len();
             self.introduce(address, all);
         }
@@ -849,6 +872,7 @@
             };
             let digest = Digest {
                 from: self.local.clone(),
+                incarnation: self.incarnation,
                 revision: self.revision,
                 unknown: false,
                 rumours: rumours.clone(),
--- a/crates/siskinhook-fleet/src/message.rs
+++ b/crates/siskinhook-fleet/src/message.rs
@@ -43,10 +43,14 @@
         /// Sender.
         #[serde(rename = "f")]
         pub from: NodeId,
+        /// Incarnation of the sender.
+        #[serde(rename = "i", default, skip_serializing_if = "is_zero")]
+        pub incarnation: u64,
         /// Catalogue revision in force on the sender; `None` while it has no catalogue.
         #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
         pub revision: Option<Revision>,
-        /// Whether the sender does not know the receiver and asks it to introduce itself.
+        /// Whether the sender does not know the receiver's incarnation and asks it to introduce
+        /// itself.
         #[serde(rename = "w", default, skip_serializing_if = "is_false")]
         pub unknown: bool,
         /// Rumours.
--- /dev/null
+++ b/crates/siskinhook-fleet/tests/membership.rs
@@ -0,0 +1,159 @@
+//! Single messages between two members.
+
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use siskinhook_fleet::{
+    Answer, Call, Digest, FleetSettings, Membership, PeerMessage, Profile, Rumour,
+};
+use siskinhook_types::MemberState::{self, Alive, Dead, Suspect};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn profile(name: &str) -> Profile {
+    Profile {
+        region: "g".into(),
+        zone: "g-a".into(),
+        peer: name.into(),
+        link: name.into(),
+    }
+}
+
+fn node(name: &str, now: Instant) -> Membership {
+    let settings = FleetSettings::default();
+    Membership::new(settings, name.into(), profile(name), Vec::new(), 1, now)
+}
+
+/// A push from a third node with one rumour.
+fn news(name: &str, state: MemberState, incarnation: u64) -> PeerMessage {
+    let rumour = Rumour {
+        name: name.into(),
+        incarnation,
+        state,
+        profile: (state == Alive).then(|| profile(name)),
+    };
+    PeerMessage::News {
+        digest: Digest {
+            from: "c".into(),
+            incarnation: 0,
+            revision: None,
+            unknown: false,
+            rumours: vec![rumour],
+        },
+        changes: Vec::new(),
+    }
+}
+
+fn state(at: &Membership, name: &str) -> Option<MemberState> {
+    at.view().members.get(name).map(|m| m.state)
+}
+
+/// Passes calls between two nodes until neither makes any; others do not answer.
+fn exchange(now: Instant, a: &mut Membership, b: &mut Membership) {
+    for _ in 0..5 {
+        let deliver = |from: &mut Membership, to: &mut Membership, name: &str| {
+            for Call {
+                id,
+                address,
+                message,
+                ..
+            } in from.take_calls()
+            {
+                if address == name
+                    && let Answer::Reply(reply) = to.request(now, &message)
+                {
+                    from.completed(now, id, Some(&reply));
+                }
+            }
+        };
+        deliver(a, b, "b");
+        deliver(b, a, "a");
+    }
+}
+
+/// Guards against a member that stays dead for a node that missed its refutation although the
+/// two exchange probes (found by `agrees_with_a_full_mesh_after_faults`).
+#[test]
+fn missed_refutation_is_made_good_by_a_probe() {
+    let mut now = Instant::now();
+    let (mut a, mut b) = (node("a", now), node("b", now));
+    a.request(now, &news("b", Alive, 0));
+    b.request(now, &news("a", Alive, 0));
+    a.request(now, &news("b", Suspect, 0));
+    b.request(now, &news("b", Suspect, 0));
+    assert_eq!(b.view().members["b"].incarnation, 1);
+    for _ in 0..4 {
+        now += SECOND;
+        a.tick(now);
+        b.tick(now);
+    }
+    assert_eq!(state(&a, "b"), Some(Dead));
+    a.take_calls();
+    exchange(now, &mut a, &mut b);
+    assert_eq!(state(&a, "b"), Some(Alive));
+}
+
+/// Guards against a death taken on another node's word: a stale word from the far side of a
+/// healed cut would remove live members at once.
+#[test]
+fn word_of_a_death_is_a_suspicion() {
+    let now = Instant::now();
+    let mut a = node("a", now);
+    a.request(now, &news("b", Alive, 3));
+    a.request(now, &news("b", Dead, 2));
+    assert_eq!(state(&a, "b"), Some(Alive));
+    a.request(now, &news("b", Dead, 3));
+    assert_eq!(state(&a, "b"), Some(Suspect));
+    a.request(now, &news("b", Dead, 3));
+    assert_eq!(state(&a, "b"), Some(Suspect));
+    a.request(now, &news("b", Alive, 4));
+    assert_eq!(state(&a, "b"), Some(Alive));
+    a.request(now, &news("b", Suspect, 3));
+    assert_eq!(state(&a, "b"), Some(Alive));
+}
+
+/// Guards against a node of another name at a reused address that keeps a dead one alive.
+#[test]
+fn answer_of_another_node_is_no_answer() {
+    let mut now = Instant::now();
+    let mut a = node("a", now);
+    a.request(now, &news("b", Alive, 0));
+    let mut other = node("d", now);
+    let mut suspected = false;
+    for _ in 0..4 {
+        now += SECOND;
+        a.tick(now);
+        for call in a.take_calls() {
+            let reply = match other.request(now, &call.message) {
+                Answer::Reply(reply) => reply,
+                // The node probes itself in place of `b`.
+                Answer::Relay { .. } => {
+                    let result = PeerMessage::Ack(other.digest(None, 0));
+                    other.relayed(now, Some(&"a".into()), &"b".into(), Some(&result))
+                }
+            };
+            a.completed(now, call.id, Some(&reply));
+        }
+        suspected |= state(&a, "b") == Some(Suspect);
+    }
+    assert!(suspected);
+}
+
+/// Guards against messages that other versions cannot read, and against fields that make
+/// probes larger.
+#[test]
+fn wire_format_is_stable() {
+    let now = Instant::now();
+    let mut a = node("a", now);
+    let probe = news("b", Alive, 0);
+    let text = serde_json::to_string(&probe).unwrap();
+    let expected =
+        r#"{"n":{"d":{"f":"c","u":[{"n":"b","s":0,"p":{"r":"g","z":"g-a","p":"b","l":"b"}}]}}}"#;
+    assert_eq!(text, expected);
+    assert_eq!(serde_json::from_str::<PeerMessage>(&text).unwrap(), probe);
+    a.set_revision(7);
+    let reply = a.request(now, &PeerMessage::Pull { after: None });
+    assert_matches!(reply, Answer::Reply(ack) => {
+        assert_eq!(serde_json::to_string(&ack).unwrap(), r#"{"a":{"f":"a","r":7}}"#);
+    });
+}
--- /dev/null
+++ b/crates/siskinhook-fleet/tests/properties.rs
@@ -0,0 +1,227 @@
+//! Random faults: no revision reverts, and after a quiet time every node sees what a naive
+//! full mesh sees, in which each node asks every other one.
+
+mod support;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use proptest::{
+    prelude::*,
+    test_runner::{RngSeed, TestRunner},
+};
+use siskinhook_types::MemberState::{Alive, Dead};
+use support::{SECOND, Wires};
+
+const ZONES: [&str; 3] = ["g-a", "g-b", "h-a"];
+const PER_ZONE: usize = 3;
+/// Stated bound: reachable nodes see each other as alive, and unreachable ones as dead, this
+/// long after the last fault. Twice the longest time between two attempts to reach a dead
+/// member (1.5 times 30 s).
+const QUIET: Duration = Duration::from_secs(90);
+
+#[derive(Clone, Debug)]
+enum Step {
+    Edit(usize),
+    Kill(usize),
+    Boot(usize),
+    Pause(usize, u32),
+    Cut(Vec<usize>),
+    Loss(f64, f64, u64),
+    Platform { up: bool, stale: usize },
+    Run(u32),
+    Check,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let node = || 0..ZONES.len() * PER_ZONE;
+    prop_oneof![
+        4 => node().prop_map(Step::Edit),
+        1 => node().prop_map(Step::Kill),
+        2 => node().prop_map(Step::Boot),
+        1 => (node(), 1_u32..40).prop_map(|(n, s)| Step::Pause(n, s)),
+        1 => proptest::sample::subsequence(vec![0, 1, 2], 0..=1).prop_map(Step::Cut),
+        1 => (0.0..0.3, 0.0..0.3, 1_u64..300).prop_map(|(l, d, ms)| Step::Loss(l, d, ms)),
+        1 => (any::<bool>(), 0_usize..4).prop_map(|(up, stale)| Step::Platform { up, stale }),
+        3 => (0_u32..20).prop_map(Step::Run),
+        1 => Just(Step::Check),
+    ]
+}
+
+/// What each node sees when it asks every other one, and the newest revision it can learn.
+fn full_mesh(wires: &Wires) -> BTreeMap<String, (Vec<String>, u64)> {
+    let side = |name: &str| wires.cut.contains(&wires.nodes[name].zone);
+    let see = |at: &str| {
+        let reached = wires.nodes.keys().filter(|name| side(name) == side(at));
+        let reached: Vec<String> = reached.map(ToString::to_string).collect();
+        let revision = |name: &String| {
+            wires.nodes[name.as_str()]
+                .controller
+                .propagation()
+                .revision()
+        };
+        let newest = reached
+            .iter()
+            .filter_map(revision)
+            .max()
+            .unwrap_or_default();
+        let table = if wires.platform_up {
+            wires.table.len() - wires.stale.min(wires.table.len())
+        } else {
+            0
+        };
+        (reached, newest.max(table as u64))
+    };
+    let names = wires.nodes.keys();
+    names.map(|at| (at.to_string(), see(at))).collect()
+}
+
+/// What each node sees by membership and propagation.
+fn seen(wires: &Wires) -> BTreeMap<String, (Vec<String>, u64)> {
+    let see = |name: &str| {
+        let controller = &wires.nodes[name].controller;
+        let members = controller.membership().view().members;
+        let mut alive: Vec<String> = Vec::new();
+        for member in wires.nodes.keys() {
+            match members.get(member).map(|m| m.state) {
+                Some(Alive) => alive.push(member.to_string()),
+                Some(Dead) | None => {}
+                // Neither alive nor dead: differs from every answer of the full mesh.
+                Some(state) => alive.push(format!("{member} {state:?}")),
+            }
+        }
+        (
+            alive,
+            controller.propagation().revision().unwrap_or_default(),
+        )
+    };
+    let names = wires.nodes.keys();
+    names.map(|name| (name.to_string(), see(name))).collect()
+}
+
+fn check(wires: &mut Wires) -> Result<(), TestCaseError> {
+    wires.loss = 0.0;
+    wires.duplicates = 0.0;
+    wires.delay = Duration::from_millis(2);
+    // Pauses that are still under way end first.
+    wires.run(40 * SECOND + QUIET);
+    prop_assert_eq!(seen(wires), full_mesh(wires));
+    Ok(())
+}
+
+/// Name and zone of a node.
+fn vm(i: usize) -> (String, &'static str) {
+    let zone = ZONES[i / PER_ZONE];
+    (format!("{zone}-{}", i % PER_ZONE), zone)
+}
+
+fn apply(wires: &mut Wires, step: &Step) -> Result<(), TestCaseError> {
+    match step {
+        Step::Edit(i) if wires.nodes.contains_key(vm(*i).0.as_str()) => wires.edit(&vm(*i).0),
+        Step::Kill(i) if wires.nodes.len() > 2 => wires.kill(&vm(*i).0),
+        Step::Boot(i) => wires.boot(&vm(*i).0, vm(*i).1),
+        Step::Pause(i, seconds) if wires.nodes.contains_key(vm(*i).0.as_str()) => {
+            wires.pause(&vm(*i).0, *seconds * SECOND);
+        }
+        Step::Cut(zones) => wires.cut = zones.iter().map(|z| ZONES[*z].into()).collect(),
+        Step::Loss(loss, duplicates, delay) => {
+            wires.loss = *loss;
+            wires.duplicates = *duplicates;
+            wires.delay = Duration::from_millis(*delay);
+        }
+        Step::Platform { up, stale } => {
+            wires.platform_up = *up;
+            wires.stale = *stale;
+        }
+        Step::Run(seconds) => wires.run(*seconds * SECOND),
+        Step::Check => check(wires)?,
+        _ => {}
+    }
+    Ok(())
+}
+
+/// Runs cases with a fixed seed, so that every run checks the same ones. `FLEET_SEED` and
+/// `FLEET_CASES` in the environment check others.
+fn runner(cases: u32, seed: u64) -> TestRunner {
+    let set = |name: &str| std::env::var(name).ok()?.parse().ok();
+    let seed = set("FLEET_SEED").unwrap_or(seed);
+    let cases = set("FLEET_CASES").map_or(cases, |n| u32::try_from(n).unwrap_or(cases));
+    println!("proptest seed {seed}");
+    TestRunner::new(ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..ProptestConfig::default()
+    })
+}
+
+/// Guards against views and catalogues that stay wrong after any mix of faults, and (checked at
+/// every event) against a revision that goes back.
+#[test]
+fn agrees_with_a_full_mesh_after_faults() {
+    let steps = (any::<u64>(), proptest::collection::vec(step(), 1..40));
+    let result = runner(48, 1).run(&steps, |(seed, steps)| {
+        let mut wires = Wires::new(seed);
+        // The full mesh knows all addresses, so the nodes know them too, even when they start
+        // while the platform's list is down.
+        let names = (0..ZONES.len() * PER_ZONE).map(|i| vm(i).0.into());
+        wires.seeds = names.collect();
+        wires.start(&ZONES, PER_ZONE);
+        for step in &steps {
+            apply(&mut wires, step)?;
+        }
+        wires.cut.clear();
+        wires.platform_up = true;
+        wires.stale = 0;
+        check(&mut wires)?;
+        prop_assert!(wires.in_force(wires.table.len() as u64));
+        Ok(())
+    });
+    assert!(result.is_ok(), "{}", result.unwrap_err());
+}
+
+/// Guards against live nodes that are dropped, and stay dropped, under loss alone.
+#[test]
+fn loss_alone_keeps_nobody_dead() {
+    let result = runner(12, 2).run(&any::<u64>(), |seed| {
+        let mut wires = Wires::with_nodes(seed, &ZONES, PER_ZONE);
+        wires.run(30 * SECOND);
+        wires.loss = 0.1;
+        wires.duplicates = 0.1;
+        let mut dead = BTreeMap::new();
+        for _ in 0..300 {
+            wires.run(SECOND);
+            for at in wires.nodes.keys() {
+                for name in wires.nodes.keys() {
+                    if wires.state(at, name) == Some(Dead) {
+                        let seconds = dead.entry((at.clone(), name.clone())).or_insert(0);
+                        *seconds += 1;
+                        prop_assert!(*seconds * SECOND <= QUIET, "{at} holds {name} dead");
+                    } else {
+                        dead.remove(&(at.clone(), name.clone()));
+                    }
+                }
+            }
+        }
+        Ok(())
+    });
+    assert!(result.is_ok(), "{}", result.unwrap_err());
+}
+
+/// Guards against a change or a death that becomes known too late when some messages are lost.
+#[test]
+fn news_is_quick_under_loss() {
+    let result = runner(24, 3).run(&any::<u64>(), |seed| {
+        let mut wires = Wires::with_nodes(seed, &["g-a", "g-b", "g-c", "g-d"], 8);
+        prop_assert!(wires.run_until(60 * SECOND, Wires::converged).is_some());
+        wires.loss = 0.02;
+        wires.edit("g-a-0");
+        let time = wires.run_until(3 * SECOND, |w| w.in_force(1));
+        prop_assert!(time.is_some(), "the change is not in force after 3 s");
+        wires.kill("g-b-1");
+        let time = wires.run_until(15 * SECOND, |w| w.all_hold("g-b-1", Some(Dead)));
+        prop_assert!(time.is_some(), "the death is not known after 15 s");
+        Ok(())
+    });
+    assert!(result.is_ok(), "{}", result.unwrap_err());
+}
--- a/crates/siskinhook-fleet/tests/support/mod.rs
+++ b/crates/siskinhook-fleet/tests/support/mod.rs
@@ -93,18 +93,22 @@
         }
     }
 
-    /// Starts nodes `<zone>-<i>` and lists them.
     pub fn with_nodes(seed: u64, zones: &[&str], per_zone: usize) -> Self {
         let mut wires = Self::new(seed);
+        wires.start(zones, per_zone);
+        wires
+    }
+
+    /// Starts nodes `<zone>-<i>` and lists them.
+    pub fn start(&mut self, zones: &[&str], per_zone: usize) {
         for zone in zones {
             for i in 0..per_zone {
-                wires.list(&format!("{zone}-{i}"), zone);
+                self.list(&format!("{zone}-{i}"), zone);
             }
         }
-        for vm in wires.vms.clone() {
-            wires.boot(&vm.name, &vm.zone);
+        for vm in self.vms.clone() {
+            self.boot(&vm.name, &vm.zone);
         }
-        wires
     }
 
     pub fn list(&mut self, name: &str, zone: &str) {
@@ -291,8 +295,12 @@
                         };
                         let target = probe.address.clone();
                         // The relay's own probe, answered at once when it gets through.
+                        let time = self.now;
                         let through = self.connected(&to, &target) && !self.lost();
-                        let up = self.nodes.get_mut(&target).filter(|n| n.paused.is_none());
+                        let up = self
+                            .nodes
+                            .get_mut(&target)
+                            .filter(|n| n.paused.is_none_or(|until| until <= time));
                         let result = up.filter(|_| through).map(|n| {
                             let Answer::Reply(r) = n.controller.request(now, probe.message) else {
                                 unreachable!("a probe is answered directly")
