--- a/crates/siskinhook-engine/src/lib.rs
+++ b/crates/siskinhook-engine/src/lib.rs
@@ -1,1 +1,33 @@
 //! The node's request path behind the front end: owners, server connections, forwarding, failover.
+//!
+//! [`Engine`] runs on one node. Entry side: a [`Session`] classifies statements, chooses a
+//! server and sends the statement to the server's owner over a link. Owner side: an
+//! [`OwnerLink`] queues the statement, runs it on a server connection and confirms writes.
+
+mod answer;
+mod classify;
+mod clock;
+mod controller;
+mod core;
+mod counters;
+mod engine;
+mod entry;
+mod group;
+mod net;
+mod owner;
+mod path;
+mod pg;
+mod report;
+mod session;
+mod settings;
+
+pub use answer::Answer;
+pub use classify::{Classifier, Operation, classify};
+pub use counters::{Counters, CountersSnapshot};
+pub use engine::Engine;
+pub use net::{FrameLink, LinkOptions, TcpLinks, serve_link, serve_links};
+pub use owner::OwnerLink;
+pub use pg::{Login, PgOptions, PgTargets};
+pub use report::{DatabaseReport, EngineReport, ServerReport};
+pub use session::{CancelHandle, Session, SessionOptions, TransactionState};
+pub use settings::{EngineSettings, Identity};
