Give up statements on a server that cannot be reached any more

Cause: a write in flight when only its server was cut off never ended. Its owner node lived, and the silence check needs an answer over a new connection, which never came. Change: when the checks over new connections fail for 2 s, silent statements are given up as may have run; the entry node then resolves them at the new primary. Ruled out: the client's own deadline, which limits the start of a statement only.

--- a/crates/siskinhook-engine/src/owner/silence.rs
+++ b/crates/siskinhook-engine/src/owner/silence.rs
@@ -7,7 +7,7 @@
 
 use indexmap::IndexMap;
 use siskinhook_policy::{SilenceSettings, SilenceWatch};
-use siskinhook_types::{Control, Server, TargetSession, Targets};
+use siskinhook_types::{Control, FailureKind, Server, TargetSession, Targets};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -109,11 +109,22 @@
                     session.control(&Control::Status).await
                 })
                 .await;
-            let Ok(status) = status else { continue };
             let mut state = self.lock();
-            for id in state.watch.on_answer(started, status.running) {
+            let (silent, reason) = match status {
+                Ok(status) => (
+                    state.watch.on_answer(started, status.running),
+                    "the server answers on a new one and does not run its statement",
+                ),
+                // Refused for its connection limit, the server is alive.
+                Err(failure) if failure.kind == FailureKind::Overload => continue,
+                Err(_) => (
+                    state.watch.on_failure(started),
+                    "the server cannot be reached on a new one either",
+                ),
+            };
+            for id in silent {
                 log::warn!(target: "siskinhook::engine", event = 2004, server = server.name.as_str();
-                    "closes a silent connection; the server answers on a new one and does not run its statement");
+                    "closes a silent connection; {reason}");
                 count(&self.core.counters.silent_connections);
                 pool.renew();
                 if let Some(hangs) = state.silent.swap_remove(&id) {
--- /dev/null
+++ b/crates/siskinhook-engine/tests/unreachable.rs
@@ -0,0 +1,46 @@
+//! Statements in flight on a server that becomes unreachable.
+
+mod support;
+
+use std::time::Duration;
+
+use siskinhook_engine::SessionOptions;
+use siskinhook_standin::Cut;
+use support::{Cluster, claims, insert, plan};
+use tokio::time::{Instant, sleep, timeout};
+
+/// The stated target: each primary change is complete within 7 s.
+const TARGET: Duration = Duration::from_secs(7);
+
+/// Guards against a statement that hangs for good: its server is cut off while its owner node
+/// stays alive, so that neither the node nor a new connection tells what became of it.
+#[tokio::test(start_paused = true)]
+async fn write_in_flight_on_a_cut_off_primary_is_resolved() {
+    for seed in 0..20 {
+        println!("seed {seed}");
+        let cluster = Cluster::start(seed, plan(3)).await;
+        let options = SessionOptions {
+            request: Some("claim-1".into()),
+            ..SessionOptions::default()
+        };
+        let mut session = cluster.session_with("n2", options);
+        let primary = cluster.primary();
+        // The cut comes at different moments of the write.
+        let write = async {
+            sleep(Duration::from_millis(50)).await;
+            insert(&mut session, 1).await
+        };
+        let cut = async {
+            sleep(Duration::from_micros(50_000 + seed * 300)).await;
+            cluster.cut(Cut::Name(primary.clone()));
+            Instant::now()
+        };
+        let (result, cut) = timeout(Duration::from_secs(30), async { tokio::join!(write, cut) })
+            .await
+            .expect("the write got no answer");
+        assert!(cut.elapsed() < TARGET, "resolved after {:?}", cut.elapsed());
+        result.unwrap();
+        let mut other = cluster.session("n3");
+        assert_eq!(claims(&mut other, 1).await.unwrap(), 1);
+    }
+}
--- a/crates/siskinhook-policy/src/silence.rs
+++ b/crates/siskinhook-policy/src/silence.rs
@@ -12,6 +12,10 @@
     /// Time between two checks. A statement is given up only after two checks, because its
     /// answer may have been on its way during the first.
     pub repeat: Duration,
+    /// Time over which all checks fail until the server counts as unreachable. Long enough for
+    /// a check that is lost once, and short enough for a caller to get its outcome from the new
+    /// primary within the 7 s of a primary change.
+    pub unreachable: Duration,
 }
 
 impl Default for SilenceSettings {
@@ -19,6 +23,7 @@
         Self {
             quiet: Duration::from_secs(1),
             repeat: Duration::from_millis(500),
+            unreachable: Duration::from_secs(2),
         }
     }
 }
@@ -40,6 +45,8 @@
     settings: SilenceSettings,
     statements: IndexMap<u64, Progress>,
     asked: Option<Instant>,
+    /// Start of the first of the checks that failed in a row.
+    failing: Option<Instant>,
 }
 
 impl SilenceWatch {
@@ -50,6 +57,7 @@
             settings,
             statements: IndexMap::new(),
             asked: None,
+            failing: None,
         }
     }
 
@@ -89,6 +97,7 @@
     /// Takes the server's answer to a check that started at `started`: the number of statements
     /// it runs. Returns the statements whose connections are silent; they are no longer watched.
     pub fn on_answer(&mut self, started: Instant, running: u32) -> Vec<u64> {
+        self.failing = None;
         let settings = &self.settings;
         let quiet = |p: &Progress| p.last + settings.quiet <= started;
         let count = self.statements.len();
@@ -112,4 +121,24 @@
         }
         silent
     }
+    /// Notes that the check that started at `started` could not reach the server. Returns the
+    /// statements to give up: those that are silent themselves once the server has been
+    /// unreachable over new connections for long enough; they are no longer watched.
+    pub fn on_failure(&mut self, started: Instant) -> Vec<u64> {
+        let failing = *self.failing.get_or_insert(started);
+        if started < failing + self.settings.unreachable {
+            return Vec::new();
+        }
+        let quiet = self.settings.quiet;
+        let silent: Vec<u64> = self
+            .statements
+            .iter()
+            .filter(|(_, progress)| progress.last + quiet <= started)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in &silent {
+            self.statements.swap_remove(id);
+        }
+        silent
+    }
 }
