--- a/crates/siskinhook-catalogue/src/state.rs
+++ b/crates/siskinhook-catalogue/src/state.rs
@@ -6,10 +6,12 @@
 
 value_type! {
     /// The catalogue at one revision, with the revision that made each entry; stored as an
-    /// object every `SNAPSHOT_INTERVAL` revisions.
+    /// object every `SNAPSHOT_INTERVAL` revisions. The object reads as a plain `Catalogue` too;
+    /// nodes need no more.
     #[derive(Default)]
     pub struct Snapshot {
         /// The catalogue.
+        #[serde(flatten)]
         pub catalogue: Catalogue,
         /// Revision that made the current form of each entry.
         pub revisions: IndexMap<ServiceId, Revision>,
--- a/crates/siskinhook-catalogue/tests/store.rs
+++ b/crates/siskinhook-catalogue/tests/store.rs
@@ -11,7 +11,7 @@
     UndoRequest,
 };
 use siskinhook_platform::{Fault, MemoryPlatform};
-use siskinhook_types::{Entry, Platform, Revision};
+use siskinhook_types::{Catalogue, Entry, Platform, Revision};
 
 /// Reads of an edit before it commits: revision, changes, end of the audit trail, edit id.
 const READS: usize = 4;
@@ -318,6 +318,14 @@
     }
     let row = platform.get("catalogue/snapshot").await.unwrap().unwrap();
     assert_eq!(row.value, 2 * SNAPSHOT_INTERVAL);
+    // Nodes read the object as a plain catalogue.
+    let object = platform
+        .get_object("catalogue/snapshot/128")
+        .await
+        .unwrap()
+        .unwrap();
+    let catalogue: Catalogue = serde_json::from_slice(&object).unwrap();
+    assert_eq!((catalogue.revision, catalogue.entries.len()), (128, 2));
     let before = platform.calls();
     let loaded = CatalogueReader::new(platform.clone()).load().await.unwrap();
     assert!(platform.calls() - before <= 3);
--- a/crates/siskinhook-platform/src/budget.rs
+++ b/crates/siskinhook-platform/src/budget.rs
@@ -23,6 +23,20 @@
 /// Highest ceiling of the backoff: the nodes return over this time after an outage.
 const BACKOFF_CAP: Duration = Duration::from_secs(10);
 
+/// Failed or slow calls in a row from which the platform counts as down.
+const DOWN: u32 = 3;
+
+/// Health of the platform as this node's calls find it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// The last call was answered in time.
+    Good,
+    /// The last call was slow or failed.
+    Slow,
+    /// Three calls in a row failed.
+    Down,
+}
+
 /// Kind of a call; reads and writes have separate shares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -99,6 +113,7 @@
     reads: Bucket,
     writes: Bucket,
     failures: u32,
+    health: Health,
     resume: Option<Instant>,
     random: SmallRng,
 }
@@ -117,6 +132,7 @@
             reads: bucket(),
             writes: bucket(),
             failures: 0,
+            health: Health::Good,
             resume: None,
             random: SmallRng::seed_from_u64(seed),
         };
@@ -161,24 +177,37 @@
         bucket.take(debt, patience, now).map_err(Refusal::Share)
     }
 
-    /// Records a call that the platform answered after `elapsed`.
-    pub fn answered(&mut self, elapsed: Duration, now: Instant) {
+    /// Records a call that the platform answered after `elapsed`; returns the health of the
+    /// platform when it changed.
+    pub fn answered(&mut self, elapsed: Duration, now: Instant) -> Option<Health> {
         if elapsed >= self.settings.slow {
             self.back_off(now);
-        } else {
-            self.failures = 0;
-            self.resume = None;
+            return self.change(Health::Slow);
         }
+        self.failures = 0;
+        self.resume = None;
+        self.change(Health::Good)
     }
 
-    /// Records a call that failed.
-    pub fn failed(&mut self, now: Instant) {
+    /// Records a call that failed; returns the health of the platform when it changed.
+    pub fn failed(&mut self, now: Instant) -> Option<Health> {
         self.back_off(now);
         // Calls that piled up during an outage must not be sent in one burst afterwards.
         for bucket in [&mut self.reads, &mut self.writes] {
             bucket.refill(now);
             bucket.tokens = bucket.tokens.min(0.0);
         }
+        self.change(if self.failures >= DOWN {
+            Health::Down
+        } else {
+            Health::Slow
+        })
+    }
+
+    fn change(&mut self, health: Health) -> Option<Health> {
+        let changed = health != self.health;
+        self.health = health;
+        changed.then_some(health)
     }
 
     /// Full jitter: uniform between zero and a ceiling that doubles with each failure.
--- a/crates/siskinhook-platform/src/budgeted.rs
+++ b/crates/siskinhook-platform/src/budgeted.rs
@@ -9,7 +9,7 @@
 use siskinhook_types::{Batch, CommitOutcome, Platform, PlatformError, Row, VmRecord};
 use tokio::time::Instant;
 
-use crate::{Budget, BudgetSettings, CallKind, Counters};
+use crate::{Budget, BudgetSettings, CallKind, Counters, Health, Refusal};
 
 /// Wraps a platform client: calls wait for the node's share of the capacity, back off with
 /// full jitter when the platform fails or is slow, and return spread out after an outage.
@@ -69,7 +69,14 @@
             .lock()
             .reserve(kind, self.urgent, Instant::now().into_std());
         let wait = reserved.map_err(|refusal| {
-            self.counters.refused.fetch_add(1, Ordering::Relaxed);
+            let refused = match kind {
+                CallKind::Read => &self.counters.refused_reads,
+                CallKind::Write => &self.counters.refused_writes,
+            };
+            refused.fetch_add(1, Ordering::Relaxed);
+            if let Refusal::Share(_) = refusal {
+                log::warn!(event = 5005; "a call to the platform was not sent: {refusal}");
+            }
             PlatformError::NotDone(refusal.to_string())
         })?;
         if !wait.is_zero() {
@@ -86,16 +93,28 @@
         let start = Instant::now();
         let result = call.await;
         let now = Instant::now();
-        match &result {
+        let health = match &result {
             Ok(_) => self.lock().answered(now - start, now.into_std()),
-            Err(error) => {
-                self.lock().failed(now.into_std());
-                let counter = match error {
-                    PlatformError::NotDone(_) => &self.counters.failures,
-                    PlatformError::MayBeDone(_) => &self.counters.lost,
-                };
-                counter.fetch_add(1, Ordering::Relaxed);
+            Err(_) => self.lock().failed(now.into_std()),
+        };
+        match health {
+            Some(Health::Slow) => {
+                log::warn!(event = 5001; "a call to the platform was slow or failed");
             }
+            Some(Health::Down) => log::error!(event = 5002; "calls to the platform fail"),
+            Some(Health::Good) => log::info!(event = 5003; "the platform answers again"),
+            None => {}
+        }
+        if let Err(error) = &result {
+            let counter = match (error, kind) {
+                (PlatformError::MayBeDone(_), _) => {
+                    log::warn!(event = 5004; "{error}");
+                    &self.counters.lost
+                }
+                (PlatformError::NotDone(_), CallKind::Read) => &self.counters.failed_reads,
+                (PlatformError::NotDone(_), CallKind::Write) => &self.counters.failed_writes,
+            };
+            counter.fetch_add(1, Ordering::Relaxed);
         }
         result
     }
--- a/crates/siskinhook-platform/src/counters.rs
+++ b/crates/siskinhook-platform/src/counters.rs
@@ -9,9 +9,11 @@
 pub struct Counters {
     pub(crate) reads: AtomicU64,
     pub(crate) writes: AtomicU64,
-    pub(crate) failures: AtomicU64,
+    pub(crate) failed_reads: AtomicU64,
+    pub(crate) failed_writes: AtomicU64,
     pub(crate) lost: AtomicU64,
-    pub(crate) refused: AtomicU64,
+    pub(crate) refused_reads: AtomicU64,
+    pub(crate) refused_writes: AtomicU64,
     pub(crate) waited: AtomicU64,
 }
 
@@ -23,12 +25,16 @@
         pub reads: u64,
         /// Writes sent.
         pub writes: u64,
-        /// Calls that did not take effect.
-        pub failures: u64,
+        /// Reads that failed.
+        pub failed_reads: u64,
+        /// Writes that did not take effect.
+        pub failed_writes: u64,
         /// Writes whose answer was lost.
         pub lost: u64,
-        /// Calls that the budget refused without sending them.
-        pub refused: u64,
+        /// Reads that the budget refused without sending them.
+        pub refused_reads: u64,
+        /// Writes that the budget refused without sending them.
+        pub refused_writes: u64,
         /// Milliseconds that calls waited for the budget.
         pub waited: u64,
     }
@@ -41,14 +47,34 @@
         Self {
             reads: self.reads - earlier.reads,
             writes: self.writes - earlier.writes,
-            failures: self.failures - earlier.failures,
+            failed_reads: self.failed_reads - earlier.failed_reads,
+            failed_writes: self.failed_writes - earlier.failed_writes,
             lost: self.lost - earlier.lost,
-            refused: self.refused - earlier.refused,
+            refused_reads: self.refused_reads - earlier.refused_reads,
+            refused_writes: self.refused_writes - earlier.refused_writes,
             waited: self.waited - earlier.waited,
         }
     }
 }
 
+impl CountersSnapshot {
+    /// Lists kind, result and number of the calls, as the metric of platform calls names them.
+    /// A call in progress counts as done.
+    #[must_use]
+    pub const fn list(self) -> [(&'static str, &'static str, u64); 7] {
+        let failed = self.failed_writes + self.lost;
+        [
+            ("read", "done", self.reads.saturating_sub(self.failed_reads)),
+            ("read", "failed", self.failed_reads),
+            ("read", "refused", self.refused_reads),
+            ("write", "done", self.writes.saturating_sub(failed)),
+            ("write", "failed", self.failed_writes),
+            ("write", "lost", self.lost),
+            ("write", "refused", self.refused_writes),
+        ]
+    }
+}
+
 impl Counters {
     /// Reads the counters.
     #[must_use]
@@ -57,9 +83,11 @@
         CountersSnapshot {
             reads: load(&self.reads),
             writes: load(&self.writes),
-            failures: load(&self.failures),
+            failed_reads: load(&self.failed_reads),
+            failed_writes: load(&self.failed_writes),
             lost: load(&self.lost),
-            refused: load(&self.refused),
+            refused_reads: load(&self.refused_reads),
+            refused_writes: load(&self.refused_writes),
             waited: load(&self.waited),
         }
     }
--- a/crates/siskinhook-platform/src/lib.rs
+++ b/crates/siskinhook-platform/src/lib.rs
@@ -8,7 +8,7 @@
 mod rpc;
 
 pub use api::{PlatformApiClient, PlatformApiServer};
-pub use budget::{Budget, BudgetSettings, CallKind, Refusal};
+pub use budget::{Budget, BudgetSettings, CallKind, Health, Refusal};
 pub use budgeted::Budgeted;
 pub use counters::{Counters, CountersSnapshot};
 pub use memory::{Fault, MemoryPlatform};
--- a/crates/siskinhook-platform/tests/budget.rs
+++ b/crates/siskinhook-platform/tests/budget.rs
@@ -5,7 +5,7 @@
 use assert_matches::assert_matches;
 use futures::future::join_all;
 use siskinhook_platform::{
-    Budget, BudgetSettings, Budgeted, CallKind, Fault, MemoryPlatform, Refusal,
+    Budget, BudgetSettings, Budgeted, CallKind, Fault, Health, MemoryPlatform, Refusal,
 };
 use siskinhook_types::{Batch, Platform, PlatformError};
 use tokio::time;
@@ -103,7 +103,20 @@
     assert_eq!(platform.get("a").await, Ok(None));
     let counters = platform.counters().snapshot();
     assert_eq!(counters.reads, memory.calls());
-    assert_eq!(counters.refused + counters.failures, 100);
+    assert_eq!(counters.refused_reads + counters.failed_reads, 100);
+    let listed: Vec<_> = counters
+        .list()
+        .into_iter()
+        .filter(|(_, _, n)| *n > 0)
+        .collect();
+    assert_eq!(
+        listed,
+        [
+            ("read", "done", 2),
+            ("read", "failed", counters.failed_reads),
+            ("read", "refused", counters.refused_reads),
+        ]
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -129,3 +142,22 @@
     assert!(start.elapsed() >= Duration::from_secs(3));
     assert!(platform.counters().snapshot().waited >= 3000);
 }
+
+/// Each change of the platform's health is logged once, not with every call.
+#[test]
+fn health_changes_are_reported_once() {
+    let now = Instant::now();
+    let mut budget = Budget::new(settings(), 1, 1, now);
+    let fast = Duration::from_millis(5);
+    assert_eq!(budget.answered(fast, now), None);
+    assert_eq!(budget.failed(now), Some(Health::Slow));
+    assert_eq!(budget.failed(now), None);
+    assert_eq!(budget.failed(now), Some(Health::Down));
+    assert_eq!(budget.failed(now), None);
+    assert_eq!(budget.answered(fast, now), Some(Health::Good));
+    assert_eq!(
+        budget.answered(Duration::from_secs(1), now),
+        Some(Health::Slow)
+    );
+    assert_eq!(budget.answered(fast, now), Some(Health::Good));
+}
--- a/crates/siskinhook-telemetry/src/endpoint.rs
+++ b/crates/siskinhook-telemetry/src/endpoint.rs
@@ -12,7 +12,7 @@
 };
 use tokio::net::TcpListener;
 
-use crate::Metrics;
+use crate::{Event, Metrics};
 
 /// Whether the load balancer may send callers to the node. Clones share the state.
 #[derive(Clone, Debug)]
@@ -49,7 +49,15 @@
     }
 
     fn set(&self, reason: Option<String>) {
-        *self.reason.write().unwrap_or_else(PoisonError::into_inner) = reason;
+        let mut current = self.reason.write().unwrap_or_else(PoisonError::into_inner);
+        if *current == reason {
+            return;
+        }
+        match &reason {
+            None => crate::event!(Event::NodeReady; "ready for callers"),
+            Some(reason) => crate::event!(Event::NodeWaiting; "not ready for callers: {reason}"),
+        }
+        *current = reason;
     }
 }
 
--- a/crates/siskinhook-telemetry/src/lib.rs
+++ b/crates/siskinhook-telemetry/src/lib.rs
@@ -2,18 +2,21 @@
 
 mod endpoint;
 mod events;
+mod fleet;
 mod format;
 mod limit;
 mod logging;
 mod metrics;
 mod names;
+mod sampled;
 mod shape;
 
 pub use endpoint::{Readiness, serve};
 pub use events::{EVENTS, Event, EventInfo};
+pub use fleet::FleetLog;
 pub use limit::{Decision, RateLimit};
 pub use logging::{init, logger};
-pub use metrics::{Metrics, Pool, ReadSource, Refused};
+pub use metrics::Metrics;
 pub use names::{METRICS, MetricInfo, MetricKind};
 pub use shape::statement_shape;
 
--- a/crates/siskinhook-telemetry/src/metrics.rs
+++ b/crates/siskinhook-telemetry/src/metrics.rs
@@ -1,58 +1,27 @@
 //! Recording of metrics.
 
-use std::time::Duration;
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
 
 use anyhow::{Context, Result};
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Histogram, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-/// Bounds in seconds. 7 s is the limit of a failover, 0.5 ms the latency between zones.
-const BOUNDS: [f64; 16] = [
-    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 7.0, 30.0,
-];
-
-/// Where a read was served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReadSource {
-    /// By a replica.
-    Replica,
-    /// By the primary.
-    Primary,
-}
-
-/// Why a request was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refused {
-    /// The expected wait was too long.
-    Overload,
-    /// The deadline passed.
-    Deadline,
-    /// No server was fresh enough in time.
-    NotFresh,
-    /// No server could serve it.
-    Unavailable,
-    /// The node drains.
-    Draining,
-}
+use crate::sampled::Sampled;
 
-/// State of a connection to a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Pool {
-    /// Free.
-    Idle,
-    /// Running a statement.
-    Busy,
-    /// Held by a transaction.
-    Pinned,
-    /// For control commands.
-    Control,
-}
+/// Bounds of the failover gap in seconds; a primary change is complete within 7 s.
+const GAP_BOUNDS: [f64; 10] = [0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 7.0, 15.0, 60.0];
 
 /// The metrics of a node. Clones record into the same registry.
+///
+/// Gauges are exported while they are set at least every 15 seconds.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     registry: Registry,
@@ -61,28 +30,36 @@
     failover_gap: Histogram<f64>,
     completed: Counter<u64>,
     refusals: Counter<u64>,
-    queue_wait: Histogram<f64>,
-    queue_length: Gauge<u64>,
-    slots_busy: Gauge<u64>,
-    pool: Gauge<u64>,
-    owned_servers: Gauge<u64>,
-    takeovers: Counter<u64>,
-    group_term: Gauge<u64>,
-    promotions: Counter<u64>,
-    replica_lag: Gauge<u64>,
-    anchor_age: Gauge<f64>,
-    verdicts: Counter<u64>,
-    outcomes: Counter<u64>,
+    queue_waits: Counter<u64>,
+    queue_seconds: Counter<f64>,
+    requests: Counter<u64>,
+    reroutes: Counter<u64>,
+    not_fresh: Counter<u64>,
     retries: Counter<u64>,
-    callers: Gauge<u64>,
-    members: Gauge<u64>,
-    catalogue_revision: Gauge<u64>,
-    catalogue_delay: Histogram<f64>,
+    verdicts: Counter<u64>,
+    lookups: Counter<u64>,
+    unconfirmed: Counter<u64>,
+    connections_opened: Counter<u64>,
+    silent_connections: Counter<u64>,
+    promotions: Counter<u64>,
+    polls: Counter<u64>,
+    queue_length: Sampled,
+    pool: Sampled,
+    owned_servers: Sampled,
+    active: Sampled,
+    group_term: Sampled,
+    replica_lag: Sampled,
+    anchor_age: Sampled,
+    callers: Sampled,
+    members: Sampled,
+    catalogue_revision: Sampled,
+    audit_waiting: Sampled,
     control_bytes: Counter<u64>,
     control_messages: Counter<u64>,
     platform_calls: Counter<u64>,
     platform_wait: Counter<f64>,
-    audit_waiting: Gauge<u64>,
+    /// Totals of the engine's counters at the last sample.
+    totals: Arc<Mutex<HashMap<String, u64>>>,
 }
 
 impl Metrics {
@@ -91,6 +68,14 @@
     /// # Errors
     /// The exporter cannot be set up.
     pub fn new() -> Result<Self> {
+        Self::with_clock(Instant::now)
+    }
+
+    /// Creates metrics whose gauges expire by the clock passed in.
+    ///
+    /// # Errors
+    /// The exporter cannot be set up.
+    pub fn with_clock(clock: fn() -> Instant) -> Result<Self> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -101,35 +86,42 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("siskinhook");
         let counter = |name| meter.u64_counter(full(name)).build();
-        let gauge = |name| meter.u64_gauge(full(name)).build();
-        let histogram = |name| seconds(&meter, name);
+        let time = |name| meter.f64_counter(full(name)).build();
+        let gauge = |name, label| Sampled::new(&meter, full(name), label, clock);
         Ok(Self {
             reads: counter("reads"),
-            failover_gap: histogram("failover_gap_seconds"),
+            failover_gap: gap(&meter),
             completed: counter("completed"),
             refusals: counter("refusals"),
-            queue_wait: histogram("queue_wait_seconds"),
-            queue_length: gauge("queue_length"),
-            slots_busy: gauge("slots_busy"),
-            pool: gauge("pool_connections"),
-            owned_servers: gauge("owned_servers"),
-            takeovers: counter("takeovers"),
-            group_term: gauge("group_term"),
-            promotions: counter("promotions"),
-            replica_lag: gauge("replica_lag"),
-            anchor_age: meter.f64_gauge(full("anchor_age_seconds")).build(),
-            verdicts: counter("verdicts"),
-            outcomes: counter("outcomes"),
+            queue_waits: counter("queue_waits"),
+            queue_seconds: time("queue_wait_seconds"),
+            requests: counter("requests"),
+            reroutes: counter("reroutes"),
+            not_fresh: counter("not_fresh"),
             retries: counter("retries"),
-            callers: gauge("callers"),
-            members: gauge("members"),
-            catalogue_revision: gauge("catalogue_revision"),
-            catalogue_delay: histogram("catalogue_delay_seconds"),
+            verdicts: counter("verdicts"),
+            lookups: counter("lookups"),
+            unconfirmed: counter("unconfirmed_writes"),
+            connections_opened: counter("connections_opened"),
+            silent_connections: counter("silent_connections"),
+            promotions: counter("promotions"),
+            polls: counter("group_polls"),
+            queue_length: gauge("queue_length", "server"),
+            pool: gauge("pool_connections", "server"),
+            owned_servers: gauge("owned_servers", ""),
+            active: gauge("active_requests", ""),
+            group_term: gauge("group_term", "database"),
+            replica_lag: gauge("replica_lag", "server"),
+            anchor_age: gauge("anchor_age_seconds", "database"),
+            callers: gauge("callers", ""),
+            members: gauge("members", "state"),
+            catalogue_revision: gauge("catalogue_revision", ""),
+            audit_waiting: gauge("audit_waiting", ""),
             control_bytes: counter("control_bytes"),
             control_messages: counter("control_messages"),
             platform_calls: counter("platform_calls"),
-            platform_wait: meter.f64_counter(full("platform_wait_seconds")).build(),
-            audit_waiting: gauge("audit_waiting"),
+            platform_wait: time("platform_wait_seconds"),
+            totals: Arc::default(),
             registry,
             provider,
         })
@@ -154,147 +146,140 @@
         }
     }
 
-    /// Counts a read.
-    pub fn read(&self, database: &str, source: ReadSource) {
-        let source = match source {
-            ReadSource::Replica => "replica",
-            ReadSource::Primary => "primary",
-        };
-        self.reads
-            .add(1, &[label("database", database), label("source", source)]);
-    }
-
-    /// Records for how long writes were unavailable during a primary change.
-    pub fn failover_gap(&self, database: &str, gap: Duration) {
-        self.failover_gap
-            .record(gap.as_secs_f64(), &[label("database", database)]);
-    }
-
-    /// Counts a request answered within its deadline. `class` is `short` or `long`.
-    pub fn completed(&self, database: &str, class: &str) {
-        self.completed
-            .add(1, &[label("database", database), label("class", class)]);
+    /// Adds what the engine's counters rose by since the last call. Takes their names and totals;
+    /// returns the names that belong to no metric.
+    pub fn engine(&self, counters: &[(&str, u64)]) -> Vec<String> {
+        let mut totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut rise = HashMap::new();
+        for (name, total) in counters {
+            let before = totals.insert((*name).into(), *total).unwrap_or_default();
+            rise.insert(*name, total.saturating_sub(before));
+        }
+        self.failover_gaps(
+            rise.get("promotions").copied().unwrap_or_default(),
+            rise.get("failover_gap_millis").copied().unwrap_or_default(),
+        );
+        counters
+            .iter()
+            .filter(|(name, _)| !self.add(name, rise[name]))
+            .map(|(name, _)| (*name).into())
+            .collect()
     }
 
-    /// Counts a refused request.
-    pub fn refused(&self, database: &str, reason: Refused) {
-        let reason = match reason {
-            Refused::Overload => "overload",
-            Refused::Deadline => "deadline",
-            Refused::NotFresh => "not_fresh",
-            Refused::Unavailable => "unavailable",
-            Refused::Draining => "draining",
+    /// Adds to the metric of an engine counter; returns whether there is one.
+    fn add(&self, name: &str, rise: u64) -> bool {
+        let (counter, labels): (&Counter<u64>, &[KeyValue]) = match name {
+            "replica_reads" => (&self.reads, &[label("source", "replica")]),
+            "primary_reads" => (&self.reads, &[label("source", "primary")]),
+            "writes" => (&self.completed, &[label("kind", "write")]),
+            "inner_statements" => (&self.completed, &[label("kind", "inner")]),
+            "refused" => (&self.refusals, &[label("reason", "overload")]),
+            "deadlines" => (&self.refusals, &[label("reason", "deadline")]),
+            "short_waits" => (&self.queue_waits, &[label("class", "short")]),
+            "long_waits" => (&self.queue_waits, &[label("class", "long")]),
+            "short_wait_micros" => return self.waited("short", rise),
+            "long_wait_micros" => return self.waited("long", rise),
+            "owned" => (&self.requests, &[label("path", "owned")]),
+            "forwarded" => (&self.requests, &[label("path", "forwarded")]),
+            "reroutes" => (&self.reroutes, &[]),
+            "not_fresh" => (&self.not_fresh, &[]),
+            "retries" => (&self.retries, &[label("result", "sent")]),
+            "retries_refused" => (&self.retries, &[label("result", "refused")]),
+            "not_run" => (&self.verdicts, &[label("verdict", "not_run")]),
+            "may_have_run" => (&self.verdicts, &[label("verdict", "may_have_run")]),
+            "ran" => (&self.verdicts, &[label("verdict", "ran")]),
+            "lookups" => (&self.lookups, &[label("result", "asked")]),
+            "resolved" => (&self.lookups, &[label("result", "determined")]),
+            "not_confirmed" => (&self.unconfirmed, &[]),
+            "connections_opened" => (&self.connections_opened, &[]),
+            "silent_connections" => (&self.silent_connections, &[]),
+            "promotions" => (&self.promotions, &[]),
+            "polls" => (&self.polls, &[]),
+            // Recorded together with the promotions.
+            "failover_gap_millis" => return true,
+            _ => return false,
         };
-        self.refusals
-            .add(1, &[label("database", database), label("reason", reason)]);
+        counter.add(rise, labels);
+        true
     }
 
-    /// Records the time that a request waited for a slot.
-    pub fn queue_wait(&self, database: &str, class: &str, wait: Duration) {
-        self.queue_wait.record(
-            wait.as_secs_f64(),
-            &[label("database", database), label("class", class)],
-        );
+    fn waited(&self, class: &str, micros: u64) -> bool {
+        let time = Duration::from_micros(micros).as_secs_f64();
+        self.queue_seconds.add(time, &[label("class", class)]);
+        true
     }
 
-    /// Sets the number of requests that wait for a server.
-    pub fn queue_length(&self, server: &str, class: &str, length: u64) {
-        self.queue_length
-            .record(length, &[label("server", server), label("class", class)]);
+    /// Records the gaps of promotions since the last sample. With more than one in a sample, each
+    /// is recorded as their mean.
+    fn failover_gaps(&self, promotions: u64, millis: u64) {
+        let Ok(count) = u32::try_from(promotions) else {
+            return;
+        };
+        for _ in 0..count {
+            let gap = Duration::from_millis(millis) / count;
+            self.failover_gap.record(gap.as_secs_f64(), &[]);
+        }
     }
 
-    /// Sets the number of busy slots of a server.
-    pub fn slots_busy(&self, server: &str, slots: u64) {
-        self.slots_busy.record(slots, &[label("server", server)]);
+    /// Sets the number of requests that wait for a server that this node owns.
+    pub fn queue_length(&self, server: &str, length: u64) {
+        self.queue_length.set(Some(server), float(length));
     }
 
-    /// Sets the number of connections to a server in a state.
-    pub fn pool(&self, server: &str, state: Pool, connections: u64) {
-        let state = match state {
-            Pool::Idle => "idle",
-            Pool::Busy => "busy",
-            Pool::Pinned => "pinned",
-            Pool::Control => "control",
-        };
-        self.pool.record(
-            connections,
-            &[label("server", server), label("state", state)],
-        );
+    /// Sets the number of data connections to a server that this node owns.
+    pub fn pool(&self, server: &str, connections: u64) {
+        self.pool.set(Some(server), float(connections));
     }
 
-    /// Sets the number of servers that the node owns.
+    /// Sets the number of servers whose owner lock this node holds.
     pub fn owned_servers(&self, servers: u64) {
-        self.owned_servers.record(servers, &[]);
+        self.owned_servers.set(None, float(servers));
     }
 
-    /// Counts a server taken over from another node.
-    pub fn takeover(&self) {
-        self.takeovers.add(1, &[]);
+    /// Sets the number of requests in progress.
+    pub fn active_requests(&self, requests: u64) {
+        self.active.set(None, float(requests));
     }
 
     /// Sets the term of a group.
     pub fn group_term(&self, database: &str, term: u64) {
-        self.group_term.record(term, &[label("database", database)]);
-    }
-
-    /// Counts a promotion; `result` is `done`, `failed` or `deferred`.
-    pub fn promotion(&self, database: &str, result: &str) {
-        self.promotions
-            .add(1, &[label("database", database), label("result", result)]);
+        self.group_term.set(Some(database), float(term));
     }
 
     /// Sets how many log entries a replica is behind.
     pub fn replica_lag(&self, server: &str, entries: u64) {
-        self.replica_lag.record(entries, &[label("server", server)]);
+        self.replica_lag.set(Some(server), float(entries));
     }
 
     /// Sets the age of the newest anchor of a group.
     pub fn anchor_age(&self, database: &str, age: Duration) {
-        self.anchor_age
-            .record(age.as_secs_f64(), &[label("database", database)]);
-    }
-
-    /// Counts a failure by its verdict: `not_run`, `may_have_run` or `ran`.
-    pub fn verdict(&self, database: &str, verdict: &str) {
-        self.verdicts
-            .add(1, &[label("database", database), label("verdict", verdict)]);
-    }
-
-    /// Counts a look-up of an outcome; `result` is `ran`, `not_run` or `unknown`.
-    pub fn outcome(&self, database: &str, result: &str) {
-        self.outcomes
-            .add(1, &[label("database", database), label("result", result)]);
-    }
-
-    /// Counts a retry.
-    pub fn retry(&self, database: &str) {
-        self.retries.add(1, &[label("database", database)]);
+        self.anchor_age.set(Some(database), age.as_secs_f64());
     }
 
     /// Sets the number of connected callers.
     pub fn callers(&self, connections: u64) {
-        self.callers.record(connections, &[]);
+        self.callers.set(None, float(connections));
     }
 
     /// Sets the number of known nodes in a state: `alive`, `suspect`, `leaving` or `dead`.
     pub fn members(&self, state: &str, nodes: u64) {
-        self.members.record(nodes, &[label("state", state)]);
+        self.members.set(Some(state), float(nodes));
     }
 
     /// Sets the catalogue revision in force.
     pub fn catalogue_revision(&self, revision: u64) {
-        self.catalogue_revision.record(revision, &[]);
+        self.catalogue_revision.set(None, float(revision));
     }
 
-    /// Records how long after its acceptance a change came into force.
-    pub fn catalogue_delay(&self, delay: Duration) {
-        self.catalogue_delay.record(delay.as_secs_f64(), &[]);
+    /// Sets the number of audit records that wait for the platform.
+    pub fn audit_waiting(&self, records: u64) {
+        self.audit_waiting.set(None, float(records));
     }
 
-    /// Counts a control message; `direction` is `sent` or `received`.
-    pub fn control(&self, direction: &str, bytes: u64) {
+    /// Counts control messages; `direction` is `sent` or `received`.
+    pub fn control(&self, direction: &str, messages: u64, bytes: u64) {
         let labels = [label("direction", direction)];
-        self.control_messages.add(1, &labels);
+        self.control_messages.add(messages, &labels);
         self.control_bytes.add(bytes, &labels);
     }
 
@@ -309,24 +294,28 @@
     pub fn platform_wait(&self, wait: Duration) {
         self.platform_wait.add(wait.as_secs_f64(), &[]);
     }
-
-    /// Sets the number of audit records that wait for the platform.
-    pub fn audit_waiting(&self, records: u64) {
-        self.audit_waiting.record(records, &[]);
-    }
 }
 
 fn full(name: &str) -> String {
     format!("siskinhook_{name}")
 }
 
-fn seconds(meter: &Meter, name: &str) -> Histogram<f64> {
+fn gap(meter: &Meter) -> Histogram<f64> {
     meter
-        .f64_histogram(full(name))
-        .with_boundaries(BOUNDS.to_vec())
+        .f64_histogram(full("failover_gap_seconds"))
+        .with_boundaries(GAP_BOUNDS.to_vec())
         .build()
 }
 
 fn label(key: &'static str, value: &str) -> KeyValue {
     KeyValue::new(key, value.to_owned())
 }
+
+/// Gauges are floating point numbers on the wire; numbers above 2^53 lose their last digits.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "the format of Prometheus has no integers"
+)]
+fn float(number: u64) -> f64 {
+    number as f64
+}
--- a/crates/siskinhook-telemetry/tests/logging.rs
+++ b/crates/siskinhook-telemetry/tests/logging.rs
@@ -8,7 +8,12 @@
 
 use log::{Level, Log, Record, kv::Value};
 use siskinhook_settings::{LogFormat, LogSettings};
-use siskinhook_telemetry::{Decision, Event, RateLimit, logger, statement_shape};
+use siskinhook_telemetry::{Decision, Event, FleetLog, RateLimit, logger, statement_shape};
+use siskinhook_types::{
+    FleetView, Member,
+    MemberState::{self, Alive, Dead, Leaving, Suspect},
+};
+use smol_str::SmolStr;
 
 #[derive(Clone, Default)]
 struct Output(Arc<Mutex<Vec<u8>>>);
@@ -225,5 +230,70 @@
     siskinhook_telemetry::event!(Event::NodeStarted; "started");
     let zone = "ahd-a";
     siskinhook_telemetry::event!(Event::NodeReady, zone = zone, after:% = 3; "ready in {zone}");
-    assert_eq!(Event::NodeReady.number(), 1003);
+    assert_eq!(Event::NodeReady.number(), 1005);
+}
+
+/// Membership changes are logged once each, and not for the view that a node starts with.
+#[test]
+fn fleet_log_reports_changes_once() {
+    const NONE: [u64; 0] = [];
+    static LINES: Mutex<Vec<u64>> = Mutex::new(Vec::new());
+    struct Collect;
+    impl Log for Collect {
+        fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+            true
+        }
+        fn log(&self, record: &Record<'_>) {
+            let event = record
+                .key_values()
+                .get("event".into())
+                .and_then(|v| v.to_u64());
+            if record.target().ends_with("fleet") {
+                LINES
+                    .lock()
+                    .expect("no test panics while logging")
+                    .extend(event);
+            }
+        }
+        fn flush(&self) {}
+    }
+    // No other test of this file sets the logger of the process.
+    log::set_boxed_logger(Box::new(Collect)).unwrap();
+    log::set_max_level(log::LevelFilter::Info);
+    let view = |states: &[MemberState], revision| FleetView {
+        local: "n0".into(),
+        members: states
+            .iter()
+            .enumerate()
+            .map(|(index, state)| {
+                let name = SmolStr::from(format!("n{index}"));
+                let member = Member {
+                    name: name.clone(),
+                    region: "r".into(),
+                    zone: "z".into(),
+                    peer: "127.0.0.1:1".into(),
+                    link: "127.0.0.1:2".into(),
+                    state: *state,
+                    incarnation: 1,
+                    revision,
+                };
+                (name, member)
+            })
+            .collect(),
+    };
+    let mut fleet = FleetLog::default();
+    let mut step = |states: &[MemberState], revision| {
+        fleet.observe(&view(states, revision));
+        std::mem::take(&mut *LINES.lock().unwrap())
+    };
+    assert_eq!(step(&[Alive, Alive, Alive], 0), NONE);
+    assert_eq!(step(&[Alive, Alive, Alive], 7), [3020]);
+    assert_eq!(step(&[Alive, Suspect, Alive], 7), [3002]);
+    assert_eq!(step(&[Alive, Suspect, Alive], 7), NONE);
+    assert_eq!(step(&[Alive, Alive, Leaving], 7), [3005, 3004]);
+    assert_eq!(step(&[Alive, Suspect, Dead], 7), [3002, 3003, 3006]);
+    assert_eq!(
+        step(&[Alive, Alive, Dead, Alive], 8),
+        [3020, 3005, 3001, 3007]
+    );
 }
--- a/crates/siskinhook-telemetry/tests/pages.rs
+++ b/crates/siskinhook-telemetry/tests/pages.rs
@@ -1,9 +1,16 @@
 //! Keeps `docs/EVENTS.md` and `docs/METRICS.md` equal to the code. `UPDATE_GOLDEN=1` rewrites
 //! them.
 
-use std::{collections::HashSet, fmt::Write as _, fs, path::Path, time::Duration};
+use std::{
+    collections::HashSet,
+    fmt::Write as _,
+    fs,
+    path::{Path, PathBuf},
+    sync::{Mutex, atomic::Ordering},
+    time::{Duration, Instant},
+};
 
-use siskinhook_telemetry::{EVENTS, METRICS, MetricKind, Metrics, Pool, ReadSource, Refused};
+use siskinhook_telemetry::{EVENTS, Event, METRICS, MetricKind, Metrics};
 
 fn check_page(name: &str, expected: &str) {
     let path = Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -19,6 +26,84 @@
     );
 }
 
+/// Rust files of all crates and programs, without tests.
+fn sources(directory: &Path, out: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(directory).expect("the directory is readable") {
+        let path = entry.expect("the entry is readable").path();
+        let name = path.file_name().unwrap_or_default();
+        if path.is_dir() {
+            if name != "tests" && name != "target" && name != "benches" {
+                sources(&path, out);
+            }
+        } else if path.extension().is_some_and(|e| e == "rs") && name != "events.rs" {
+            out.push(path);
+        }
+    }
+}
+
+/// Events that the code logs, with the level of the macro where it is written out.
+fn logged() -> Vec<(u64, Option<String>, String)> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut files = Vec::new();
+    sources(&root.join("crates"), &mut files);
+    sources(&root.join("src"), &mut files);
+    let mut found = Vec::new();
+    for file in files {
+        let text = fs::read_to_string(&file).expect("the file is readable");
+        let place = file.display().to_string();
+        for (index, _) in text.match_indices("event = ") {
+            let digits: String = text[index + 8..]
+                .chars()
+                .take_while(char::is_ascii_digit)
+                .collect();
+            let Ok(number) = digits.parse() else { continue };
+            let start = text[..index]
+                .rfind("!(")
+                .expect("an event stands in a macro");
+            let name = text[..start].rsplit(|c: char| !c.is_alphanumeric()).next();
+            found.push((number, name.map(str::to_uppercase), place.clone()));
+        }
+        for info in EVENTS {
+            let name = format!("Event::{:?}", info.event);
+            let used = text.match_indices(&name).any(|(index, _)| {
+                !text[index + name.len()..].starts_with(|c: char| c.is_alphanumeric())
+            });
+            if used {
+                found.push((info.event.number(), None, place.clone()));
+            }
+        }
+    }
+    found
+}
+
+/// A number that the page does not explain, or that has another level there, misleads operators.
+#[test]
+fn logged_events_are_in_the_table() {
+    for (number, level, place) in logged() {
+        let info = EVENTS.iter().find(|info| info.event.number() == number);
+        let info = info.unwrap_or_else(|| panic!("{place}: event {number} is not in the table"));
+        if let Some(level) = level {
+            assert_eq!(
+                level,
+                info.level.as_str(),
+                "{place}: level of event {number}"
+            );
+        }
+    }
+}
+
+/// A page that explains events nobody logs misleads operators as well.
+#[test]
+fn events_of_the_table_are_logged() {
+    let numbers: HashSet<u64> = logged().into_iter().map(|(number, ..)| number).collect();
+    let missing: Vec<Event> = EVENTS
+        .iter()
+        .map(|info| info.event)
+        .filter(|event| !numbers.contains(&event.number()))
+        .collect();
+    assert_eq!(missing, []);
+}
+
 #[test]
 fn events_page_matches_the_table() {
     let mut page = String::from(
@@ -102,33 +187,30 @@
     check_page("METRICS.md", &page);
 }
 
-/// Records every metric once and compares names, kinds and labels with the table.
+/// Records every metric and compares names, kinds and labels with the table. Every counter of
+/// the engine must belong to a metric.
 #[test]
 fn exported_metrics_match_the_table() {
     let metrics = Metrics::new().unwrap();
     let second = Duration::from_secs(1);
-    metrics.read("shifts", ReadSource::Replica);
-    metrics.failover_gap("shifts", second);
-    metrics.completed("shifts", "short");
-    metrics.refused("shifts", Refused::Overload);
-    metrics.queue_wait("shifts", "short", second);
-    metrics.queue_length("shifts-1", "short", 3);
-    metrics.slots_busy("shifts-1", 2);
-    metrics.pool("shifts-1", Pool::Pinned, 4);
+    let counters = siskinhook_engine::Counters::default();
+    counters.promotions.store(1, Ordering::Relaxed);
+    assert_eq!(
+        metrics.engine(&counters.snapshot().list()),
+        Vec::<String>::new()
+    );
+    assert_eq!(metrics.engine(&[("unheard_of", 1)]), ["unheard_of"]);
+    metrics.queue_length("shifts-1", 3);
+    metrics.pool("shifts-1", 4);
     metrics.owned_servers(5);
-    metrics.takeover();
+    metrics.active_requests(6);
     metrics.group_term("shifts", 7);
-    metrics.promotion("shifts", "done");
     metrics.replica_lag("shifts-2", 9);
     metrics.anchor_age("shifts", second);
-    metrics.verdict("shifts", "not_run");
-    metrics.outcome("shifts", "ran");
-    metrics.retry("shifts");
     metrics.callers(10);
     metrics.members("alive", 8);
     metrics.catalogue_revision(12);
-    metrics.catalogue_delay(second);
-    metrics.control("sent", 100);
+    metrics.control("sent", 1, 100);
     metrics.platform_calls("read", "done", 2);
     metrics.platform_wait(second);
     metrics.audit_waiting(1);
@@ -155,10 +237,66 @@
             );
         }
     }
-    assert!(text.contains("siskinhook_pool_connections{"));
-    assert!(
-        text.lines()
-            .any(|l| l.starts_with("siskinhook_callers") && l.ends_with(" 10"))
+}
+
+/// Returns the value of the first line that starts with a name and contains a label.
+fn value(text: &str, name: &str, label: &str) -> Option<f64> {
+    let line = text
+        .lines()
+        .find(|l| l.starts_with(name) && l.contains(label))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+/// Totals that the engine reports once a second must not be added up again each time.
+#[test]
+fn engine_totals_are_added_once() {
+    let metrics = Metrics::new().unwrap();
+    for (promotions, gaps) in [(0, 0), (1, 2400), (1, 2400), (3, 4400)] {
+        metrics.engine(&[
+            ("replica_reads", promotions * 10),
+            ("primary_reads", 5),
+            ("short_wait_micros", promotions * 500_000),
+            ("promotions", promotions),
+            ("failover_gap_millis", gaps),
+        ]);
+    }
+    let text = metrics.text().unwrap();
+    let found = |name, label| value(&text, name, label);
+    assert_eq!(found("siskinhook_reads_total", "replica"), Some(30.0));
+    assert_eq!(found("siskinhook_reads_total", "primary"), Some(5.0));
+    assert_eq!(
+        found("siskinhook_queue_wait_seconds_total", "short"),
+        Some(1.5)
+    );
+    assert_eq!(
+        found("siskinhook_failover_gap_seconds_count", ""),
+        Some(3.0)
+    );
+    assert_eq!(found("siskinhook_failover_gap_seconds_sum", ""), Some(4.4));
+    assert_eq!(
+        found("siskinhook_failover_gap_seconds_bucket", "le=\"1\""),
+        Some(2.0)
+    );
+}
+
+/// A node that lost a server must not show its last queue for ever.
+#[test]
+fn gauges_that_nobody_sets_vanish() {
+    static NOW: Mutex<Option<Instant>> = Mutex::new(None);
+    let set = |time| *NOW.lock().unwrap() = Some(time);
+    let start = Instant::now();
+    set(start);
+    let metrics = Metrics::with_clock(|| NOW.lock().unwrap().unwrap()).unwrap();
+    metrics.queue_length("shifts-1", 3);
+    metrics.queue_length("shifts-2", 4);
+    set(start + Duration::from_secs(10));
+    metrics.queue_length("shifts-2", 5);
+    set(start + Duration::from_secs(20));
+    let text = metrics.text().unwrap();
+    assert_eq!(value(&text, "siskinhook_queue_length", "shifts-1"), None);
+    assert_eq!(
+        value(&text, "siskinhook_queue_length", "shifts-2"),
+        Some(5.0)
     );
 }
 
