Test the fleet task over loopback and in process

Cause: the I/O shell, the MAC and the reader of the platform had no test. Change: five tests: join and change over real connections, wrong secret, request for another node, clean shutdown, bootstrap after an outage, cut zone.

--- /dev/null
+++ b/crates/siskinhook-fleet/tests/shell.rs
@@ -0,0 +1,229 @@
+//! The task around the state machines, over loopback and over the in-process network.
+
+#[path = "support/table.rs"]
+mod table;
+
+use std::{net::TcpListener, time::Duration};
+
+use siskinhook_fleet::{
+    Digest, Fleet, FleetSettings, Identity, MemoryNetwork, MemorySettings, PeerMessage, Peers,
+    Profile, RpcPeers, Secret, serve,
+};
+use siskinhook_types::{Catalogue, Change, MemberState, VmRecord};
+use table::Table;
+use tokio::time::timeout;
+
+fn vm(name: &str, address: &str) -> VmRecord {
+    VmRecord {
+        name: name.into(),
+        region: "g".into(),
+        zone: "g-a".into(),
+        address: address.into(),
+        leaving: false,
+    }
+}
+
+fn identity(vm: &VmRecord) -> Identity {
+    Identity {
+        name: vm.name.clone(),
+        profile: Profile {
+            region: vm.region.clone(),
+            zone: vm.zone.clone(),
+            peer: vm.address.clone(),
+            link: vm.address.clone(),
+        },
+        seeds: Vec::new(),
+    }
+}
+
+fn change(revision: u64) -> Change {
+    Change {
+        revision,
+        edit: format!("edit-{revision}").into(),
+        service: "service".into(),
+        entry: None,
+    }
+}
+
+/// Starts nodes on an in-process network.
+fn memory(table: &Table, loss: f64, vms: &[VmRecord]) -> (MemoryNetwork, Vec<Fleet>) {
+    let network = MemoryNetwork::new(MemorySettings {
+        loss,
+        ..MemorySettings::default()
+    });
+    table.content().vms = vms.to_vec();
+    let start = |(seed, vm): (u64, &VmRecord)| {
+        let peers = network.add(&vm.address, &vm.region, &vm.zone);
+        let settings = FleetSettings::default();
+        let fleet = Fleet::start(settings, identity(vm), seed, peers, table.clone());
+        network.attach(&vm.address, fleet.clone());
+        fleet
+    };
+    let fleets = (1..).zip(vms).map(start).collect();
+    (network, fleets)
+}
+
+/// Waits until a node holds a member in the state; `None` stands for unknown.
+async fn holds(fleet: &Fleet, name: &str, state: MemberState) {
+    let mut view = fleet.view();
+    let wait = view.wait_for(|v| v.members.get(name).map(|m| m.state) == Some(state));
+    let result = timeout(Duration::from_mins(1), wait).await;
+    assert!(
+        result.is_ok_and(|r| r.is_ok()),
+        "{name} does not become {state:?}"
+    );
+}
+
+async fn in_force(fleet: &Fleet, revision: u64) {
+    let mut catalogue = fleet.catalogue();
+    let wait = catalogue.wait_for(|c| c.revision == revision);
+    let result = timeout(Duration::from_mins(1), wait).await;
+    assert!(
+        result.is_ok_and(|r| r.is_ok()),
+        "revision {revision} does not come into force"
+    );
+}
+
+/// Guards against nodes that do not find each other or a change over real connections, and
+/// against messages that are accepted without the secret or were meant for another node.
+#[tokio::test]
+async fn nodes_over_loopback() {
+    let table = Table::default();
+    let secret = Secret::new("secret");
+    let listeners: Vec<TcpListener> = (0..3)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    let addresses: Vec<String> = listeners
+        .iter()
+        .map(|l| l.local_addr().unwrap().to_string())
+        .collect();
+    let names = ["node-0", "node-1", "node-2"];
+    table.content().vms = names
+        .iter()
+        .zip(&addresses)
+        .map(|(n, a)| vm(n, a))
+        .collect();
+    let vms = table.content().vms.clone();
+    let mut fleets = Vec::new();
+    let mut servers = Vec::new();
+    for ((seed, vm), listener) in (1..).zip(&vms).zip(listeners) {
+        let peers = RpcPeers::new(secret.clone());
+        let settings = FleetSettings::default();
+        let fleet = Fleet::start(settings, identity(vm), seed, peers, table.clone());
+        let server = serve(listener, vm.address.clone(), secret.clone(), fleet.clone());
+        servers.push(server.unwrap());
+        fleets.push(fleet);
+    }
+    for fleet in &fleets {
+        for name in names {
+            holds(fleet, name, MemberState::Alive).await;
+        }
+    }
+    table.content().changes.push(change(1));
+    fleets[0].publish(change(1)).await;
+    for fleet in &fleets {
+        in_force(fleet, 1).await;
+    }
+
+    let probe = PeerMessage::Probe(Digest {
+        from: "node-1".into(),
+        incarnation: 0,
+        revision: None,
+        unknown: false,
+        rumours: Vec::new(),
+    });
+    let ack = RpcPeers::new(secret)
+        .call(&addresses[0], probe.clone())
+        .await;
+    assert_eq!(ack.unwrap().kind(), "ack");
+    let error = RpcPeers::new(Secret::new("other"))
+        .call(&addresses[0], probe)
+        .await
+        .unwrap_err();
+    assert!(error.reason.contains("wrong MAC"), "{error}");
+}
+
+/// Guards against a request that was signed for one node and is accepted by another one.
+#[tokio::test]
+async fn request_for_another_node_is_rejected() {
+    let (_network, fleets) = memory(&Table::default(), 0.0, &[vm("a", "a")]);
+    let secret = Secret::new("secret");
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let _server = serve(
+        listener,
+        "10.0.0.1:7400".into(),
+        secret.clone(),
+        fleets[0].clone(),
+    );
+    let pull = PeerMessage::Pull { after: None };
+    let error = RpcPeers::new(secret)
+        .call(&address, pull)
+        .await
+        .unwrap_err();
+    assert!(error.reason.contains("wrong MAC"), "{error}");
+}
+
+/// Guards against a shutdown that others learn of by suspicion only, and a handle that hangs
+/// after it.
+#[tokio::test(start_paused = true)]
+async fn leaving_and_stopping() {
+    let vms = [vm("a", "a"), vm("b", "b"), vm("c", "c")];
+    let (_network, fleets) = memory(&Table::default(), 0.0, &vms);
+    for fleet in &fleets {
+        holds(fleet, "a", MemberState::Alive).await;
+    }
+    fleets[0].announce_leaving().await;
+    holds(&fleets[0], "a", MemberState::Leaving).await;
+    holds(&fleets[1], "a", MemberState::Leaving).await;
+    let start = tokio::time::Instant::now();
+    fleets[0].stop().await;
+    holds(&fleets[1], "a", MemberState::Dead).await;
+    assert!(start.elapsed() < FleetSettings::default().suspicion);
+    let pull = PeerMessage::Pull { after: None };
+    assert_eq!(fleets[0].receive(pull).await, None);
+}
+
+/// Guards against a fresh node that misses the snapshot or the changes after it, a catalogue
+/// taken for empty during an outage, and a status that does not say what the node waits for.
+#[tokio::test(start_paused = true)]
+async fn snapshot_after_an_outage() {
+    let table = Table::default();
+    table.content().snapshot = Catalogue {
+        revision: 640,
+        ..Catalogue::default()
+    };
+    let changes = (641..=800).map(change);
+    table.content().changes = changes.collect();
+    table.content().down = true;
+    let (_network, fleets) = memory(&table, 0.0, &[vm("a", "a"), vm("b", "b")]);
+    tokio::time::sleep(Duration::from_mins(1)).await;
+    let status = fleets[0].status().borrow().clone();
+    assert!(!status.settled);
+    let reason = status.waits_for.unwrap();
+    assert!(reason.contains("the platform is down"), "{reason}");
+    table.content().down = false;
+    let start = tokio::time::Instant::now();
+    for fleet in &fleets {
+        in_force(fleet, 800).await;
+        assert_eq!(fleet.status().borrow().waits_for, None);
+    }
+    // Reads resume spread over the backoff limit.
+    assert!(start.elapsed() < FleetSettings::default().backoff_limit + Duration::from_secs(1));
+}
+
+/// Guards against a whole zone that stays apart after a cut on the in-process network.
+#[tokio::test(start_paused = true)]
+async fn cut_zone_returns() {
+    let mut vms = [vm("a", "a"), vm("b", "b"), vm("c", "c")];
+    vms[2].zone = "g-b".into();
+    let (network, fleets) = memory(&Table::default(), 0.02, &vms);
+    holds(&fleets[0], "c", MemberState::Alive).await;
+    holds(&fleets[2], "a", MemberState::Alive).await;
+    network.cut(&["g-b"]);
+    holds(&fleets[0], "c", MemberState::Dead).await;
+    holds(&fleets[2], "a", MemberState::Dead).await;
+    network.cut(&[]);
+    holds(&fleets[0], "c", MemberState::Alive).await;
+    holds(&fleets[2], "a", MemberState::Alive).await;
+}
