--- a/crates/siskinhook-fleet/src/membership.rs
+++ b/crates/siskinhook-fleet/src/membership.rs
@@ -18,6 +18,9 @@
 /// Time between two searches for dead members to forget.
 const CLEANUP_INTERVAL: Duration = Duration::from_mins(1);
 
+/// Time over which nodes spread their attempts to reach other dead members when one came back.
+const REVIVAL_SPREAD: Duration = Duration::from_secs(5);
+
 /// Number of a call, unique on its node.
 pub type CallId = u64;
 
@@ -682,9 +685,14 @@
         } else {
             self.suspects.shift_remove(name);
         }
-        if returned && !self.ring.contains(name) {
-            let place = self.random.random_range(0..=self.ring.len());
-            self.ring.insert(place, name.clone());
+        if returned {
+            if !self.ring.contains(name) {
+                let place = self.random.random_range(0..=self.ring.len());
+                self.ring.insert(place, name.clone());
+            }
+            // Other dead members may be back as well: a cut may have healed.
+            let wait = REVIVAL_SPREAD.mul_f64(self.random.random());
+            self.next_hello = self.next_hello.min(now + wait);
         }
         self.changed = true;
         self.spread(now, name);
