Limit pushes of members and go on past dead ones when a cut heals

Cause: 620 nodes took 119 s to merge after a cut and sent 6.8 KB/s in its first minute, most of it framing of pushes with few rumours each. Change: at most one push per 200 ms; the word of a death is not pushed, because each node's own timer decides; a node makes up to 16 attempts at other dead members when one came back.

--- a/crates/siskinhook-fleet/src/membership.rs
+++ b/crates/siskinhook-fleet/src/membership.rs
@@ -20,6 +20,9 @@
 
 /// Time over which nodes spread their attempts to reach other dead members when one came back.
 const REVIVAL_SPREAD: Duration = Duration::from_secs(5);
+/// Attempts to reach other dead members when one came back. Each further one that comes back
+/// allows as many again, so the attempts go on while a cut heals.
+const REVIVAL_ATTEMPTS: usize = 16;
 
 /// Number of a call, unique on its node.
 pub type CallId = u64;
@@ -122,9 +125,12 @@
     /// Members whose rumour has not been pushed yet.
     unpushed: Vec<NodeId>,
     push_at: Option<Instant>,
+    pushed_at: Instant,
     next_probe: Instant,
     next_hello: Instant,
     hello_turn: usize,
+    /// Attempts left after a dead member came back.
+    attempts: usize,
     /// Time of a second member list: nodes that start together are missing from the first.
     relist_at: Option<Instant>,
     next_cleanup: Instant,
@@ -171,9 +177,11 @@
             rumours: IndexMap::new(),
             unpushed: Vec::new(),
             push_at: None,
+            pushed_at: now,
             next_probe: now + first,
             next_hello: now,
             hello_turn,
+            attempts: 0,
             relist_at: None,
             next_cleanup: now + CLEANUP_INTERVAL,
             seeds,
@@ -441,7 +449,6 @@
                         self.relist_at = Some(now + self.settings.join_patience);
                     }
                     self.settle();
-                    self.next_hello = self.next_hello.min(now + self.settings.join_interval);
                 }
             }
             Purpose::Push => {}
@@ -561,7 +568,9 @@
         if !self.unpushed.contains(name) {
             self.unpushed.push(name.clone());
         }
-        self.push_at.get_or_insert(now + self.settings.push_delay);
+        let earliest = self.pushed_at + self.settings.push_spacing;
+        let at = earliest.max(now + self.settings.push_delay);
+        self.push_at.get_or_insert(at);
     }
 
     fn absorb(&mut self, now: Instant, digest: &Digest) {
@@ -677,6 +686,7 @@
             return;
         };
         let returned = record.state == MemberState::Dead && state != MemberState::Dead;
+        let leaving = record.leaving;
         record.state = state;
         record.since = now;
         if state == MemberState::Suspect {
@@ -691,11 +701,17 @@
                 self.ring.insert(place, name.clone());
             }
             // Other dead members may be back as well: a cut may have healed.
+            self.attempts = REVIVAL_ATTEMPTS;
             let wait = REVIVAL_SPREAD.mul_f64(self.random.random());
             self.next_hello = self.next_hello.min(now + wait);
         }
         self.changed = true;
-        self.spread(now, name);
+        if state == MemberState::Dead && !leaving {
+            // Every node's own timer decides on a death, so the word of it is not urgent.
+            self.rumours.insert(name.clone(), 0);
+        } else {
+            self.spread(now, name);
+        }
     }
 
     fn suspect(&mut self, now: Instant, name: &NodeId) {
@@ -827,13 +843,17 @@
             **seed != self.profile.peer && live.all(|peer| peer != *seed)
         });
         addresses.extend(seeds.cloned());
+        addresses.sort_unstable();
+        addresses.dedup();
         if self.is_joined() {
+            self.attempts = self.attempts.min(addresses.len()).saturating_sub(1);
+            let interval = match self.attempts {
+                0 => self.settings.reprobe_interval,
+                _ => self.settings.join_interval,
+            };
             // Jitter keeps nodes that lost the same members from retrying in step.
-            let jitter = self.random.random_range(0.5..1.5);
-            self.next_hello = now + self.settings.reprobe_interval.mul_f64(jitter);
+            self.next_hello = now + interval.mul_f64(self.random.random_range(0.5..1.5));
         }
-        addresses.sort_unstable();
-        addresses.dedup();
         if !addresses.is_empty() {
             // In turn: a random choice may miss a live node for long among many dead ones.
             self.hello_turn = (self.hello_turn + 1) % addresses.len();
@@ -871,8 +891,9 @@
         if rumours.is_empty() {
             return;
         }
+        self.pushed_at = now;
         if !self.unpushed.is_empty() {
-            self.push_at = Some(now + self.settings.push_delay);
+            self.push_at = Some(now + self.settings.push_spacing);
         }
         for target in self.pick(self.settings.fan_out) {
             let Some(address) = self.address(&target) else {
--- a/crates/siskinhook-fleet/src/settings.rs
+++ b/crates/siskinhook-fleet/src/settings.rs
@@ -25,6 +25,8 @@
     pub fan_out: usize,
     /// Delay before news of members is pushed, to collect several in one message.
     pub push_delay: Duration,
+    /// Shortest time between two pushes. Limits the messages when many members change at once.
+    pub push_spacing: Duration,
     /// Rumours piggybacked on one probe or answer.
     pub probe_rumours: usize,
     /// Rumours in one push.
@@ -33,7 +35,7 @@
     pub retransmits: u32,
     /// Time between two attempts to reach a dead or a listed but unknown node.
     pub reprobe_interval: Duration,
-    /// Time between two such attempts after a successful one, and while joining.
+    /// Time between two such attempts while joining, and after a dead member came back.
     pub join_interval: Duration,
     /// Time without any answer after which a node whose list names others goes on alone.
     pub join_patience: Duration,
@@ -67,6 +69,7 @@
             suspicion: Duration::from_secs(3),
             fan_out: 4,
             push_delay: Duration::from_millis(50),
+            push_spacing: Duration::from_millis(200),
             probe_rumours: 8,
             push_rumours: 64,
             retransmits: 2,
