Measure siskinhook against the naive version

Cause: the aims for failover, replica reads, peak load and short work beside long work need figures, and a comparison under the same load and faults. The group watch no longer takes the waits of confirmations for round trips.

--- a/crates/siskinhook-policy/src/watch/mod.rs
+++ b/crates/siskinhook-policy/src/watch/mod.rs
@@ -140,7 +140,13 @@
         status: ServerStatus,
         now: Instant,
     ) -> Vec<WatchAction> {
-        if let Some(seen) = self.servers.get_mut(server) {
+        // Statuses of confirmations come in here too; they waited for a write, which says
+        // nothing about the network.
+        if let Some(seen) = self.servers.get_mut(server)
+            && seen.asked.is_some_and(|asked| {
+                asked <= started && started <= asked + Duration::from_millis(1)
+            })
+        {
             let trip = now.saturating_duration_since(started);
             seen.trip = (seen.trip * 7 + trip) / 8;
         }
--- /dev/null
+++ b/examples/measure/main.rs
@@ -0,0 +1,223 @@
+//! Measures siskinhook and the naive version of section 11 of the design page under the same
+//! load and faults, over the in-process stand-ins and a paused clock.
+//!
+//! `cargo run --release --example measure -- --site shiftdesk --seed 1 --seeds 5`
+
+#![allow(missing_docs, reason = "xflags generates items without comments")]
+
+mod cluster;
+mod load;
+mod naive;
+mod scenario;
+
+use std::{sync::Mutex, sync::PoisonError, thread};
+
+use anyhow::{Context, bail};
+use load::Broken;
+use scenario::{Figures, NAMES, percentile};
+use serde_json::{Value, json};
+use siskinhook_standin::Plan;
+
+/// Runs at a time; other work shares the machine.
+const THREADS: usize = 4;
+
+xflags::xflags! {
+    /// Measures siskinhook and the naive version.
+    cmd measure {
+        /// Site: shiftdesk or uze.
+        optional --site site: String
+        /// First seed.
+        optional --seed seed: u64
+        /// Number of seeds.
+        optional --seeds count: u64
+        /// Scenario; all when absent.
+        optional --scenario name: String
+        /// Prints JSON.
+        optional --json
+    }
+}
+
+/// Figures of a scenario over all seeds.
+struct Summary {
+    scenario: &'static str,
+    version: &'static str,
+    runs: Vec<Figures>,
+}
+
+impl Summary {
+    fn sum(&self, count: impl Fn(&Figures) -> usize) -> usize {
+        self.runs.iter().map(count).sum()
+    }
+
+    fn spread(values: &[f64]) -> Option<[f64; 3]> {
+        let worst = values.iter().copied().reduce(f64::max)?;
+        Some([percentile(values, 50)?, percentile(values, 99)?, worst])
+    }
+
+    fn gap(&self) -> Option<[f64; 3]> {
+        let gaps: Vec<f64> = self.runs.iter().filter_map(|run| run.gap).collect();
+        Self::spread(&gaps)
+    }
+
+    fn waits(&self) -> Option<[f64; 3]> {
+        let waits: Vec<f64> = self.runs.iter().flat_map(|run| run.waits.clone()).collect();
+        Self::spread(&waits)
+    }
+
+    fn worst(&self, value: impl Fn(&Figures) -> Option<f64>, least: bool) -> Option<f64> {
+        let values = self.runs.iter().filter_map(value);
+        values.reduce(if least { f64::min } else { f64::max })
+    }
+
+    fn broken(&self) -> Broken {
+        let mut total = Broken::default();
+        for run in &self.runs {
+            total.add(&run.broken);
+        }
+        total
+    }
+
+    fn json(&self) -> Value {
+        let broken: serde_json::Map<String, Value> = self
+            .broken()
+            .list()
+            .iter()
+            .map(|(name, count)| ((*name).to_owned(), json!(count)))
+            .collect();
+        json!({
+            "scenario": self.scenario,
+            "version": self.version,
+            "statements": self.sum(|run| run.statements),
+            "succeeded": self.sum(|run| run.succeeded),
+            "not_run": self.sum(|run| run.refused),
+            "may_have_run": self.sum(|run| run.unknown),
+            "replica_share_least": self.worst(|run| Some(run.replica_share), true),
+            "failover_gap_ms": self.gap(),
+            "goodput_least": self.worst(|run| run.goodput, true),
+            "crest_p99_ms": self.worst(|run| run.crest, false),
+            "short_wait_ms": self.waits(),
+            "broken": broken,
+        })
+    }
+
+    fn print(&self) {
+        let spread = |values: Option<[f64; 3]>| match values {
+            Some([p50, p99, worst]) => format!("{p50:.0} / {p99:.0} / {worst:.0} ms"),
+            None => "-".into(),
+        };
+        println!(
+            "{:<22} {:<10} ok {} of {}, not run {}, may have run {}",
+            self.scenario,
+            self.version,
+            self.sum(|run| run.succeeded),
+            self.sum(|run| run.statements),
+            self.sum(|run| run.refused),
+            self.sum(|run| run.unknown),
+        );
+        let share = self.worst(|run| Some(run.replica_share), true);
+        println!(
+            "    reads on replicas, least: {:.1}%",
+            share.unwrap_or(0.0) * 100.0
+        );
+        if let Some(gap) = self.gap() {
+            println!("    failover gap p50 / p99 / worst: {}", spread(Some(gap)));
+        }
+        if let Some(goodput) = self.worst(|run| run.goodput, true) {
+            let crest = self.worst(|run| run.crest, false).unwrap_or(0.0);
+            let goodput = goodput * 100.0;
+            println!("    crest: goodput, least: {goodput:.1}% of capacity, p99 {crest:.0} ms");
+        }
+        if let Some(waits) = self.waits() {
+            println!(
+                "    short beside long p50 / p99 / worst: {}",
+                spread(Some(waits))
+            );
+        }
+        let broken = self.broken();
+        let list = broken.list();
+        let list = list.iter().filter(|(_, count)| *count > 0);
+        let list: Vec<String> = list
+            .map(|(name, count)| format!("{count} {name}"))
+            .collect();
+        println!(
+            "    broken promises: {} {}",
+            broken.total(),
+            list.join(", ")
+        );
+    }
+}
+
+fn plan(site: &str) -> anyhow::Result<Plan> {
+    match site {
+        "shiftdesk" => Ok(Plan::shiftdesk()),
+        "uze" => Ok(Plan::uze()),
+        _ => bail!("{site:?} is no site; use shiftdesk or uze"),
+    }
+}
+
+/// Runs a scenario with all seeds, a few at a time.
+fn runs(
+    name: &'static str,
+    plan: &Plan,
+    seeds: &[u64],
+    naive: bool,
+) -> anyhow::Result<Vec<Figures>> {
+    let queue = Mutex::new(seeds.iter().copied().enumerate());
+    let results = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..THREADS.min(seeds.len()) {
+            scope.spawn(|| {
+                loop {
+                    let next = queue.lock().unwrap_or_else(PoisonError::into_inner).next();
+                    let Some((place, seed)) = next else { return };
+                    let run = scenario::run(name, plan.clone(), seed, naive);
+                    let mut results = results.lock().unwrap_or_else(PoisonError::into_inner);
+                    results.push((place, run.with_context(|| format!("{name}, seed {seed}"))));
+                }
+            });
+        }
+    });
+    let mut results = results.into_inner().unwrap_or_else(PoisonError::into_inner);
+    results.sort_by_key(|(place, _)| *place);
+    results.into_iter().map(|(_, run)| run).collect()
+}
+
+fn main() -> anyhow::Result<()> {
+    let flags = Measure::from_env_or_exit();
+    let site = flags.site.as_deref().unwrap_or("shiftdesk");
+    let plan = plan(site)?;
+    let first = flags.seed.unwrap_or(1);
+    let seeds: Vec<u64> = (first..first + flags.seeds.unwrap_or(1)).collect();
+    if !flags.json {
+        println!("site {site}, seeds {seeds:?}");
+    }
+    let wanted = flags.scenario.as_deref();
+    let names: Vec<&'static str> = NAMES
+        .into_iter()
+        .filter(|name| wanted.is_none_or(|wanted| wanted == *name))
+        .collect();
+    if names.is_empty() {
+        bail!("there is no such scenario; use one of {}", NAMES.join(", "));
+    }
+    let mut summaries = Vec::new();
+    for scenario in names {
+        for (version, naive) in [("siskinhook", false), ("naive", true)] {
+            let runs = runs(scenario, &plan, &seeds, naive)?;
+            let summary = Summary {
+                scenario,
+                version,
+                runs,
+            };
+            if flags.json {
+                summaries.push(summary.json());
+            } else {
+                summary.print();
+            }
+        }
+    }
+    if flags.json {
+        let report = json!({ "site": site, "seeds": seeds, "scenarios": summaries });
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    }
+    Ok(())
+}
