Ask for revisions in force directly; show groups as tables

Cause: in a trial with the demo, catalogue wait ended after 30 s although revision 71 was in force: the member list does not refresh revisions. siskinctl database listed servers line by line. Change: NodeView::revisions, by default from the member list with the node's own revision; wait uses it. Reports show objects of one kind as a table. Conclusion: wait needs a node that overrides revisions, or a member list with fresh revisions.

--- a/crates/siskinhook-operator/src/api.rs
+++ b/crates/siskinhook-operator/src/api.rs
@@ -6,7 +6,7 @@
 use siskinhook_types::{Catalogue, Entry, FleetView, NodeId, Revision, ServiceId, value_type};
 use smol_str::SmolStr;
 
-use crate::{Explain, NodeStatus, Report};
+use crate::{Explain, NodeRevision, NodeStatus, Report};
 
 /// Codes of errors that the interface reports.
 pub mod codes {
@@ -74,6 +74,10 @@
     #[method(name = "fleet", with_extensions)]
     async fn fleet(&self) -> RpcResult<Answer<FleetView>>;
 
+    /// Returns the revision in force on each live node.
+    #[method(name = "revisions", with_extensions)]
+    async fn revisions(&self) -> RpcResult<Answer<Vec<NodeRevision>>>;
+
     /// Returns the catalogue in force on the node.
     #[method(name = "catalogue", with_extensions)]
     async fn catalogue(&self) -> RpcResult<Answer<Catalogue>>;
--- a/crates/siskinhook-operator/src/commands/catalogue_wait.rs
+++ b/crates/siskinhook-operator/src/commands/catalogue_wait.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use siskinhook_types::{FleetView, MemberState, Revision};
+use siskinhook_types::Revision;
 use tokio::time::{Instant, sleep};
 
 use crate::{ExitError, OperatorApiClient, context::Context, flags};
@@ -13,6 +13,9 @@
 /// Time between two questions to the node.
 const INTERVAL: Duration = Duration::from_millis(200);
 
+/// Names of missing nodes shown at a time.
+const SHOWN: usize = 10;
+
 /// Time between two notes on the progress.
 const NOTES: Duration = Duration::from_secs(1);
 
@@ -30,8 +33,13 @@
     let start = Instant::now();
     let mut noted = start;
     loop {
-        let fleet = context.view(async |node| node.fleet().await).await?;
-        let (behind, live) = behind(&fleet, revision);
+        let revisions = context.view(async |node| node.revisions().await).await?;
+        let live = revisions.len();
+        let behind: Vec<&str> = revisions
+            .iter()
+            .filter(|node| node.revision.is_none_or(|r| r < revision))
+            .map(|node| node.node.as_str())
+            .collect();
         if behind.is_empty() {
             return context.show(&live, |live| {
                 format!("revision {revision} is in force on all {live} live nodes")
@@ -40,7 +48,7 @@
         let progress = format!(
             "revision {revision} is in force on {} of {live} live nodes; missing: {}",
             live - behind.len(),
-            behind.join(", ")
+            names(&behind)
         );
         if start.elapsed() >= timeout {
             return Err(ExitError::TimedOut(format!(
@@ -55,17 +63,12 @@
     }
 }
 
-/// Returns the live nodes that lack the revision, and the number of live nodes.
-fn behind(fleet: &FleetView, revision: Revision) -> (Vec<&str>, usize) {
-    let live: Vec<_> = fleet
-        .members
-        .values()
-        .filter(|member| member.state != MemberState::Dead)
-        .collect();
-    let behind = live
-        .iter()
-        .filter(|member| member.revision < revision)
-        .map(|member| member.name.as_str())
-        .collect();
-    (behind, live.len())
+/// Lists names, the first ones only when there are many.
+fn names(behind: &[&str]) -> String {
+    let shown = behind.len().min(SHOWN);
+    let list = behind[..shown].join(", ");
+    match behind.len() - shown {
+        0 => list,
+        more => format!("{list} and {more} more"),
+    }
 }
--- a/crates/siskinhook-operator/src/lib.rs
+++ b/crates/siskinhook-operator/src/lib.rs
@@ -17,4 +17,4 @@
 pub use exit::ExitError;
 pub use program::{main, run};
 pub use server::{OperatorService, serve};
-pub use view::{Explain, NodeState, NodeStatus, NodeView, Report};
+pub use view::{Explain, NodeRevision, NodeState, NodeStatus, NodeView, Report};
--- a/crates/siskinhook-operator/src/render.rs
+++ b/crates/siskinhook-operator/src/render.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, UNIX_EPOCH};
 
 use comfy_table::{Table, presets};
-use serde_json::Value;
+use serde_json::{Map, Value};
 use siskinhook_catalogue::{AuditAction, AuditRecord};
 
 /// Writes rows as a table with a header.
@@ -31,7 +31,8 @@
     text
 }
 
-/// Writes a report: a list of objects as a table, an object line by line.
+/// Writes a report: a list of objects as a table, an object line by line, an object of similar
+/// objects as a table with their names.
 pub fn report(value: &Value) -> String {
     match value {
         Value::Array(items) if items.iter().all(Value::is_object) => objects(items),
@@ -41,6 +42,9 @@
                 Value::Array(items) if items.iter().any(Value::is_object) => {
                     format!("\n{key}:\n{}", objects(items))
                 }
+                Value::Object(inner) if is_table(inner) => {
+                    format!("\n{key}:\n{}", indent(&named(inner)))
+                }
                 Value::Object(_) => format!("\n{key}:\n{}", indent(&report(value))),
                 value => format!("{key}: {}", cell(value)),
             })
@@ -50,6 +54,36 @@
     }
 }
 
+/// Returns whether all values are objects without further objects in them.
+fn is_table(map: &Map<String, Value>) -> bool {
+    let flat = |value: &Value| {
+        value
+            .as_object()
+            .is_some_and(|inner| inner.values().all(|v| !has_objects(v)))
+    };
+    !map.is_empty() && map.values().all(flat)
+}
+
+/// Returns whether an object contains objects, which a cell of a table cannot show.
+fn has_objects(value: &Value) -> bool {
+    value
+        .as_object()
+        .is_some_and(|map| map.values().any(Value::is_object))
+}
+
+/// Writes named objects as a table whose first column is the name.
+fn named(map: &Map<String, Value>) -> String {
+    let items: Vec<Value> = map
+        .iter()
+        .filter_map(|(name, value)| {
+            let mut item = Map::from_iter([("name".to_owned(), name.as_str().into())]);
+            item.extend(value.as_object()?.clone());
+            Some(item.into())
+        })
+        .collect();
+    objects(&items)
+}
+
 fn objects(items: &[Value]) -> String {
     let mut header: Vec<&str> = Vec::new();
     for item in items.iter().filter_map(Value::as_object) {
@@ -76,13 +110,24 @@
         Value::Null => "-".into(),
         Value::String(text) => text.clone(),
         Value::Array(items) => items.iter().map(cell).collect::<Vec<_>>().join(", "),
+        Value::Object(map) => map
+            .iter()
+            .map(|(key, value)| format!("{key} {}", cell(value)))
+            .collect::<Vec<_>>()
+            .join(", "),
         value => value.to_string(),
     }
 }
 
 fn indent(text: &str) -> String {
     text.lines()
-        .map(|line| format!("  {line}"))
+        .map(|line| {
+            if line.is_empty() {
+                String::new()
+            } else {
+                format!("  {line}")
+            }
+        })
         .collect::<Vec<_>>()
         .join("\n")
 }
--- a/crates/siskinhook-operator/src/server.rs
+++ b/crates/siskinhook-operator/src/server.rs
@@ -25,8 +25,8 @@
 use tower::{ServiceBuilder, util::MapRequestLayer};
 
 use crate::{
-    Answer, EditRequest, Explain, Identity, NodeStatus, NodeView, OperatorApiServer, Operators,
-    Report, RevertRequest, codes,
+    Answer, EditRequest, Explain, Identity, NodeRevision, NodeStatus, NodeView, OperatorApiServer,
+    Operators, Report, RevertRequest, codes,
 };
 
 /// Connections at a time; operators are few, and the node has other work.
@@ -204,6 +204,11 @@
         Ok(self.answer(self.view.fleet()))
     }
 
+    async fn revisions(&self, extensions: &Extensions) -> RpcResult<Answer<Vec<NodeRevision>>> {
+        identity(extensions)?;
+        Ok(self.answer(self.view.revisions().await))
+    }
+
     async fn catalogue(&self, extensions: &Extensions) -> RpcResult<Answer<Catalogue>> {
         identity(extensions)?;
         Ok(self.answer(Catalogue::clone(&self.view.catalogue())))
--- a/crates/siskinhook-operator/src/view.rs
+++ b/crates/siskinhook-operator/src/view.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 use siskinhook_types::{
-    Catalogue, DatabaseId, FleetView, NodeId, Region, Revision, Zone, value_type,
+    Catalogue, DatabaseId, FleetView, MemberState, NodeId, Region, Revision, Zone, value_type,
 };
 use smol_str::SmolStr;
 
@@ -40,6 +40,14 @@
         pub revision: Revision,
     }
 
+    /// Catalogue revision in force on a live node.
+    pub struct NodeRevision {
+        /// The node.
+        pub node: NodeId,
+        /// Revision; `None` when the node did not tell in time.
+        pub revision: Option<Revision>,
+    }
+
     /// A part of a node's state.
     #[serde(rename_all = "snake_case")]
     pub enum Report {
@@ -75,6 +83,29 @@
     /// Returns the catalogue in force.
     fn catalogue(&self) -> Arc<Catalogue>;
 
+    /// Returns the revision in force on each live node.
+    ///
+    /// The default takes what membership last heard, which is minutes old in a large fleet; a
+    /// node that can ask the others directly does so here.
+    fn revisions(&self) -> impl Future<Output = Vec<NodeRevision>> + Send {
+        let status = self.status();
+        let revisions = self
+            .fleet()
+            .members
+            .into_values()
+            .filter(|member| member.state != MemberState::Dead)
+            .map(|member| NodeRevision {
+                revision: Some(if member.name == status.name {
+                    status.revision
+                } else {
+                    member.revision
+                }),
+                node: member.name,
+            })
+            .collect();
+        async { revisions }
+    }
+
     /// Returns a part of the state, as an object or a list of objects.
     ///
     /// # Errors
--- a/crates/siskinhook-operator/tests/operator/access.rs
+++ b/crates/siskinhook-operator/tests/operator/access.rs
@@ -29,9 +29,10 @@
         "id": "e", "service": "s", "entry": null, "base": 0, "reason": "", "confirmed": true
     });
     let undo = serde_json::json!({ "id": "e", "revision": 1, "reason": "", "confirmed": true });
-    let methods: [(&str, Vec<Value>); 12] = [
+    let methods: [(&str, Vec<Value>); 13] = [
         ("status", vec![]),
         ("fleet", vec![]),
+        ("revisions", vec![]),
         ("catalogue", vec![]),
         ("report", vec!["node".into()]),
         (
--- a/crates/siskinhook-operator/tests/operator/common.rs
+++ b/crates/siskinhook-operator/tests/operator/common.rs
@@ -93,7 +93,14 @@
                 "learnt": { "short": "4 ms" },
             }),
             Report::Database(name) if name == "shifts" => {
-                json!({ "term": 7, "primary": "shifts-1" })
+                json!({
+                    "term": 7,
+                    "primary": "shifts-1",
+                    "servers": {
+                        "shifts-1": { "owner": "entry-1", "point": { "term": 7, "position": 90 }, "lag": null },
+                        "shifts-2": { "owner": "entry-2", "point": { "term": 7, "position": 88 }, "lag": 2 },
+                    },
+                })
             }
             Report::Database(name) => {
                 return Err(format!(
--- a/crates/siskinhook-settings/src/sections.rs
+++ b/crates/siskinhook-settings/src/sections.rs
@@ -183,7 +183,7 @@
         pub format: LogFormat,
         /// Level: `error`, `warn`, `info`, `debug`, `trace` or `off`.
         pub level: SmolStr,
-        /// Levels of single modules, by module path, for example `siskinhook_fleet`.
+        /// Levels of single modules, by the module that lines show, for example `siskinhook::engine`.
         pub modules: IndexMap<SmolStr, SmolStr>,
         /// Lines of one event per second; further ones are counted and suppressed.
         pub burst: u32,
