Show plain fields of a report before its tables

Cause: siskinctl database printed a field below the table of servers. Change: nested parts of an object come last. Conclusion: reports read from top to bottom.

--- a/crates/siskinhook-operator/src/render.rs
+++ b/crates/siskinhook-operator/src/render.rs
@@ -31,29 +31,41 @@
     text
 }
 
-/// Writes a report: a list of objects as a table, an object line by line, an object of similar
-/// objects as a table with their names.
+/// Writes a report: a list of objects as a table, an object line by line with its nested parts
+/// last, an object of similar objects as a table with their names.
 pub fn report(value: &Value) -> String {
     match value {
         Value::Array(items) if items.iter().all(Value::is_object) => objects(items),
-        Value::Object(map) => map
-            .iter()
-            .map(|(key, value)| match value {
-                Value::Array(items) if items.iter().any(Value::is_object) => {
-                    format!("\n{key}:\n{}", objects(items))
-                }
-                Value::Object(inner) if is_table(inner) => {
-                    format!("\n{key}:\n{}", indent(&named(inner)))
-                }
-                Value::Object(_) => format!("\n{key}:\n{}", indent(&report(value))),
-                value => format!("{key}: {}", cell(value)),
-            })
-            .collect::<Vec<_>>()
-            .join("\n"),
+        Value::Object(map) => {
+            let (nested, plain): (Vec<_>, Vec<_>) =
+                map.iter().partition(|(_, value)| is_nested(value));
+            let lines = plain
+                .into_iter()
+                .map(|(key, value)| format!("{key}: {}", cell(value)));
+            let sections = nested.into_iter().map(|(key, value)| section(key, value));
+            lines.chain(sections).collect::<Vec<_>>().join("\n")
+        }
         value => cell(value),
     }
 }
 
+fn is_nested(value: &Value) -> bool {
+    match value {
+        Value::Array(items) => items.iter().any(Value::is_object),
+        value => value.is_object(),
+    }
+}
+
+fn section(key: &str, value: &Value) -> String {
+    match value {
+        Value::Array(items) => format!("\n{key}:\n{}", objects(items)),
+        Value::Object(inner) if is_table(inner) => {
+            format!("\n{key}:\n{}", indent(&named(inner)))
+        }
+        value => format!("\n{key}:\n{}", indent(&report(value))),
+    }
+}
+
 /// Returns whether all values are objects without further objects in them.
 fn is_table(map: &Map<String, Value>) -> bool {
     let flat = |value: &Value| {
--- a/crates/siskinhook-operator/tests/operator/common.rs
+++ b/crates/siskinhook-operator/tests/operator/common.rs
@@ -100,6 +100,7 @@
                         "shifts-1": { "owner": "entry-1", "point": { "term": 7, "position": 90 }, "lag": null },
                         "shifts-2": { "owner": "entry-2", "point": { "term": 7, "position": 88 }, "lag": 2 },
                     },
+                    "primary": "shifts-1",
                 })
             }
             Report::Database(name) => {
