Put writes in flight when trouble comes

Cause: a trial that repeated writes which may have run passed: trouble began before the first write, and no write waited for its confirmation. Change: replicas lag 20 ms, trouble begins after 700 ms, deadlines outlast it; storms also write in transactions.

--- a/crates/siskinhook-engine/tests/support/storm.rs
+++ b/crates/siskinhook-engine/tests/support/storm.rs
@@ -13,7 +13,7 @@
     time::{Instant, sleep},
 };
 
-use super::{Cluster, claim};
+use super::{Cluster, NodeSession, claim, insert, run};
 
 /// What became of one write.
 pub struct Written {
@@ -24,7 +24,7 @@
     pub result: Result<(), Failure>,
 }
 
-/// Writers that insert one claim after the other.
+/// Writers that insert one claim after the other, every other one in a transaction.
 pub struct Storm {
     written: Arc<Mutex<Vec<Written>>>,
     tasks: JoinSet<()>,
@@ -51,7 +51,11 @@
                     if with_ids {
                         session.options_mut().request = Some(format!("claim-{shift}").into());
                     }
-                    let result = claim(&mut session, shift).await.map(|_| ());
+                    let result = if shift % 2 == 0 {
+                        claim(&mut session, shift).await.map(|_| ())
+                    } else {
+                        claim_in_transaction(&mut session, shift).await
+                    };
                     written.lock().unwrap().push(Written {
                         shift,
                         node: node.clone(),
@@ -125,13 +129,29 @@
     }
 }
 
+/// Inserts a claim in a transaction. What failed before the commit has not run.
+async fn claim_in_transaction(session: &mut NodeSession, shift: u64) -> Result<(), Failure> {
+    run(session, "BEGIN").await?;
+    let inserted = insert(session, shift).await;
+    let end = if inserted.is_ok() {
+        "COMMIT"
+    } else {
+        "ROLLBACK"
+    };
+    let ended = run(session, end).await;
+    inserted?;
+    let (_, tag) = ended?;
+    assert_eq!(tag, "COMMIT");
+    Ok(())
+}
+
 /// Shifts that the present primary holds.
 async fn stored(cluster: &Cluster) -> Vec<u64> {
     let mut session = cluster.session("n1");
     let token = claim(&mut session, 1).await.unwrap();
     session.options_mut().token = Some(token);
     let sql = "SELECT shift_id FROM claims";
-    let (rows, _) = super::run(&mut session, sql).await.unwrap();
+    let (rows, _) = run(&mut session, sql).await.unwrap();
     rows.iter().map(|row| row[0].parse().unwrap()).collect()
 }
 
--- a/crates/siskinhook-engine/tests/verdicts.rs
+++ b/crates/siskinhook-engine/tests/verdicts.rs
@@ -157,9 +157,9 @@
 /// another node until its outcome is known. Returns how many ran for sure and how many may have.
 async fn adjust_through(cluster: &Cluster, kind: Trouble, with_ids: bool) -> (usize, usize) {
     let end = Instant::now() + Duration::from_secs(8);
-    // Most adjustments are in flight when trouble comes.
+    // Most adjustments are committed and wait for their confirmation when trouble comes.
     for server in cluster.site.servers().values() {
-        server.set_slowness(Duration::from_millis(4));
+        server.set_lag(Duration::from_millis(20));
     }
     let mut tasks = JoinSet::new();
     for start in 0..NODES.len() {
@@ -167,7 +167,9 @@
             .iter()
             .map(|node| {
                 let options = SessionOptions {
-                    deadline: Some(Duration::from_secs(2)),
+                    // Longer than each trouble takes to be noticed, so that a wrong repetition
+                    // would happen.
+                    deadline: Some(Duration::from_secs(6)),
                     ..SessionOptions::default()
                 };
                 cluster.session_with(node, options)
@@ -175,6 +177,7 @@
             .collect();
         tasks.spawn(adjuster(sessions, start, with_ids, end));
     }
+    sleep(Duration::from_millis(700)).await;
     trouble(cluster, kind).await;
     let (mut ran, mut open) = (0, 0);
     while let Some(result) = tasks.join_next().await {
