--- a/crates/siskinhook-fleet/examples/slopes.rs
+++ b/crates/siskinhook-fleet/examples/slopes.rs
@@ -21,11 +21,11 @@
 use rustix::time::{ClockId, clock_gettime};
 use serde::Serialize;
 use siskinhook_fleet::{
-    Digest, Fleet, FleetSettings, Identity, MemoryNetwork, MemorySettings, PeerMessage, Peers,
-    Profile, RpcPeers, Secret, Traffic, serve,
+    Digest, Fleet, FleetSettings, Identity, MemoryNetwork, MemorySettings, OwnerCache, PeerMessage,
+    Peers, Profile, RpcPeers, Secret, Traffic, owner, serve,
 };
 use siskinhook_types::{
-    Catalogue, Change, Database, Entry, Limits, Member, MemberState, Server, VmRecord,
+    Catalogue, Change, Database, Entry, FleetView, Limits, Member, MemberState, Server, VmRecord,
 };
 use table::Table;
 use tokio::{net::TcpStream, runtime, time::sleep};
@@ -61,6 +61,10 @@
     request_framing: usize,
     answer_framing: usize,
     cpu_micros: f64,
+    /// Microseconds to compute the owner of a server among 620 members.
+    owner_micros: f64,
+    /// The same from the cache.
+    cached_micros: f64,
 }
 
 #[derive(Serialize)]
@@ -81,8 +85,8 @@
     cpu: f64,
     /// The same with the measured cost of real calls.
     cpu_with_calls: f64,
-    /// Resident memory per node in KB.
-    memory: f64,
+    /// Resident memory per node in KB; of the first run only, because later ones reuse it.
+    memory: Option<f64>,
     /// Reads of the platform per second by all idle nodes.
     reads: f64,
     /// Refuted suspicions in the idle fleet, with the loss as given.
@@ -118,8 +122,13 @@
         println!("{}", serde_json::to_string(&call)?);
     } else {
         println!(
-            "a call over loopback: {} + {} bytes of framing, {:.0} us CPU on both sides",
-            call.request_framing, call.answer_framing, call.cpu_micros
+            "a call over loopback: {} + {} bytes of framing, {:.0} us CPU on both sides; \
+             owner among 620 members: {:.1} us, cached {:.2} us",
+            call.request_framing,
+            call.answer_framing,
+            call.cpu_micros,
+            call.owner_micros,
+            call.cached_micros
         );
     }
     let sizes = if flags.nodes.is_empty() {
@@ -128,13 +137,16 @@
         flags.nodes
     };
     let first = flags.seed.unwrap_or(1);
+    let mut runs = 0;
     for nodes in sizes {
         for seed in first..first + flags.seeds.unwrap_or(1) {
             let runtime = runtime::Builder::new_current_thread()
                 .enable_all()
                 .start_paused(true)
                 .build()?;
-            let run = run(nodes, seed, flags.loss.unwrap_or_default(), &call);
+            let loss = flags.loss.unwrap_or_default();
+            let run = run(nodes, seed, loss, &call, runs == 0);
+            runs += 1;
             let report = runtime.block_on(run);
             if flags.json {
                 println!("{}", serde_json::to_string(&report)?);
@@ -164,7 +176,7 @@
         report.calls,
         report.cpu * 100.0,
         report.cpu_with_calls * 100.0,
-        report.memory,
+        report.memory.unwrap_or(f64::NAN),
         report.reads,
         report.false_suspicions,
         report.change[0],
@@ -188,7 +200,7 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
-async fn run(nodes: usize, seed: u64, loss: f64, call: &Call) -> Report {
+async fn run(nodes: usize, seed: u64, loss: f64, call: &Call, first: bool) -> Report {
     let base = resident();
     let mut random = SmallRng::seed_from_u64(seed);
     let mut running = start(nodes, seed, loss, call, &mut random).await;
@@ -211,7 +223,7 @@
         .collect();
     let calls = ["probe", "relay", "hello", "news", "pull"];
     let calls = calls.iter().filter_map(|kind| messages.get(kind)).sum();
-    let memory = (resident() - base) as f64 / nodes as f64;
+    let memory = first.then(|| resident().saturating_sub(base) as f64 / nodes as f64);
 
     let extra = |traffic: &BTreeMap<_, Traffic>, time: f64| {
         (per_node(bytes(traffic)) - sent * time).max(0.0)
@@ -516,13 +528,55 @@
         client.call(&address, probe.clone()).await?;
     }
     let cpu_micros = (cpu_seconds() - start) * 1e6 / f64::from(CALLS);
+    let (owner_micros, cached_micros) = measure_owner();
     Ok(Call {
         request_framing,
         answer_framing,
         cpu_micros,
+        owner_micros,
+        cached_micros,
     })
 }
 
+fn measure_owner() -> (f64, f64) {
+    let member = |vm: VmRecord| Member {
+        name: vm.name,
+        region: vm.region,
+        zone: vm.zone,
+        peer: vm.address.clone(),
+        link: vm.address,
+        state: MemberState::Alive,
+        incarnation: 0,
+        revision: 0,
+    };
+    let members = (0..620).map(vm).map(|vm| (vm.name.clone(), member(vm)));
+    let view = Arc::new(FleetView {
+        local: vm(0).name,
+        members: members.collect(),
+    });
+    let catalogue = catalogue(690);
+    let databases = catalogue
+        .entries
+        .values()
+        .flat_map(|e| e.databases.values());
+    let servers: Vec<&Server> = databases.flat_map(|d| &d.servers).collect();
+    let cache = OwnerCache::new();
+    let mut times = [0.0; 3];
+    for (round, time) in times.iter_mut().enumerate() {
+        let start = cpu_seconds();
+        for server in &servers {
+            let found = match round {
+                0 => owner(&view, server),
+                _ => cache.owner(&view, server),
+            };
+            assert!(found.is_some());
+        }
+        *time =
+            (cpu_seconds() - start) * 1e6 / f64::from(u32::try_from(servers.len()).unwrap_or(1));
+    }
+    (times[0], times[2])
+}
+
 fn bytes(traffic: &BTreeMap<&'static str, Traffic>) -> u64 {
     traffic.values().map(|t| t.bytes).sum()
 }
