Let late suspicions end with the first ones

Change: a suspicion carries the time that is left; a node that hears late grants that, and at least half of the time, also on the word of a death.

--- a/crates/siskinhook-fleet/src/membership.rs
+++ b/crates/siskinhook-fleet/src/membership.rs
@@ -608,6 +608,7 @@
             MemberState::Dead if record.leaving && (newer || same) => MemberState::Dead,
             // Nobody takes another node's word for a death: between regions that lost each
             // other, a stale word would remove live members. The member has time to refute.
+            // See also `time_to_refute`.
             MemberState::Suspect | MemberState::Dead
                 if newer || (same && record.state == MemberState::Alive) =>
             {
@@ -629,6 +630,21 @@
             }
         }
         self.enter(now, &rumour.name, state);
+        if state == MemberState::Suspect {
+            let end = now + self.time_to_refute(rumour);
+            self.suspects.insert(rumour.name.clone(), end);
+        }
+    }
+
+    /// A node that hears late of a suspicion, or of a death, does not grant the whole time
+    /// again. Half of it is the least, because a refutation may be on its way.
+    fn time_to_refute(&self, rumour: &Rumour) -> Duration {
+        let whole = self.settings.suspicion;
+        let left = match rumour.state {
+            MemberState::Dead => Duration::ZERO,
+            _ => rumour.remaining.map_or(whole, Duration::from_millis),
+        };
+        left.clamp(whole / 2, whole)
     }
 
     /// Refutes rumours about the node itself that are worse than the truth. This is also how
@@ -953,6 +969,7 @@
             name: self.local.clone(),
             incarnation: self.incarnation,
             state,
+            remaining: None,
             profile: Some(self.profile.clone()),
         }
     }
@@ -966,10 +983,15 @@
             MemberState::Alive if record.leaving => MemberState::Leaving,
             state => state,
         };
+        let remaining = self.suspects.get(name).map(|end| {
+            let left = end.saturating_duration_since(self.last_event);
+            u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+        });
         Some(Rumour {
             name: name.clone(),
             incarnation: record.incarnation,
             state,
+            remaining,
             profile: (profile || record.state == MemberState::Alive)
                 .then(|| record.profile.clone()),
         })
--- a/crates/siskinhook-fleet/src/message.rs
+++ b/crates/siskinhook-fleet/src/message.rs
@@ -33,6 +33,9 @@
         /// State.
         #[serde(rename = "s", with = "state_code")]
         pub state: MemberState,
+        /// Milliseconds that a suspect member has left to refute.
+        #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+        pub remaining: Option<u64>,
         /// Profile; present when the member is alive or leaving, and in member lists.
         #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
         pub profile: Option<Profile>,
--- a/crates/siskinhook-fleet/tests/membership.rs
+++ b/crates/siskinhook-fleet/tests/membership.rs
@@ -30,6 +30,7 @@
         name: name.into(),
         incarnation,
         state,
+        remaining: None,
         profile: (state == Alive).then(|| profile(name)),
     };
     PeerMessage::News {
@@ -112,6 +113,38 @@
     assert_eq!(state(&a, "b"), Some(Alive));
 }
 
+/// Guards against a node that hears late of a suspicion and keeps the dead member for the whole
+/// time again (320 nodes took 10.9 s to know a death), and against a time too short to refute.
+#[test]
+fn late_suspicion_does_not_start_over() {
+    let mut now = Instant::now();
+    let (mut early, mut late) = (node("a", now), node("d", now));
+    for at in [&mut early, &mut late] {
+        at.request(now, &news("b", Alive, 0));
+    }
+    early.request(now, &news("b", Suspect, 0));
+    now += 2 * SECOND;
+    early.tick(now);
+    let message = PeerMessage::News {
+        digest: early.digest(Some(&"b".into()), 0),
+        changes: Vec::new(),
+    };
+    late.tick(now);
+    late.request(now, &message);
+    let mut dead_after = Vec::new();
+    for _ in 0..30 {
+        now += SECOND / 10;
+        early.tick(now);
+        late.tick(now);
+        dead_after.push((state(&early, "b"), state(&late, "b")));
+    }
+    // The early one ends its 3 s after 1 s more, the late one grants the least time, 1.5 s.
+    assert_eq!(dead_after[8], (Some(Suspect), Some(Suspect)));
+    assert_eq!(dead_after[9], (Some(Dead), Some(Suspect)));
+    assert_eq!(dead_after[13], (Some(Dead), Some(Suspect)));
+    assert_eq!(dead_after[14], (Some(Dead), Some(Dead)));
+}
+
 /// Guards against a node of another name at a reused address that keeps a dead one alive.
 #[test]
 fn answer_of_another_node_is_no_answer() {
