--- a/crates/siskinhook-fleet/tests/support/mod.rs
+++ b/crates/siskinhook-fleet/tests/support/mod.rs
@@ -93,18 +93,22 @@
         }
     }
 
-    /// Starts nodes `<zone>-<i>` and lists them.
     pub fn with_nodes(seed: u64, zones: &[&str], per_zone: usize) -> Self {
         let mut wires = Self::new(seed);
+        wires.start(zones, per_zone);
+        wires
+    }
+
+    /// Starts nodes `<zone>-<i>` and lists them.
+    pub fn start(&mut self, zones: &[&str], per_zone: usize) {
         for zone in zones {
             for i in 0..per_zone {
-                wires.list(&format!("{zone}-{i}"), zone);
+                self.list(&format!("{zone}-{i}"), zone);
             }
         }
-        for vm in wires.vms.clone() {
-            wires.boot(&vm.name, &vm.zone);
+        for vm in self.vms.clone() {
+            self.boot(&vm.name, &vm.zone);
         }
-        wires
     }
 
     pub fn list(&mut self, name: &str, zone: &str) {
--- a/crates/siskinhook-platform/src/budget.rs
+++ b/crates/siskinhook-platform/src/budget.rs
@@ -10,9 +10,12 @@
 /// Seconds of the rate that a bucket holds, so that the calls of one task need not wait.
 const BURST_SECONDS: f64 = 2.0;
 
-/// Calls that urgent work (an edit, a promotion) may take ahead of the rate. They are repaid
-/// from later tokens, so the rate over minutes stays the same.
-const URGENT_DEBT: f64 = 4.0;
+/// Reads that urgent work may take ahead of the rate: showing, comparing and making one edit
+/// takes about 12. They are repaid from later tokens, so the rate over minutes stays the same.
+const READ_DEBT: f64 = 16.0;
+
+/// Writes that urgent work (an edit, a promotion) may take ahead of the rate.
+const WRITE_DEBT: f64 = 4.0;
 
 /// First ceiling of the backoff; doubles with each further failure.
 const BACKOFF_BASE: Duration = Duration::from_millis(250);
@@ -20,6 +23,20 @@
 /// Highest ceiling of the backoff: the nodes return over this time after an outage.
 const BACKOFF_CAP: Duration = Duration::from_secs(10);
 
+/// Failed or slow calls in a row from which the platform counts as down.
+const DOWN: u32 = 3;
+
+/// Health of the platform as this node's calls find it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// The last call was answered in time.
+    Good,
+    /// The last call was slow or failed.
+    Slow,
+    /// Three calls in a row failed.
+    Down,
+}
+
 /// Kind of a call; reads and writes have separate shares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
@@ -96,6 +113,7 @@
     reads: Bucket,
     writes: Bucket,
     failures: u32,
+    health: Health,
     resume: Option<Instant>,
     random: SmallRng,
 }
@@ -114,6 +132,7 @@
             reads: bucket(),
             writes: bucket(),
             failures: 0,
+            health: Health::Good,
             resume: None,
             random: SmallRng::seed_from_u64(seed),
         };
@@ -150,31 +169,45 @@
             return Err(Refusal::Backoff(resume - now));
         }
         let patience = self.settings.patience;
-        let bucket = match kind {
-            CallKind::Read => &mut self.reads,
-            CallKind::Write => &mut self.writes,
+        let (bucket, debt) = match kind {
+            CallKind::Read => (&mut self.reads, READ_DEBT),
+            CallKind::Write => (&mut self.writes, WRITE_DEBT),
         };
-        bucket.take(urgent, patience, now).map_err(Refusal::Share)
+        let debt = if urgent { debt } else { 0.0 };
+        bucket.take(debt, patience, now).map_err(Refusal::Share)
     }
 
-    /// Records a call that the platform answered after `elapsed`.
-    pub fn answered(&mut self, elapsed: Duration, now: Instant) {
+    /// Records a call that the platform answered after `elapsed`; returns the health of the
+    /// platform when it changed.
+    pub fn answered(&mut self, elapsed: Duration, now: Instant) -> Option<Health> {
         if elapsed >= self.settings.slow {
             self.back_off(now);
-        } else {
-            self.failures = 0;
-            self.resume = None;
+            return self.change(Health::Slow);
         }
+        self.failures = 0;
+        self.resume = None;
+        self.change(Health::Good)
     }
 
-    /// Records a call that failed.
-    pub fn failed(&mut self, now: Instant) {
+    /// Records a call that failed; returns the health of the platform when it changed.
+    pub fn failed(&mut self, now: Instant) -> Option<Health> {
         self.back_off(now);
         // Calls that piled up during an outage must not be sent in one burst afterwards.
         for bucket in [&mut self.reads, &mut self.writes] {
             bucket.refill(now);
             bucket.tokens = bucket.tokens.min(0.0);
         }
+        self.change(if self.failures >= DOWN {
+            Health::Down
+        } else {
+            Health::Slow
+        })
+    }
+
+    fn change(&mut self, health: Health) -> Option<Health> {
+        let changed = health != self.health;
+        self.health = health;
+        changed.then_some(health)
     }
 
     /// Full jitter: uniform between zero and a ceiling that doubles with each failure.
@@ -205,19 +238,14 @@
         self.updated = self.updated.max(now);
     }
 
-    fn take(
-        &mut self,
-        urgent: bool,
-        patience: Duration,
-        now: Instant,
-    ) -> Result<Duration, Duration> {
+    /// Takes a token, at most `debt` of them in advance; returns the time until it is due.
+    fn take(&mut self, debt: f64, patience: Duration, now: Instant) -> Result<Duration, Duration> {
         self.refill(now);
         let after = self.tokens - 1.0;
-        let free = after >= 0.0 || (urgent && after >= -URGENT_DEBT);
-        let wait = if free {
+        let missing = -debt - after;
+        let wait = if missing <= 0.0 {
             Duration::ZERO
         } else {
-            let missing = if urgent { -URGENT_DEBT - after } else { -after };
             Duration::try_from_secs_f64(missing / self.rate).unwrap_or(Duration::MAX)
         };
         if wait > patience {
