Promote a server that the promoter owns, of equal logs

Change: of equal logs the former primary goes first, then a server whose lock this node holds. The scenarios with cuts run 45 s, because writes stopped after the heal as well.

--- a/crates/siskinhook-policy/src/watch/promotion.rs
+++ b/crates/siskinhook-policy/src/watch/promotion.rs
@@ -408,10 +408,18 @@
             let best = granted.values().max().copied().unwrap_or_default();
             let equal = granted.iter().filter(|(_, last)| **last == best);
             let old = self.announced.as_ref().map(|(server, _)| server);
-            // Of equal logs, a server that stays and then the former primary go first.
+            // Of equal logs, a server that stays goes first, then the former primary, then one
+            // that this node owns: the owner of another one may have failed with the primary.
+            let own = |server: &ServerId| {
+                let status = self.servers.get(server).and_then(|s| s.status.as_ref());
+                status.is_some_and(|s| s.holder.as_ref() == Some(&self.config.node))
+            };
             let server = equal
                 .map(|(server, _)| server)
-                .max_by_key(|s| (!self.config.leaving.contains(s), Some(*s) == old))
+                .max_by_key(|s| {
+                    let stays = !self.config.leaving.contains(s);
+                    (stays, Some(*s) == old, own(s))
+                })
                 .cloned();
             let Some(server) = server else { return };
             actions.push(self.promote_command(&server, term));
--- a/crates/siskinhook-policy/tests/watch.rs
+++ b/crates/siskinhook-policy/tests/watch.rs
@@ -220,3 +220,45 @@
         "{actions:?}"
     );
 }
+
+/// Guards against promoting a server whose owner failed together with the primary, which makes
+/// writes wait until another node owns it.
+#[test]
+fn of_equal_logs_the_own_server_is_promoted() {
+    for own in ["b", "c"] {
+        let start = Instant::now();
+        let mut watch = watch(0, 1, start);
+        let answer = |server: &str, at: Duration| {
+            let silent = at.saturating_sub(Duration::from_secs(2));
+            let contact = u64::try_from(silent.as_millis()).unwrap();
+            let mut status = status(server, 1, contact);
+            status.holder = Some(if server == own { "node-1" } else { "node-2" }.into());
+            (server != "a" || silent.is_zero()).then_some((status, FAST))
+        };
+        let actions = drive(&mut watch, start, Duration::from_secs(4), answer);
+        let fence = actions.iter().rev().find_map(|a| match a {
+            WatchAction::Control { command, .. } => Some(command.clone()),
+            _ => None,
+        });
+        let Some(Control::Fence { term, promoter }) = fence.clone() else {
+            panic!("{actions:?}");
+        };
+        let now = start + Duration::from_secs(4);
+        let mut promoted = Vec::new();
+        for server in ["b", "c"] {
+            let mut granted = answer(server, Duration::from_secs(4)).unwrap().0;
+            (granted.term, granted.promoter) = (term, Some(promoter.clone()));
+            (granted.primary, granted.last) = (None, LogPoint::new(1, 10));
+            let command = fence.clone().unwrap();
+            let actions = watch.on_control(&server.into(), &command, Ok(granted), now, now);
+            promoted.extend(actions);
+        }
+        promoted.extend(watch.tick(now + Duration::from_millis(60)));
+        let command = Control::Promote { term, promoter };
+        let server = own.into();
+        assert!(
+            promoted.contains(&WatchAction::Control { server, command }),
+            "{promoted:?}"
+        );
+    }
+}
--- a/examples/measure/scenario.rs
+++ b/examples/measure/scenario.rs
@@ -126,6 +126,8 @@
         "replica-behind" => (20, None, (60.0, 15.0, 30.0)),
         "slow-primary" => (20, Some(5), (60.0, 5.0, 10.0)),
         "platform-down" => (610, Some(300), (10.0, 5.0, 10.0)),
+        // Long enough to see both sides of a cut come together again.
+        "primary-zone-cut" | "zone-cut-off" | "node-cut-off" => (45, Some(5), (60.0, 15.0, 30.0)),
         _ => (20, Some(5), (60.0, 15.0, 30.0)),
     };
     Script {
