--- a/crates/siskinhook-engine/src/controller.rs
+++ b/crates/siskinhook-engine/src/controller.rs
@@ -19,8 +19,8 @@
 struct Plan {
     /// Servers that it owns.
     owned: IndexMap<ServerId, (Server, Arc<Route>)>,
-    /// Groups that it monitors, and its rank among the watchers.
-    groups: IndexMap<DatabaseId, (Arc<Route>, u32)>,
+    /// Groups that it monitors, with its rank and the number of nodes that do.
+    groups: IndexMap<DatabaseId, (Arc<Route>, (u32, usize))>,
 }
 
 /// Follows catalogue and fleet until `stop`.
@@ -33,7 +33,7 @@
     loop {
         let entries = catalogue.borrow_and_update().clone();
         let members = fleet.borrow_and_update().clone();
-        apply(&inner, &entries, members);
+        apply(&inner, &entries, &members);
         tokio::select! {
             biased;
             () = stop.cancelled() => break,
@@ -53,7 +53,7 @@
 fn apply<T: Targets, L: Links, P: Platform>(
     inner: &Inner<T, L, P>,
     catalogue: &Catalogue,
-    fleet: Arc<FleetView>,
+    fleet: &Arc<FleetView>,
 ) {
     let core = &inner.core;
     let routes = Arc::new(routes(catalogue));
@@ -61,7 +61,7 @@
         routes: routes.clone(),
         fleet: fleet.clone(),
     });
-    let plan = plan(core, &routes, &fleet);
+    let plan = plan(core, &routes, fleet);
     apply_groups(core, &inner.platform, &plan);
     apply_owners(core, &plan);
     core.changes.send_modify(|version| *version += 1);
@@ -84,14 +84,15 @@
                 continue;
             };
             if owner == *local && siskinhook_fleet::owns(fleet, server) {
-                let owned = (server.clone(), route.clone());
-                plan.owned.insert(server.name.clone(), owned);
+                plan.owned
+                    .insert(server.name.clone(), (server.clone(), route.clone()));
             }
             watchers.insert(owner);
         }
         if let Some(rank) = watchers.get_index_of(local) {
             let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-            plan.groups.insert(database.clone(), (route.clone(), rank));
+            let place = (rank, watchers.len());
+            plan.groups.insert(database.clone(), (route.clone(), place));
         }
     }
     plan
@@ -100,15 +101,15 @@
 fn apply_groups<T: Targets, P: Platform>(core: &Arc<Core<T>>, platform: &P, plan: &Plan) {
     let mut groups = core.groups();
     groups.retain(|database, _| plan.groups.contains_key(database));
-    for (database, (route, rank)) in &plan.groups {
+    for (database, (route, place)) in &plan.groups {
         let same = groups
             .get(database)
             .filter(|group| group.serves(&route.servers));
         if let Some(group) = same {
-            group.update(&route.servers, *rank);
+            group.update(&route.servers, place.0, place.1);
             continue;
         }
-        let group = Group::start(core, platform.clone(), database, &route.servers, *rank);
+        let group = Group::start(core, platform.clone(), database, &route.servers, *place);
         groups.insert(database.clone(), group);
     }
 }
--- a/crates/siskinhook-fleet/src/membership.rs
+++ b/crates/siskinhook-fleet/src/membership.rs
@@ -18,6 +18,12 @@
 /// Time between two searches for dead members to forget.
 const CLEANUP_INTERVAL: Duration = Duration::from_mins(1);
 
+/// Time over which nodes spread their attempts to reach other dead members when one came back.
+const REVIVAL_SPREAD: Duration = Duration::from_secs(5);
+/// Attempts to reach other dead members when one came back. Each further one that comes back
+/// allows as many again, so the attempts go on while a cut heals.
+const REVIVAL_ATTEMPTS: usize = 16;
+
 /// Number of a call, unique on its node.
 pub type CallId = u64;
 
@@ -57,6 +63,9 @@
     /// Kept apart from the state, so that a suspicion does not make a leaving node an owner.
     leaving: bool,
     incarnation: u64,
+    /// Highest incarnation that the member itself stated. A higher one than the record's
+    /// means that the gossip about it did not arrive.
+    stated: u64,
     revision: Revision,
     /// Start of the state.
     since: Instant,
@@ -116,8 +125,14 @@
     /// Members whose rumour has not been pushed yet.
     unpushed: Vec<NodeId>,
     push_at: Option<Instant>,
+    pushed_at: Instant,
     next_probe: Instant,
     next_hello: Instant,
+    hello_turn: usize,
+    /// Attempts left after a dead member came back.
+    attempts: usize,
+    /// Time of a second member list: nodes that start together are missing from the first.
+    relist_at: Option<Instant>,
     next_cleanup: Instant,
     seeds: Vec<SmolStr>,
     listed: IndexMap<NodeId, SmolStr>,
@@ -141,6 +156,7 @@
     ) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
         let first = settings.probe_interval.mul_f64(random.random());
+        let hello_turn = random.random_range(0..1024);
         Self {
             random,
             local,
@@ -161,8 +177,12 @@
             rumours: IndexMap::new(),
             unpushed: Vec::new(),
             push_at: None,
+            pushed_at: now,
             next_probe: now + first,
             next_hello: now,
+            hello_turn,
+            attempts: 0,
+            relist_at: None,
             next_cleanup: now + CLEANUP_INTERVAL,
             seeds,
             listed: IndexMap::new(),
@@ -287,6 +307,7 @@
             Some(self.next_probe),
             Some(self.next_hello),
             self.push_at,
+            self.relist_at,
             suspects,
         ]
         .into_iter()
@@ -312,6 +333,13 @@
             self.next_probe = now + self.settings.probe_interval;
             self.probe();
         }
+        if self.relist_at.is_some_and(|at| at <= now) {
+            self.relist_at = None;
+            let helper = self.pick(1).pop();
+            if let Some(address) = helper.and_then(|name| self.address(&name)) {
+                self.introduce(address, true);
+            }
+        }
         if self.push_at.is_some_and(|at| at <= now) {
             self.push(now);
         }
@@ -394,6 +422,11 @@
             Purpose::Direct(target) => {
                 if digest.is_none_or(|d| d.from != target) {
                     self.relay(now, &target);
+                } else if let Some(record) = self.members.get(&target)
+                    && record.stated > record.incarnation
+                {
+                    // Its answer to an introduction has its own rumour.
+                    self.introduce(record.profile.peer.clone(), false);
                 }
             }
             Purpose::Relayed(target) => {
@@ -412,8 +445,10 @@
                     for rumour in members {
                         self.apply(now, rumour, false);
                     }
+                    if self.contact == Contact::Joining {
+                        self.relist_at = Some(now + self.settings.join_patience);
+                    }
                     self.settle();
-                    self.next_hello = self.next_hello.min(now + self.settings.join_interval);
                 }
             }
             Purpose::Push => {}
@@ -446,6 +481,8 @@
     pub fn stop(&mut self, now: Instant) {
         self.leave(now);
         self.departure = Departure::Stopped;
+        self.suspects.clear();
+        self.relist_at = None;
         self.push_at = Some(now);
         self.spread(now, &self.local.clone());
     }
@@ -464,16 +501,20 @@
         rumours.extend(self.take_rumours(limit));
         Digest {
             from: self.local.clone(),
+            incarnation: self.incarnation,
             revision: self.revision,
             unknown: false,
             rumours,
         }
     }
 
-    /// Digest of an answer; asks a sender that is not known to introduce itself.
+    /// Digest of an answer; asks a sender whose incarnation is not known to introduce itself.
     fn reply_digest(&mut self, from: Option<&NodeId>) -> Digest {
         let mut digest = self.digest(from, self.settings.probe_rumours);
-        digest.unknown = from.is_some_and(|name| !self.members.contains_key(name));
+        digest.unknown = from.is_some_and(|name| {
+            let record = self.members.get(name);
+            record.is_none_or(|r| r.stated > r.incarnation)
+        });
         digest
     }
 
@@ -527,7 +568,9 @@
         if !self.unpushed.contains(name) {
             self.unpushed.push(name.clone());
         }
-        self.push_at.get_or_insert(now + self.settings.push_delay);
+        let earliest = self.pushed_at + self.settings.push_spacing;
+        let at = earliest.max(now + self.settings.push_delay);
+        self.push_at.get_or_insert(at);
     }
 
     fn absorb(&mut self, now: Instant, digest: &Digest) {
@@ -536,6 +579,7 @@
         }
         if let Some(record) = self.members.get_mut(&digest.from) {
             record.revision = record.revision.max(digest.revision.unwrap_or_default());
+            record.stated = record.stated.max(digest.incarnation);
             if digest.unknown {
                 let address = record.profile.peer.clone();
                 self.introduce(address, false);
@@ -558,6 +602,7 @@
             MemberState::Alive | MemberState::Leaving if newer => MemberState::Alive,
             MemberState::Dead if record.state == MemberState::Dead => {
                 record.incarnation = record.incarnation.max(rumour.incarnation);
+                self.count_transmission(&rumour.name);
                 return;
             }
             MemberState::Dead if record.leaving && (newer || same) => MemberState::Dead,
@@ -568,7 +613,13 @@
             {
                 MemberState::Suspect
             }
-            _ => return,
+            _ => {
+                if same {
+                    // Others spread it as well, so fewer transmissions of this node suffice.
+                    self.count_transmission(&rumour.name);
+                }
+                return;
+            }
         };
         record.incarnation = rumour.incarnation;
         if state == MemberState::Alive {
@@ -609,6 +660,7 @@
             state: MemberState::Dead,
             leaving: rumour.state == MemberState::Leaving,
             incarnation: rumour.incarnation,
+            stated: 0,
             revision: 0,
             since: now,
         };
@@ -634,6 +686,7 @@
             return;
         };
         let returned = record.state == MemberState::Dead && state != MemberState::Dead;
+        let leaving = record.leaving;
         record.state = state;
         record.since = now;
         if state == MemberState::Suspect {
@@ -642,12 +695,23 @@
         } else {
             self.suspects.shift_remove(name);
         }
-        if returned && !self.ring.contains(name) {
-            let place = self.random.random_range(0..=self.ring.len());
-            self.ring.insert(place, name.clone());
+        if returned {
+            if !self.ring.contains(name) {
+                let place = self.random.random_range(0..=self.ring.len());
+                self.ring.insert(place, name.clone());
+            }
+            // Other dead members may be back as well: a cut may have healed.
+            self.attempts = REVIVAL_ATTEMPTS;
+            let wait = REVIVAL_SPREAD.mul_f64(self.random.random());
+            self.next_hello = self.next_hello.min(now + wait);
         }
         self.changed = true;
-        self.spread(now, name);
+        if state == MemberState::Dead && !leaving {
+            // Every node's own timer decides on a death, so the word of it is not urgent.
+            self.rumours.insert(name.clone(), 0);
+        } else {
+            self.spread(now, name);
+        }
     }
 
     fn suspect(&mut self, now: Instant, name: &NodeId) {
@@ -762,10 +826,11 @@
                 self.settle();
             }
         }
+        let joining = !self.is_joined();
         let mut addresses: Vec<SmolStr> = self
             .members
             .values()
-            .filter(|r| r.state == MemberState::Dead)
+            .filter(|r| joining || r.state == MemberState::Dead)
             .map(|r| r.profile.peer.clone())
             .collect();
         let unknown = self
@@ -778,12 +843,21 @@
             **seed != self.profile.peer && live.all(|peer| peer != *seed)
         });
         addresses.extend(seeds.cloned());
+        addresses.sort_unstable();
+        addresses.dedup();
         if self.is_joined() {
+            self.attempts = self.attempts.min(addresses.len()).saturating_sub(1);
+            let interval = match self.attempts {
+                0 => self.settings.reprobe_interval,
+                _ => self.settings.join_interval,
+            };
             // Jitter keeps nodes that lost the same members from retrying in step.
-            let jitter = self.random.random_range(0.5..1.5);
-            self.next_hello = now + self.settings.reprobe_interval.mul_f64(jitter);
+            self.next_hello = now + interval.mul_f64(self.random.random_range(0.5..1.5));
         }
-        if let Some(address) = addresses.choose(&mut self.random).cloned() {
+        if !addresses.is_empty() {
+            // In turn: a random choice may miss a live node for long among many dead ones.
+            self.hello_turn = (self.hello_turn + 1) % addresses.len();
+            let address = addresses.swap_remove(self.hello_turn);
             let all = !self.is_joined() || self.members.len() * 2 < self.listed.len();
             self.introduce(address, all);
         }
@@ -817,8 +891,9 @@
         if rumours.is_empty() {
             return;
         }
+        self.pushed_at = now;
         if !self.unpushed.is_empty() {
-            self.push_at = Some(now + self.settings.push_delay);
+            self.push_at = Some(now + self.settings.push_spacing);
         }
         for target in self.pick(self.settings.fan_out) {
             let Some(address) = self.address(&target) else {
@@ -826,6 +901,7 @@
             };
             let digest = Digest {
                 from: self.local.clone(),
+                incarnation: self.incarnation,
                 revision: self.revision,
                 unknown: false,
                 rumours: rumours.clone(),
--- a/crates/siskinhook-fleet/src/settings.rs
+++ b/crates/siskinhook-fleet/src/settings.rs
@@ -25,6 +25,8 @@
     pub fan_out: usize,
     /// Delay before news of members is pushed, to collect several in one message.
     pub push_delay: Duration,
+    /// Shortest time between two pushes. Limits the messages when many members change at once.
+    pub push_spacing: Duration,
     /// Rumours piggybacked on one probe or answer.
     pub probe_rumours: usize,
     /// Rumours in one push.
@@ -33,7 +35,7 @@
     pub retransmits: u32,
     /// Time between two attempts to reach a dead or a listed but unknown node.
     pub reprobe_interval: Duration,
-    /// Time between two such attempts after a successful one, and while joining.
+    /// Time between two such attempts while joining, and after a dead member came back.
     pub join_interval: Duration,
     /// Time without any answer after which a node whose list names others goes on alone.
     pub join_patience: Duration,
@@ -51,7 +53,11 @@
     pub backoff_limit: Duration,
     /// Time that a push may take before a missing change is pulled.
     pub pull_delay: Duration,
-    /// Time after which a pull, a push or a read of the platform counts as failed.
+    /// Time after which a pull of changes counts as failed. Leaves room for a second attempt
+    /// within the 3 s in which a change has to be in force.
+    pub pull_timeout: Duration,
+    /// Time after which a push, a pull of a whole catalogue or a read of the platform counts
+    /// as failed.
     pub call_timeout: Duration,
     /// Changes kept to answer pulls; older ones are answered with the whole catalogue.
     pub kept_changes: usize,
@@ -67,6 +73,7 @@
             suspicion: Duration::from_secs(3),
             fan_out: 4,
             push_delay: Duration::from_millis(50),
+            push_spacing: Duration::from_millis(200),
             probe_rumours: 8,
             push_rumours: 64,
             retransmits: 2,
@@ -79,6 +86,7 @@
             poll_interval: Duration::from_secs(10),
             backoff_limit: Duration::from_secs(10),
             pull_delay: Duration::from_millis(200),
+            pull_timeout: Duration::from_millis(500),
             call_timeout: Duration::from_secs(2),
             kept_changes: 128,
         }
