Feed metrics, audit and revisions of a node

Cause: siskinctl catalogue wait timed out, because membership refreshes the revision of a member about once a round of probes; most metrics had no source. Change: the node asks every live member for its revision by a probe, 32 at a time; engine, platform and audit figures feed the metrics.

--- a/crates/siskinhook-node/src/monitor.rs
+++ b/crates/siskinhook-node/src/monitor.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use siskinhook_catalogue::AuditLog;
+use siskinhook_engine::ServerReport;
 use siskinhook_operator::NodeView;
 use siskinhook_platform::CountersSnapshot as PlatformSnapshot;
-use siskinhook_telemetry::{Metrics, Readiness};
+use siskinhook_telemetry::{FleetLog, Metrics, Readiness};
 use siskinhook_types::MemberState;
 
 use crate::{
@@ -20,6 +22,7 @@
     pub(crate) view: View,
     pub(crate) engine: NodeEngine,
     pub(crate) platform: NodePlatform,
+    pub(crate) audit: AuditLog<NodePlatform>,
     pub(crate) metrics: Metrics,
     pub(crate) readiness: Readiness,
 }
@@ -28,12 +31,14 @@
     /// Samples until the node ends.
     pub(crate) async fn run(self) {
         let mut platform = PlatformSnapshot::default();
+        let mut events = FleetLog::default();
         loop {
             self.report_readiness();
             self.sample_members();
-            self.sample_groups();
+            events.observe(&self.view.fleet());
+            self.sample_engine();
             let now = self.platform.counters().snapshot();
-            self.sample_platform(&platform, &now);
+            self.sample_platform(platform, now);
             platform = now;
             tokio::time::sleep(SAMPLE_INTERVAL).await;
         }
@@ -65,8 +70,15 @@
         self.metrics.callers(self.view.sessions() as u64);
     }
 
-    fn sample_groups(&self) {
-        for (name, database) in self.engine.report().databases {
+    fn sample_engine(&self) {
+        let unknown = self
+            .metrics
+            .engine(&self.engine.counters().snapshot().list());
+        debug_assert!(unknown.is_empty(), "counters without a metric: {unknown:?}");
+        let report = self.engine.report();
+        self.metrics.active_requests(report.active);
+        let mut owned = 0;
+        for (name, database) in report.databases {
             if let Some(term) = database.term {
                 self.metrics.group_term(&name, term);
             }
@@ -74,20 +86,33 @@
                 self.metrics.anchor_age(&name, Duration::from_millis(age));
             }
             for (server, report) in database.servers {
-                if let Some(lag) = report.lag {
-                    self.metrics.replica_lag(&server, lag);
-                }
+                owned += u64::from(report.locked);
+                self.sample_server(&server, &report);
             }
         }
+        self.metrics.owned_servers(owned);
     }
 
-    fn sample_platform(&self, before: &PlatformSnapshot, now: &PlatformSnapshot) {
-        for (kind, result, now, before) in [
-            ("read", "done", now.reads, before.reads),
-            ("write", "done", now.writes, before.writes),
-        ] {
-            self.metrics
-                .platform_calls(kind, result, now.saturating_sub(before));
+    fn sample_server(&self, server: &str, report: &ServerReport) {
+        if let Some(lag) = report.lag {
+            self.metrics.replica_lag(server, lag);
+        }
+        if let Some(queue) = report.queue {
+            self.metrics.queue_length(server, queue);
         }
+        if let Some(connections) = report.connections {
+            self.metrics.pool(server, connections);
+        }
+    }
+
+    fn sample_platform(&self, before: PlatformSnapshot, now: PlatformSnapshot) {
+        let rise = now.since(before);
+        for (kind, result, calls) in rise.list() {
+            self.metrics.platform_calls(kind, result, calls);
+        }
+        self.metrics
+            .platform_wait(Duration::from_millis(rise.waited));
+        let (waiting, _) = self.audit.waiting();
+        self.metrics.audit_waiting(waiting as u64);
     }
 }
--- a/crates/siskinhook-node/src/node.rs
+++ b/crates/siskinhook-node/src/node.rs
@@ -95,8 +95,9 @@
         tasks.spawn(follow_share(fleet.view(), platform.clone()));
         let listener = TcpListener::from_std(listeners.links)?;
         let link_engine = engine.clone();
+        let link_secret = secret.clone();
         tasks.spawn(async move {
-            if let Err(error) = serve_links(listener, link_engine, secret).await {
+            if let Err(error) = serve_links(listener, link_engine, link_secret).await {
                 log::error!(target: "siskinhook::node", event = 1003_u32; "links are no longer accepted: {error}");
             }
         });
@@ -118,13 +119,27 @@
             settings.clone(),
             backend,
             frontend,
+            RpcPeers::new(Secret::new(&secret)).with_dials(settings.dial.clone()),
             platform.urgent(),
             drain.clone(),
         );
         tasks.spawn(view.clone().follow_contact());
-        let metrics = start_metrics(&mut tasks, listeners.metrics, &view, &engine, &platform)?;
-        let operators =
-            start_operators(&mut tasks, listeners.operators, &settings, view, platform).await?;
+        let audit = AuditLog::new(platform.clone());
+        let flushed = audit.clone();
+        tasks.spawn(async move { flushed.run(AUDIT_INTERVAL, seed).await });
+        let monitor = Monitor {
+            view: view.clone(),
+            engine: engine.clone(),
+            platform: platform.clone(),
+            audit: audit.clone(),
+            metrics: Metrics::new()?,
+            readiness: Readiness::waiting("the node is starting"),
+        };
+        let metrics = monitor.metrics.clone();
+        start_metrics(&mut tasks, listeners.metrics, monitor)?;
+        let store = CatalogueStore::new(platform.urgent(), seed);
+        let service = OperatorService::new(view, store, audit, SystemTime::now);
+        let operators = start_operators(listeners.operators, &settings, service).await?;
         log::info!(
             target: "siskinhook::node", event = 1000_u32;
             "node {} started in zone {}", settings.name, settings.zone
@@ -196,48 +211,29 @@
 fn start_metrics(
     tasks: &mut JoinSet<()>,
     listener: std::net::TcpListener,
-    view: &View,
-    engine: &NodeEngine,
-    platform: &NodePlatform,
-) -> anyhow::Result<Metrics> {
-    let metrics = Metrics::new()?;
-    let readiness = Readiness::waiting("the node is starting");
-    let monitor = Monitor {
-        view: view.clone(),
-        engine: engine.clone(),
-        platform: platform.clone(),
-        metrics: metrics.clone(),
-        readiness: readiness.clone(),
-    };
-    tasks.spawn(monitor.run());
+    monitor: Monitor,
+) -> anyhow::Result<()> {
     let listener = TcpListener::from_std(listener)?;
-    let served = metrics.clone();
+    let (metrics, readiness) = (monitor.metrics.clone(), monitor.readiness.clone());
+    tasks.spawn(monitor.run());
     tasks.spawn(async move {
         // The task is aborted with the node, which closes the listener.
         let end = std::future::pending();
-        if let Err(error) = siskinhook_telemetry::serve(listener, served, readiness, end).await {
+        if let Err(error) = siskinhook_telemetry::serve(listener, metrics, readiness, end).await {
             log::error!(target: "siskinhook::node", event = 1010_u32; "the metrics endpoint ended: {error:#}");
         }
     });
-    Ok(metrics)
+    Ok(())
 }
 
 async fn start_operators(
-    tasks: &mut JoinSet<()>,
     listener: std::net::TcpListener,
     settings: &NodeSettings,
-    view: View,
-    platform: NodePlatform,
+    service: OperatorService<View, NodePlatform>,
 ) -> anyhow::Result<ServerHandle> {
     let address = listener.local_addr().context("no local address")?;
     // The interface opens its own socket on the address that was reserved.
     drop(listener);
-    let seed: u64 = rand::rng().random();
-    let store = CatalogueStore::new(platform.urgent(), seed);
-    let audit = AuditLog::new(platform);
-    let flushed = audit.clone();
-    tasks.spawn(async move { flushed.run(AUDIT_INTERVAL, seed).await });
-    let service = OperatorService::new(view, store, audit, SystemTime::now);
     let operators = Operators::read(&settings.operators).context("setting operators")?;
     let (_, handle) = siskinhook_operator::serve(address, service, operators).await?;
     Ok(handle)
--- a/crates/siskinhook-node/src/view.rs
+++ b/crates/siskinhook-node/src/view.rs
@@ -5,13 +5,15 @@
     time::Duration,
 };
 
+use futures::{StreamExt, stream};
 use serde_json::{Value, json};
 use siskinhook_catalogue::CatalogueReader;
 use siskinhook_engine::{Operation, classify};
+use siskinhook_fleet::{Digest, PeerMessage, Peers, RpcPeers};
 use siskinhook_frontend::Frontend;
-use siskinhook_operator::{Explain, NodeState, NodeStatus, NodeView, Report};
+use siskinhook_operator::{Explain, NodeRevision, NodeState, NodeStatus, NodeView, Report};
 use siskinhook_settings::NodeSettings;
-use siskinhook_types::{Catalogue, FleetView, MemberState, NodeId, Revision};
+use siskinhook_types::{Catalogue, FleetView, Member, MemberState, NodeId, Revision};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{backend::NodeBackend, node::NodePlatform};
@@ -19,6 +21,12 @@
 /// Interval at which the node looks whether it reaches the fleet.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Nodes that are asked for their revision at a time.
+const REVISION_CALLS: usize = 32;
+
+/// Time that a node has to tell its revision.
+const REVISION_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// View of a node for operators; clones share it.
 #[derive(Clone)]
 pub(crate) struct View {
@@ -29,6 +37,7 @@
     settings: NodeSettings,
     backend: NodeBackend,
     frontend: Arc<Frontend<NodeBackend>>,
+    peers: RpcPeers,
     reader: CatalogueReader<NodePlatform>,
     drain: watch::Sender<bool>,
     /// When most of the known nodes were last alive in this node's view.
@@ -40,6 +49,7 @@
         settings: NodeSettings,
         backend: NodeBackend,
         frontend: Arc<Frontend<NodeBackend>>,
+        peers: RpcPeers,
         platform: NodePlatform,
         drain: watch::Sender<bool>,
     ) -> Self {
@@ -48,6 +58,7 @@
                 settings,
                 backend,
                 frontend,
+                peers,
                 reader: CatalogueReader::new(platform),
                 drain,
                 reached: Mutex::new(Instant::now()),
@@ -106,6 +117,41 @@
         Ok(value)
     }
 
+    /// Creates what this node tells about itself in a probe.
+    fn digest(&self, fleet: &FleetView) -> Digest {
+        let own = fleet.members.get(&fleet.local);
+        Digest {
+            from: fleet.local.clone(),
+            incarnation: own.map_or(0, |member| member.incarnation),
+            revision: Some(self.inner.backend.fleet.catalogue().borrow().revision),
+            unknown: false,
+            rumours: Vec::new(),
+        }
+    }
+
+    /// Asks a node for the revision in force on it, by a probe.
+    async fn revision_of(&self, member: Member, digest: Digest) -> NodeRevision {
+        if member.name == digest.from {
+            return NodeRevision {
+                node: member.name,
+                revision: digest.revision,
+            };
+        }
+        let call = self
+            .inner
+            .peers
+            .call(&member.peer, PeerMessage::Probe(digest));
+        let answer = tokio::time::timeout(REVISION_TIMEOUT, call).await;
+        let revision = match answer {
+            Ok(Ok(PeerMessage::Ack(digest))) => digest.revision,
+            _ => None,
+        };
+        NodeRevision {
+            node: member.name,
+            revision,
+        }
+    }
+
     /// Spreads an accepted change without waiting for the next poll of the platform.
     async fn spread(self, revision: Revision) {
         match self.inner.reader.changes(revision - 1).await {
@@ -151,6 +197,19 @@
         self.inner.backend.fleet.catalogue().borrow().clone()
     }
 
+    async fn revisions(&self) -> Vec<NodeRevision> {
+        let fleet = self.fleet();
+        let digest = self.digest(&fleet);
+        let members = fleet.members.into_values();
+        let asked = members
+            .filter(|member| member.state != MemberState::Dead)
+            .map(|member| self.revision_of(member, digest.clone()));
+        stream::iter(asked)
+            .buffer_unordered(REVISION_CALLS)
+            .collect()
+            .await
+    }
+
     async fn report(&self, report: Report) -> Result<Value, String> {
         match report {
             Report::Node => Ok(json!(self.inner.backend.engine.report())),
