Record promotions and takeovers of servers in the audit trail

Cause: the trail held edits only; why a primary changed was in one node's log. Change: the engine reports its acts on a channel; the node queues them as audit records, which are written when the platform answers.

--- a/crates/siskinhook-engine/src/core.rs
+++ b/crates/siskinhook-engine/src/core.rs
@@ -9,12 +9,16 @@
     Catalogue, Class, DatabaseId, Failure, FailureKind, FleetView, Limits, NodeId, Server,
     ServerId, Targets, sqlstate,
 };
-use tokio::sync::watch;
+use tokio::sync::{broadcast, watch};
 
 use crate::{
-    Classifier, Counters, EngineSettings, Identity, counters::count, group::Group, owner::Owner,
+    Classifier, Counters, EngineEvent, EngineSettings, Identity, counters::count, group::Group,
+    owner::Owner,
 };
 
+/// Acts kept for a slow receiver. A node takes a few a day.
+const EVENTS: usize = 256;
+
 /// A database with what routing needs of its catalogue entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
@@ -45,6 +49,8 @@
     /// Raised after each change of catalogue or fleet.
     pub changes: watch::Sender<u64>,
     pub owner_cache: OwnerCache,
+    /// Acts for the audit trail; without a receiver they are dropped.
+    pub events: broadcast::Sender<EngineEvent>,
     view: RwLock<View>,
     owners: Mutex<IndexMap<ServerId, Arc<Owner<T>>>>,
     groups: Mutex<IndexMap<DatabaseId, Arc<Group<T>>>>,
@@ -68,6 +74,7 @@
             sessions: watch::Sender::new(0),
             changes: watch::Sender::new(0),
             owner_cache: OwnerCache::new(),
+            events: broadcast::Sender::new(EVENTS),
             view: RwLock::new(View {
                 routes: Arc::default(),
                 fleet: Arc::new(fleet),
--- a/crates/siskinhook-engine/src/engine.rs
+++ b/crates/siskinhook-engine/src/engine.rs
@@ -8,12 +8,12 @@
 use siskinhook_types::{
     CallerId, Catalogue, DatabaseId, Failure, FleetView, Links, NodeId, Platform, ServerId, Targets,
 };
-use tokio::sync::watch;
+use tokio::sync::{broadcast, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Counters, DatabaseReport, EngineReport, EngineSettings, Identity, OwnerLink, ServerReport,
-    Session, SessionOptions,
+    Counters, DatabaseReport, EngineEvent, EngineReport, EngineSettings, Identity, OwnerLink,
+    ServerReport, Session, SessionOptions,
     clock::{millis, now, until},
     controller,
     core::{Core, Route, draining},
@@ -138,6 +138,13 @@
         self.inner.core.counters.clone()
     }
 
+    /// Returns the acts of this node from now on, for the audit trail. A receiver that falls
+    /// far behind misses the oldest.
+    #[must_use]
+    pub fn events(&self) -> broadcast::Receiver<EngineEvent> {
+        self.inner.core.events.subscribe()
+    }
+
     /// Returns the identity of the node.
     #[must_use]
     pub fn identity(&self) -> &Identity {
--- a/crates/siskinhook-engine/src/group/watcher.rs
+++ b/crates/siskinhook-engine/src/group/watcher.rs
@@ -17,6 +17,7 @@
 
 use super::Group;
 use crate::{
+    EngineEvent,
     clock::{millis, now, sleep_until, until},
     counters::{add, count},
 };
@@ -125,6 +126,15 @@
             detection = millis(trace.detection), claim = millis(trace.claim),
             fencing = millis(trace.fencing), promotion = millis(trace.promotion);
             "this node promoted a new primary; phases in milliseconds");
+        if let Some((server, term)) = primary {
+            // Nobody may be interested in the audit trail.
+            let _ = self.core.events.send(EngineEvent::Promoted {
+                database: self.database.clone(),
+                server: server.clone(),
+                term: *term,
+                trace,
+            });
+        }
     }
 }
 
--- a/crates/siskinhook-engine/src/owner/lock.rs
+++ b/crates/siskinhook-engine/src/owner/lock.rs
@@ -10,6 +10,7 @@
 
 use super::Pool;
 use crate::{
+    EngineEvent,
     clock::{now, until},
     core::Core,
     group::Group,
@@ -148,6 +149,11 @@
     log::warn!(target: "siskinhook::engine", event = 2003,
         server = server.name.as_str(), holder = holder.as_str();
         "terminates the connections of the lock's former holder");
+    // Nobody may be interested in the audit trail.
+    let _ = core.events.send(EngineEvent::TookOver {
+        server: server.name.clone(),
+        before: holder.clone(),
+    });
     let command = Control::Terminate {
         node: holder.clone(),
     };
--- a/crates/siskinhook-node/src/lib.rs
+++ b/crates/siskinhook-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod listeners;
 mod monitor;
 mod node;
+mod trail;
 mod translate;
 mod view;
 
--- a/crates/siskinhook-node/src/node.rs
+++ b/crates/siskinhook-node/src/node.rs
@@ -18,7 +18,11 @@
 use siskinhook_telemetry::{Metrics, Readiness};
 use tokio::{net::TcpListener, sync::watch, task::JoinSet, time::Instant};
 
-use crate::{Listeners, backend::NodeBackend, monitor::Monitor, translate, view::View};
+use smol_str::SmolStr;
+
+use crate::{
+    Listeners, backend::NodeBackend, monitor::Monitor, trail::Recorder, translate, view::View,
+};
 
 /// The platform client of a node.
 pub(crate) type NodePlatform = Budgeted<RpcPlatform>;
@@ -93,14 +97,7 @@
         let mut tasks = JoinSet::new();
         spawn_engine(&mut tasks, &engine, &fleet);
         tasks.spawn(follow_share(fleet.view(), platform.clone()));
-        let listener = TcpListener::from_std(listeners.links)?;
-        let link_engine = engine.clone();
-        let link_secret = secret.clone();
-        tasks.spawn(async move {
-            if let Err(error) = serve_links(listener, link_engine, link_secret).await {
-                log::error!(target: "siskinhook::node", event = 1003_u32; "links are no longer accepted: {error}");
-            }
-        });
+        start_links(&mut tasks, listeners.links, &engine, &secret)?;
         let (drain, drained) = watch::channel(false);
         let backend = NodeBackend {
             engine: engine.clone(),
@@ -124,9 +121,7 @@
             drain.clone(),
         );
         tasks.spawn(view.clone().follow_contact());
-        let audit = AuditLog::new(platform.clone());
-        let flushed = audit.clone();
-        tasks.spawn(async move { flushed.run(AUDIT_INTERVAL, seed).await });
+        let audit = start_audit(&mut tasks, &settings, &engine, &fleet, &platform, seed);
         let monitor = Monitor {
             view: view.clone(),
             engine: engine.clone(),
@@ -208,6 +203,42 @@
     }
 }
 
+fn start_links(
+    tasks: &mut JoinSet<()>,
+    listener: std::net::TcpListener,
+    engine: &NodeEngine,
+    secret: &SmolStr,
+) -> anyhow::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
+    let (engine, secret) = (engine.clone(), secret.clone());
+    tasks.spawn(async move {
+        if let Err(error) = serve_links(listener, engine, secret).await {
+            log::error!(target: "siskinhook::node", event = 1003_u32; "links are no longer accepted: {error}");
+        }
+    });
+    Ok(())
+}
+
+fn start_audit(
+    tasks: &mut JoinSet<()>,
+    settings: &NodeSettings,
+    engine: &NodeEngine,
+    fleet: &Fleet,
+    platform: &NodePlatform,
+    seed: u64,
+) -> AuditLog<NodePlatform> {
+    let audit = AuditLog::new(platform.clone());
+    let recorder = Recorder {
+        node: settings.name.clone(),
+        fleet: fleet.clone(),
+        audit: audit.clone(),
+    };
+    tasks.spawn(recorder.run(engine.events()));
+    let flushed = audit.clone();
+    tasks.spawn(async move { flushed.run(AUDIT_INTERVAL, seed).await });
+    audit
+}
+
 fn start_metrics(
     tasks: &mut JoinSet<()>,
     listener: std::net::TcpListener,
--- /dev/null
+++ b/crates/siskinhook-node/src/trail.rs
@@ -0,0 +1,96 @@
+//! Writes the node's own acts to the audit trail.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use siskinhook_catalogue::{AuditAction, AuditDraft, AuditLog};
+use siskinhook_engine::EngineEvent;
+use siskinhook_fleet::Fleet;
+use siskinhook_types::{DatabaseId, NodeId, Platform, ServiceId};
+use smol_str::format_smolstr;
+use tokio::sync::broadcast::{Receiver, error::RecvError};
+
+/// Records the acts of a node's engine.
+pub(crate) struct Recorder<P> {
+    pub(crate) node: NodeId,
+    pub(crate) fleet: Fleet,
+    pub(crate) audit: AuditLog<P>,
+}
+
+impl<P: Platform> Recorder<P> {
+    /// Records until the engine is gone.
+    pub(crate) async fn run(self, mut events: Receiver<EngineEvent>) {
+        loop {
+            match events.recv().await {
+                Ok(event) => self.record(event),
+                Err(RecvError::Lagged(missed)) => log::error!(
+                    target: "siskinhook::node", event = 3051_u32;
+                    "{missed} acts of this node are missing in the audit trail"
+                ),
+                Err(RecvError::Closed) => return,
+            }
+        }
+    }
+
+    fn record(&self, event: EngineEvent) {
+        let time = now();
+        let (service, reason, action) = match event {
+            EngineEvent::Promoted {
+                database,
+                server,
+                term,
+                trace,
+            } => {
+                let reason = format!(
+                    "the former primary did not answer; detected after {} ms, promoted after {} ms",
+                    trace.detection.as_millis(),
+                    (trace.detection + trace.claim + trace.fencing + trace.promotion).as_millis()
+                );
+                let service = self.service(&database);
+                let action = AuditAction::Promotion {
+                    database,
+                    server,
+                    term,
+                };
+                (service, reason, action)
+            }
+            EngineEvent::TookOver { server, before } => {
+                let catalogue = self.fleet.catalogue();
+                let database = catalogue.borrow().server(&server).map(|(id, _)| id.clone());
+                let service = database.and_then(|database| self.service(&database));
+                let reason = "the former owner is gone or ranks lower; its connections were closed";
+                let action = AuditAction::Ownership {
+                    server,
+                    before: Some(before),
+                    after: self.node.clone(),
+                };
+                (service, reason.into(), action)
+            }
+        };
+        self.audit.record(AuditDraft {
+            // A node does not take two acts of the same kind in one nanosecond.
+            id: format_smolstr!("{}-{time}", self.node),
+            time: u64::try_from(time / 1_000_000).unwrap_or(u64::MAX),
+            person: self.node.clone(),
+            partner: None,
+            origin: self.node.clone(),
+            service,
+            reason,
+            action,
+        });
+    }
+
+    fn service(&self, database: &DatabaseId) -> Option<ServiceId> {
+        let catalogue = self.fleet.catalogue();
+        let catalogue = catalogue.borrow();
+        catalogue
+            .database(database)
+            .map(|(entry, _)| entry.name.clone())
+    }
+}
+
+/// Nanoseconds since the Unix epoch.
+fn now() -> u128 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_nanos())
+}
