--- a/crates/siskinhook-engine/src/answer.rs
+++ b/crates/siskinhook-engine/src/answer.rs
@@ -144,7 +144,7 @@
                     shared.token = Some(token);
                 }
             }
-            Kind::Read | Kind::Describe | Kind::Lookup => {}
+            Kind::Read | Kind::Describe | Kind::Lookup | Kind::Report => {}
         }
     }
 
--- a/crates/siskinhook-engine/src/engine.rs
+++ b/crates/siskinhook-engine/src/engine.rs
@@ -1,23 +1,21 @@
 //! The engine of one node.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Instant};
 
 use siskinhook_types::{
-    CallerId, Catalogue, DatabaseId, Failure, FleetView, Links, NodeId, Platform, ServerId, Targets,
+    CallerId, Catalogue, DatabaseId, Failure, FleetView, Links, NodeId, Platform, Server, Targets,
 };
 use tokio::sync::{broadcast, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Counters, DatabaseReport, EngineEvent, EngineReport, EngineSettings, Identity, OwnerLink,
-    ServerReport, Session, SessionOptions,
-    clock::{millis, now, until},
+    Counters, EngineEvent, EngineReport, EngineSettings, Identity, OwnerLink, Session,
+    SessionOptions,
+    clock::until,
     controller,
     core::{Core, Route, draining},
     entry::{Budget, Choices},
+    report::report_database,
     session::unknown_database,
 };
 
@@ -163,51 +161,25 @@
             active: *core.active.borrow() as u64,
             draining: *core.draining.borrow(),
             databases: databases
-                .map(|route| (route.database.clone(), self.report_database(route)))
+                .map(|route| {
+                    let primary = self.inner.choices.primary(core, &route.database);
+                    let report = report_database(core, route, primary);
+                    (route.database.clone(), report)
+                })
                 .collect(),
             counters: core.counters.snapshot(),
         }
     }
 
-    fn report_database(&self, route: &Route) -> DatabaseReport {
-        let core = &self.inner.core;
-        let group = core.groups().get(&route.database).cloned();
-        let known = group.as_ref().and_then(|group| group.primary());
-        let anchor = group.as_ref().and_then(|group| group.anchor());
-        let age = |at: Instant| -> Duration { now().saturating_duration_since(at) };
-        let servers = route.servers.iter().map(|server| {
-            let report = ServerReport {
-                owner: core.owner_of(server),
-                ..self.report_server(&server.name, group.as_deref())
-            };
-            (server.name.clone(), report)
-        });
-        DatabaseReport {
-            primary: self.inner.choices.primary(core, &route.database),
-            term: known.map(|(_, term)| term),
-            anchor_age: anchor.map(|anchor| millis(age(anchor.at))),
-            servers: servers.collect(),
-        }
+    pub(crate) fn route(&self, database: &DatabaseId) -> Option<Arc<Route>> {
+        self.inner.core.route(database)
     }
 
-    fn report_server(
-        &self,
-        server: &ServerId,
-        group: Option<&crate::group::Group<T>>,
-    ) -> ServerReport {
-        let owner = self.inner.core.owners().get(server).cloned();
-        let views = group.map(crate::group::Group::views).unwrap_or_default();
-        let view = views.iter().find(|view| view.server == *server);
-        let seen = view.filter(|view| view.role.is_some());
-        ServerReport {
-            owner: None,
-            point: seen.map(|view| view.last),
-            lag: seen.map(|view| view.lag),
-            queue: owner
-                .as_ref()
-                .map(|owner| u64::from(owner.slots.load().queued)),
-            connections: owner.as_ref().map(|owner| owner.pool.open() as u64),
-            locked: owner.is_some_and(|owner| owner.pool.is_allowed()),
-        }
+    pub(crate) fn owner_of(&self, server: &Server) -> Option<NodeId> {
+        self.inner.core.owner_of(server)
+    }
+
+    pub(crate) fn links(&self) -> &L {
+        &self.inner.links
     }
 }
--- a/crates/siskinhook-engine/src/lib.rs
+++ b/crates/siskinhook-engine/src/lib.rs
@@ -21,6 +21,7 @@
 mod report;
 mod session;
 mod settings;
+mod survey;
 
 pub use answer::Answer;
 pub use classify::{Classifier, Operation, classify};
--- a/crates/siskinhook-engine/src/owner/worker.rs
+++ b/crates/siskinhook-engine/src/owner/worker.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
+use serde_json::json;
 use siskinhook_types::{Failure, FailureKind, Kind, LogPoint, Part, Request, Targets, sqlstate};
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
 use super::{Owner, not_primary, transaction::Transaction};
-use crate::{core::Core, counters::count};
+use crate::{core::Core, counters::count, report::report_database, survey::encode};
 
 /// Sends the parts of an answer to the link.
 pub struct Reply {
@@ -82,6 +83,13 @@
             Kind::Read | Kind::Describe => self.read(&owner, request).await,
             Kind::Begin | Kind::BeginReadOnly => self.begin(owner, request).await,
             Kind::Lookup => self.lookup(&owner, request).await,
+            Kind::Report => {
+                let route = self.core.route(&request.database);
+                let report = route.map(|route| report_database(&self.core, &route, None));
+                self.reply.part(encode(&json!(report))).await;
+                self.reply.done("REPORT".into(), None).await;
+                Ok(())
+            }
             _ if request.id.is_some() => self.write_once(&owner, request).await,
             _ => self.write(&owner, request).await,
         }
--- a/crates/siskinhook-engine/src/report.rs
+++ b/crates/siskinhook-engine/src/report.rs
@@ -2,9 +2,14 @@
 
 use indexmap::IndexMap;
 use serde::Serialize;
-use siskinhook_types::{DatabaseId, LogPoint, NodeId, ServerId, Term};
+use siskinhook_types::{DatabaseId, LogPoint, NodeId, ServerId, Targets, Term};
 
-use crate::CountersSnapshot;
+use crate::{
+    CountersSnapshot,
+    clock::{millis, now},
+    core::{Core, Route},
+    group::Group,
+};
 
 /// State of a node's request path.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -52,3 +57,48 @@
     /// Whether this node holds the server's lock.
     pub locked: bool,
 }
+
+/// Reports what this node knows of a database's group.
+pub fn report_database<T: Targets>(
+    core: &Core<T>,
+    route: &Route,
+    primary: Option<ServerId>,
+) -> DatabaseReport {
+    let group = core.groups().get(&route.database).cloned();
+    let known = group.as_ref().and_then(|group| group.primary());
+    let anchor = group.as_ref().and_then(|group| group.anchor());
+    let servers = route.servers.iter().map(|server| {
+        let report = ServerReport {
+            owner: core.owner_of(server),
+            ..report_server(core, &server.name, group.as_deref())
+        };
+        (server.name.clone(), report)
+    });
+    DatabaseReport {
+        primary: known.as_ref().map(|(server, _)| server.clone()).or(primary),
+        term: known.map(|(_, term)| term),
+        anchor_age: anchor.map(|anchor| millis(now().saturating_duration_since(anchor.at))),
+        servers: servers.collect(),
+    }
+}
+
+fn report_server<T: Targets>(
+    core: &Core<T>,
+    server: &ServerId,
+    group: Option<&Group<T>>,
+) -> ServerReport {
+    let owner = core.owners().get(server).cloned();
+    let views = group.map(Group::views).unwrap_or_default();
+    let view = views.iter().find(|view| view.server == *server);
+    let seen = view.filter(|view| view.role.is_some());
+    ServerReport {
+        owner: None,
+        point: seen.map(|view| view.last),
+        lag: seen.map(|view| view.lag),
+        queue: owner
+            .as_ref()
+            .map(|owner| u64::from(owner.slots.load().queued)),
+        connections: owner.as_ref().map(|owner| owner.pool.open() as u64),
+        locked: owner.is_some_and(|owner| owner.pool.is_allowed()),
+    }
+}
--- /dev/null
+++ b/crates/siskinhook-engine/src/survey.rs
@@ -0,0 +1,100 @@
+//! A database's group as its owners see it, for operators.
+
+use std::time::Duration;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use futures::future::join_all;
+use serde_json::{Value, json};
+use siskinhook_types::{
+    DatabaseId, Freshness, Kind, Link, Links, NodeId, Part, Platform, Request, Server, Statement,
+    Targets,
+};
+
+use crate::{
+    Engine,
+    clock::{now, until},
+    core::Route,
+};
+
+/// Time that an owner has to report.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+impl<T: Targets, L: Links, P: Platform> Engine<T, L, P> {
+    /// Asks the owners of a database's servers for what they know of the group, and joins it:
+    /// each server's row comes from its owner. Owners that do not answer in time leave their
+    /// rows as this node sees them. `None` when the database is not in the catalogue.
+    pub async fn survey(&self, database: &DatabaseId) -> Option<Value> {
+        let route = self.route(database)?;
+        let mut survey = json!(self.report().databases.get(database)?);
+        let reports = route
+            .servers
+            .iter()
+            .map(|server| self.report_of_owner(&route, server));
+        let reports = join_all(reports).await;
+        for (server, report) in route.servers.iter().zip(reports) {
+            let Some(mut report) = report else { continue };
+            let newer = report["term"].as_u64() > survey["term"].as_u64();
+            if newer || survey["term"].is_null() {
+                for field in ["primary", "term", "anchor_age"] {
+                    survey[field] = report[field].take();
+                }
+            }
+            let name = server.name.as_str();
+            survey["servers"][name] = report["servers"][name].take();
+        }
+        Some(survey)
+    }
+
+    async fn report_of_owner(&self, route: &Route, server: &Server) -> Option<Value> {
+        let owner = self.owner_of(server)?;
+        if owner == self.identity().node {
+            return Some(json!(self.report().databases.get(&route.database)?));
+        }
+        until(now() + PATIENCE, self.ask(&owner, route, server)).await?
+    }
+
+    async fn ask(&self, owner: &NodeId, route: &Route, server: &Server) -> Option<Value> {
+        let mut link = self.links().open(owner).await.ok()?;
+        let request = Request {
+            database: route.database.clone(),
+            server: server.name.clone(),
+            caller: self.identity().node.clone(),
+            session: self.identity().node.clone(),
+            kind: Kind::Report,
+            statement: Statement::simple(""),
+            freshness: Freshness::default(),
+            class: route.class,
+            deadline: now() + PATIENCE,
+            id: None,
+        };
+        link.start(request).await.ok()?;
+        let mut report = None;
+        loop {
+            match link.next().await.ok()? {
+                Part::Row { data, .. } => report = decode(data),
+                Part::Done { .. } => return report,
+                Part::Parameters(_) | Part::Columns(_) => {}
+            }
+        }
+    }
+}
+
+/// Encodes a report as a row with one text field.
+pub fn encode(report: &Value) -> Part {
+    let text = report.to_string();
+    let mut data = BytesMut::with_capacity(4 + text.len());
+    data.put_i32(i32::try_from(text.len()).unwrap_or(i32::MAX));
+    data.put_slice(text.as_bytes());
+    Part::Row {
+        fields: 1,
+        data: data.freeze(),
+    }
+}
+
+fn decode(mut data: Bytes) -> Option<Value> {
+    if data.remaining() < 4 {
+        return None;
+    }
+    let length = usize::try_from(data.get_i32()).ok()?;
+    serde_json::from_slice(data.get(..length)?).ok()
+}
--- a/crates/siskinhook-node/src/view.rs
+++ b/crates/siskinhook-node/src/view.rs
@@ -107,12 +107,9 @@
         self.inner.frontend.sessions()
     }
 
-    fn database(&self, name: &str) -> Result<Value, String> {
-        let report = self.inner.backend.engine.report();
-        let Some(database) = report.databases.get(name) else {
-            return Err(unknown(name));
-        };
-        let mut value = json!(database);
+    async fn database(&self, name: &str) -> Result<Value, String> {
+        let survey = self.inner.backend.engine.survey(&name.into()).await;
+        let mut value = survey.ok_or_else(|| unknown(name))?;
         value["database"] = json!(name);
         Ok(value)
     }
@@ -213,7 +210,7 @@
     async fn report(&self, report: Report) -> Result<Value, String> {
         match report {
             Report::Node => Ok(json!(self.inner.backend.engine.report())),
-            Report::Database(name) => self.database(&name),
+            Report::Database(name) => self.database(&name).await,
             Report::Sessions(database) => Ok(json!(
                 self.inner
                     .frontend
@@ -243,7 +240,7 @@
     }
 
     async fn explain(&self, question: Explain) -> Result<Value, String> {
-        let mut value = self.database(&question.database)?;
+        let mut value = self.database(&question.database).await?;
         let operation = classify(&question.sql);
         let read = matches!(operation, Operation::Read | Operation::BeginReadOnly);
         let needs = match (&question.token, question.max_age) {
--- a/crates/siskinhook-types/src/request.rs
+++ b/crates/siskinhook-types/src/request.rs
@@ -37,6 +37,8 @@
         Rollback,
         /// Asks for parameter types and columns without running the statement.
         Describe,
+        /// Asks for what the owner knows of the database's group; one row of JSON.
+        Report,
         /// Looks up the outcome record of `Request::id`; answers with its tag or no row.
         Lookup,
     }
