--- a/crates/siskinhook-engine/tests/sessions.rs
+++ b/crates/siskinhook-engine/tests/sessions.rs
@@ -40,11 +40,8 @@
         let shift = number as u64 + 1;
         let token = claim(&mut cluster.session(writer), shift).await.unwrap();
         for reader in NODES {
-            let options = SessionOptions {
-                token: Some(token.clone()),
-                ..SessionOptions::default()
-            };
-            let mut session = cluster.session_with(reader, options);
+            let mut session = cluster.session(reader);
+            session.options_mut().token = Some(token.clone());
             assert_eq!(
                 claims(&mut session, shift).await.unwrap(),
                 1,
@@ -63,11 +60,8 @@
         let shift = number as u64 + 1;
         claim(&mut cluster.session(writer), shift).await.unwrap();
         for reader in NODES {
-            let options = SessionOptions {
-                session: "till-7".into(),
-                ..SessionOptions::default()
-            };
-            let mut session = cluster.session_with(reader, options);
+            let mut session = cluster.session(reader);
+            session.options_mut().session = "till-7".into();
             assert_eq!(
                 claims(&mut session, shift).await.unwrap(),
                 1,
@@ -114,11 +108,8 @@
     for (shift, reader) in (1..60).zip(NODES.into_iter().cycle()) {
         claim(&mut writer, shift).await.unwrap();
         written.push((Instant::now(), shift));
-        let options = SessionOptions {
-            max_age: Some(bound),
-            ..SessionOptions::default()
-        };
-        let mut session = cluster.session_with(reader, options);
+        let mut session = cluster.session(reader);
+        session.options_mut().max_age = Some(bound);
         let old = written.iter().filter(|(at, _)| at.elapsed() >= bound);
         let expected = old.map(|(_, shift)| *shift).max().unwrap_or(0);
         let sql = "SELECT max(shift_id) FROM claims WHERE shift_id < 90";
@@ -150,12 +141,9 @@
         .unwrap()
         .clone();
     let bound = Duration::from_secs(1);
-    let options = SessionOptions {
-        max_age: Some(bound),
-        deadline: Some(Duration::from_secs(1)),
-        ..SessionOptions::default()
-    };
-    let mut session = cluster.session_with("n2", options);
+    let mut session = cluster.session("n2");
+    session.options_mut().max_age = Some(bound);
+    session.options_mut().deadline = Some(Duration::from_secs(1));
     // While a group is in use, it is polled often enough for the bound.
     for _ in 0..20 {
         assert_eq!(claims(&mut session, 90).await.unwrap(), 1);
@@ -191,12 +179,9 @@
 #[tokio::test(start_paused = true)]
 async fn refused_token_wait_is_not_run() {
     let cluster = Cluster::start(8, plan(4)).await;
-    let options = SessionOptions {
-        token: Some("claims:1:1000".parse().unwrap()),
-        deadline: Some(Duration::from_millis(700)),
-        ..SessionOptions::default()
-    };
-    let mut session = cluster.session_with("n3", options);
+    let mut session = cluster.session("n3");
+    session.options_mut().token = Some("claims:1:1000".parse().unwrap());
+    session.options_mut().deadline = Some(Duration::from_millis(700));
     let result = session.execute(Statement::simple("SELECT 1")).await;
     let failure = result.err().unwrap();
     assert_eq!(failure.verdict, Verdict::NotRun);
--- a/crates/siskinhook-engine/tests/transactions.rs
+++ b/crates/siskinhook-engine/tests/transactions.rs
@@ -172,11 +172,8 @@
     let (result, ()) = tokio::join!(caller_side, membership);
     assert!(result.is_err());
     assert_eq!(run(&mut session, "COMMIT").await.unwrap().1, "ROLLBACK");
-    let options = SessionOptions {
-        deadline: Some(Duration::from_secs(5)),
-        ..SessionOptions::default()
-    };
-    let mut next = cluster.session_with(caller, options);
+    let mut next = cluster.session(caller);
+    next.options_mut().deadline = Some(Duration::from_secs(5));
     claim(&mut next, 9).await.unwrap();
     assert_eq!(claims(&mut next, 7).await.unwrap(), 0);
     assert_eq!(claims(&mut next, 8).await.unwrap(), 0);
--- a/crates/siskinhook-engine/tests/unreachable.rs
+++ b/crates/siskinhook-engine/tests/unreachable.rs
@@ -19,11 +19,8 @@
     for seed in 0..20 {
         println!("seed {seed}");
         let cluster = Cluster::start(seed, plan(3)).await;
-        let options = SessionOptions {
-            request: Some("claim-1".into()),
-            ..SessionOptions::default()
-        };
-        let mut session = cluster.session_with("n2", options);
+        let mut session = cluster.session("n2");
+        session.options_mut().request = Some("claim-1".into());
         let primary = cluster.primary();
         // The cut comes at different moments of the write.
         let write = async {
