Poll at intervals while a wanted anchor cannot be made

Change: a wanted anchor starts one poll at once and then the urgent interval of 100 ms. The measurement prints the causes of failures. Conclusion: the cost of a cut-off zone is bounded.

--- a/crates/siskinhook-policy/src/watch/mod.rs
+++ b/crates/siskinhook-policy/src/watch/mod.rs
@@ -280,7 +280,10 @@
             heard.is_none_or(|heard| heard + self.settings.interval + patience / 4 < now)
         });
         let settings = &self.settings;
-        let pressing = silent || self.vacant.is_some() || !matches!(self.phase, Phase::Watching);
+        let pressing = silent
+            || self.vacant.is_some()
+            || self.wanted.is_some()
+            || !matches!(self.phase, Phase::Watching);
         let pace = if pressing {
             settings.urgent
         } else if self.used + settings.idle < now {
@@ -299,9 +302,9 @@
                 continue;
             }
             let due = |pace: Duration| seen.probed.is_none_or(|probed| probed + pace <= now);
-            let wanted = self.wanted.is_some_and(|since| {
-                seen.probed.is_none_or(|probed| probed < since) || seen.failed < seen.probed
-            });
+            let wanted = self
+                .wanted
+                .is_some_and(|since| seen.probed.is_none_or(|probed| probed < since));
             let checking = check.is_some_and(|start| seen.probed.is_none_or(|at| at < start));
             if !(due(pace) || checking || wanted && due(settings.spacing)) {
                 continue;
--- a/crates/siskinhook-policy/src/watch/promotion.rs
+++ b/crates/siskinhook-policy/src/watch/promotion.rs
@@ -130,7 +130,7 @@
     }
 
     /// Returns whether a majority answered since `since` and nobody there has heard from the
-    /// primary within the timeout. `asked` is when the primary was last known to be alive.
+    /// primary within the timeout.
     fn is_lost(&self, primary: &ServerId, since: Instant, now: Instant) -> bool {
         let timeout = self.settings.timeout;
         let mut reachable = 0;
--- a/crates/siskinhook-policy/tests/watch.rs
+++ b/crates/siskinhook-policy/tests/watch.rs
@@ -262,3 +262,19 @@
         );
     }
 }
+
+/// Guards against a node that polls without pause in a cut-off zone, where a wanted anchor
+/// never comes.
+#[test]
+fn a_wanted_anchor_without_majority_is_polled_at_intervals() {
+    let start = Instant::now();
+    let mut watch = watch(0, 1, start);
+    let polls = std::cell::Cell::new(0);
+    watch.want_anchor(start, start);
+    drive(&mut watch, start, Duration::from_secs(2), |server, _| {
+        polls.set(polls.get() + 1);
+        (server == "b").then(|| (status(server, 1, 20), FAST))
+    });
+    // Three servers at the urgent interval of 100 ms.
+    assert!(polls.get() <= 3 * 21, "{} polls in 2 s", polls.get());
+}
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -13,6 +13,7 @@
 use std::{sync::Mutex, sync::PoisonError, thread};
 
 use anyhow::{Context, bail};
+use indexmap::IndexMap;
 use load::Broken;
 use scenario::{Figures, NAMES, percentile};
 use serde_json::{Value, json};
@@ -77,6 +78,16 @@
         total
     }
 
+    /// Failures by cause, the most frequent first.
+    fn causes(&self) -> IndexMap<String, usize> {
+        let mut total: IndexMap<String, usize> = IndexMap::new();
+        for (cause, count) in self.runs.iter().flat_map(|run| &run.causes) {
+            *total.entry(cause.clone()).or_default() += count;
+        }
+        total.sort_by(|_, a, _, b| b.cmp(a));
+        total
+    }
+
     fn json(&self) -> Value {
         let broken: serde_json::Map<String, Value> = self
             .broken()
@@ -91,6 +102,7 @@
             "succeeded": self.sum(|run| run.succeeded),
             "not_run": self.sum(|run| run.refused),
             "may_have_run": self.sum(|run| run.unknown),
+            "causes": self.causes(),
             "replica_share_least": self.worst(|run| Some(run.replica_share), true),
             "failover_gap_ms": self.gap(),
             "goodput_least": self.worst(|run| run.goodput, true),
@@ -114,6 +126,11 @@
             self.sum(|run| run.refused),
             self.sum(|run| run.unknown),
         );
+        let causes = self.causes();
+        let causes: Vec<String> = causes.iter().map(|(c, n)| format!("{n} {c}")).collect();
+        if !causes.is_empty() {
+            println!("    failures: {}", causes.join(", "));
+        }
         let share = self.worst(|run| Some(run.replica_share), true);
         println!(
             "    reads on replicas, least: {:.1}%",
--- a/examples/measure/scenario.rs
+++ b/examples/measure/scenario.rs
@@ -72,6 +72,8 @@
     pub succeeded: usize,
     pub refused: usize,
     pub unknown: usize,
+    /// Failures by cause.
+    pub causes: IndexMap<String, usize>,
     pub replica_share: f64,
     /// Milliseconds.
     pub gap: Option<f64>,
@@ -456,6 +458,10 @@
             broken,
             ..Figures::default()
         };
+        for failure in records.iter().filter_map(|r| r.failure.as_ref()) {
+            let cause = format!("{:?} ({})", failure.kind, failure.verdict);
+            *figures.causes.entry(cause).or_default() += 1;
+        }
         if let Some(fault) = script.fault {
             let fault = start + Duration::from_secs(fault);
             let end = start + Duration::from_secs(script.length);
