--- a/crates/siskinhook-fleet/src/controller.rs
+++ b/crates/siskinhook-fleet/src/controller.rs
@@ -14,6 +14,10 @@
     Propagation, Update,
 };
 
+/// Length of the list of VMs up to which it is read at the interval in the settings; a list
+/// k times as long is read k times less often.
+const LIST_SIZE: usize = 100;
+
 /// What a node tells about itself besides its views.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FleetStatus {
@@ -223,7 +227,11 @@
             self.list_failures = 0;
             self.evicted = vms.iter().any(|vm| vm.name == self.name && vm.leaving);
             self.membership.observe_list(now, vms);
-            let interval = self.settings.list_interval;
+            // The list grows with the fleet; reading it less often keeps the cost flat.
+            let scale = u32::try_from(vms.len() / LIST_SIZE)
+                .unwrap_or(u32::MAX)
+                .max(1);
+            let interval = self.settings.list_interval * scale;
             interval.mul_f64(self.random.random_range(0.5..1.5))
         } else {
             let cap = Duration::from_secs(1) * (1 << self.list_failures.min(16));
--- a/crates/siskinhook-fleet/src/settings.rs
+++ b/crates/siskinhook-fleet/src/settings.rs
@@ -44,7 +44,8 @@
     /// Time after which a dead member that is not listed is forgotten. Exceeds the lag of the
     /// platform's list.
     pub forget_unlisted: Duration,
-    /// Mean time between two reads of the list of VMs.
+    /// Mean time between two reads of the list of VMs, for up to 100 VMs. Longer lists are
+    /// read less often, in proportion.
     pub list_interval: Duration,
     /// Mean time between two polls of the catalogue's revision in the platform's table.
     pub poll_interval: Duration,
