Test that long lists of VMs are read less often

Cause: the scaling of list reads had no test. Conclusion: the cost of the list per node does not grow with the fleet.

--- a/crates/siskinhook-fleet/tests/membership.rs
+++ b/crates/siskinhook-fleet/tests/membership.rs
@@ -4,9 +4,13 @@
 
 use assert_matches::assert_matches;
 use siskinhook_fleet::{
-    Answer, Call, Digest, FleetSettings, Membership, PeerMessage, Profile, Rumour,
+    Action, Answer, Call, Controller, Digest, FleetSettings, Identity, Membership, PeerMessage,
+    Profile, Rumour,
+};
+use siskinhook_types::{
+    MemberState::{self, Alive, Dead, Suspect},
+    VmRecord,
 };
-use siskinhook_types::MemberState::{self, Alive, Dead, Suspect};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -190,3 +194,41 @@
         assert_eq!(serde_json::to_string(&ack).unwrap(), r#"{"a":{"f":"a","r":7}}"#);
     });
 }
+
+/// Guards against a list of VMs whose reads cost more per node the larger the fleet is.
+#[test]
+fn long_lists_are_read_less_often() {
+    let reads = |count: usize| {
+        let vm = |i| VmRecord {
+            name: format!("n-{i}").into(),
+            region: "g".into(),
+            zone: "g-a".into(),
+            address: format!("n-{i}").into(),
+            leaving: false,
+        };
+        let vms: Vec<VmRecord> = (0..count).map(vm).collect();
+        let identity = Identity {
+            name: "n-0".into(),
+            profile: profile("n-0"),
+            seeds: Vec::new(),
+        };
+        let mut now = Instant::now();
+        let end = now + 3600 * SECOND;
+        let mut controller = Controller::new(FleetSettings::default(), identity, 1, now);
+        let mut reads = 0;
+        while now < end {
+            controller.tick(now);
+            for action in controller.take_actions() {
+                if matches!(action, Action::ReadList) {
+                    reads += 1;
+                    controller.listed(now, Some(&vms));
+                }
+            }
+            now = controller.deadline().max(now);
+        }
+        reads
+    };
+    let (short, long) = (reads(100), reads(600));
+    assert!((40..=120).contains(&short), "{short}");
+    assert!((6..=20).contains(&long), "{long}");
+}
