--- a/crates/siskinhook-node/src/node.rs
+++ b/crates/siskinhook-node/src/node.rs
@@ -18,7 +18,11 @@
 use siskinhook_telemetry::{Metrics, Readiness};
 use tokio::{net::TcpListener, sync::watch, task::JoinSet, time::Instant};
 
-use crate::{Listeners, backend::NodeBackend, monitor::Monitor, translate, view::View};
+use smol_str::SmolStr;
+
+use crate::{
+    Listeners, backend::NodeBackend, monitor::Monitor, trail::Recorder, translate, view::View,
+};
 
 /// The platform client of a node.
 pub(crate) type NodePlatform = Budgeted<RpcPlatform>;
@@ -93,13 +97,7 @@
         let mut tasks = JoinSet::new();
         spawn_engine(&mut tasks, &engine, &fleet);
         tasks.spawn(follow_share(fleet.view(), platform.clone()));
-        let listener = TcpListener::from_std(listeners.links)?;
-        let link_engine = engine.clone();
-        tasks.spawn(async move {
-            if let Err(error) = serve_links(listener, link_engine, secret).await {
-                log::error!(target: "siskinhook::node", event = 1003_u32; "links are no longer accepted: {error}");
-            }
-        });
+        start_links(&mut tasks, listeners.links, &engine, &secret)?;
         let (drain, drained) = watch::channel(false);
         let backend = NodeBackend {
             engine: engine.clone(),
@@ -118,13 +116,25 @@
             settings.clone(),
             backend,
             frontend,
+            RpcPeers::new(Secret::new(&secret)).with_dials(settings.dial.clone()),
             platform.urgent(),
             drain.clone(),
         );
         tasks.spawn(view.clone().follow_contact());
-        let metrics = start_metrics(&mut tasks, listeners.metrics, &view, &engine, &platform)?;
-        let operators =
-            start_operators(&mut tasks, listeners.operators, &settings, view, platform).await?;
+        let audit = start_audit(&mut tasks, &settings, &engine, &fleet, &platform, seed);
+        let monitor = Monitor {
+            view: view.clone(),
+            engine: engine.clone(),
+            platform: platform.clone(),
+            audit: audit.clone(),
+            metrics: Metrics::new()?,
+            readiness: Readiness::waiting("the node is starting"),
+        };
+        let metrics = monitor.metrics.clone();
+        start_metrics(&mut tasks, listeners.metrics, monitor)?;
+        let store = CatalogueStore::new(platform.urgent(), seed);
+        let service = OperatorService::new(view, store, audit, SystemTime::now);
+        let operators = start_operators(listeners.operators, &settings, service).await?;
         log::info!(
             target: "siskinhook::node", event = 1000_u32;
             "node {} started in zone {}", settings.name, settings.zone
@@ -193,51 +203,68 @@
     }
 }
 
-fn start_metrics(
+fn start_links(
     tasks: &mut JoinSet<()>,
     listener: std::net::TcpListener,
-    view: &View,
     engine: &NodeEngine,
+    secret: &SmolStr,
+) -> anyhow::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
+    let (engine, secret) = (engine.clone(), secret.clone());
+    tasks.spawn(async move {
+        if let Err(error) = serve_links(listener, engine, secret).await {
+            log::error!(target: "siskinhook::node", event = 1003_u32; "links are no longer accepted: {error}");
+        }
+    });
+    Ok(())
+}
+
+fn start_audit(
+    tasks: &mut JoinSet<()>,
+    settings: &NodeSettings,
+    engine: &NodeEngine,
+    fleet: &Fleet,
     platform: &NodePlatform,
-) -> anyhow::Result<Metrics> {
-    let metrics = Metrics::new()?;
-    let readiness = Readiness::waiting("the node is starting");
-    let monitor = Monitor {
-        view: view.clone(),
-        engine: engine.clone(),
-        platform: platform.clone(),
-        metrics: metrics.clone(),
-        readiness: readiness.clone(),
+    seed: u64,
+) -> AuditLog<NodePlatform> {
+    let audit = AuditLog::new(platform.clone());
+    let recorder = Recorder {
+        node: settings.name.clone(),
+        fleet: fleet.clone(),
+        audit: audit.clone(),
     };
-    tasks.spawn(monitor.run());
+    tasks.spawn(recorder.run(engine.events()));
+    let flushed = audit.clone();
+    tasks.spawn(async move { flushed.run(AUDIT_INTERVAL, seed).await });
+    audit
+}
+
+fn start_metrics(
+    tasks: &mut JoinSet<()>,
+    listener: std::net::TcpListener,
+    monitor: Monitor,
+) -> anyhow::Result<()> {
     let listener = TcpListener::from_std(listener)?;
-    let served = metrics.clone();
+    let (metrics, readiness) = (monitor.metrics.clone(), monitor.readiness.clone());
+    tasks.spawn(monitor.run());
     tasks.spawn(async move {
         // The task is aborted with the node, which closes the listener.
         let end = std::future::pending();
-        if let Err(error) = siskinhook_telemetry::serve(listener, served, readiness, end).await {
+        if let Err(error) = siskinhook_telemetry::serve(listener, metrics, readiness, end).await {
             log::error!(target: "siskinhook::node", event = 1010_u32; "the metrics endpoint ended: {error:#}");
         }
     });
-    Ok(metrics)
+    Ok(())
 }
 
 async fn start_operators(
-    tasks: &mut JoinSet<()>,
     listener: std::net::TcpListener,
     settings: &NodeSettings,
-    view: View,
-    platform: NodePlatform,
+    service: OperatorService<View, NodePlatform>,
 ) -> anyhow::Result<ServerHandle> {
     let address = listener.local_addr().context("no local address")?;
     // The interface opens its own socket on the address that was reserved.
     drop(listener);
-    let seed: u64 = rand::rng().random();
-    let store = CatalogueStore::new(platform.urgent(), seed);
-    let audit = AuditLog::new(platform);
-    let flushed = audit.clone();
-    tasks.spawn(async move { flushed.run(AUDIT_INTERVAL, seed).await });
-    let service = OperatorService::new(view, store, audit, SystemTime::now);
     let operators = Operators::read(&settings.operators).context("setting operators")?;
     let (_, handle) = siskinhook_operator::serve(address, service, operators).await?;
     Ok(handle)
--- a/examples/measure/scenario.rs
+++ b/examples/measure/scenario.rs
@@ -72,6 +72,8 @@
     pub succeeded: usize,
     pub refused: usize,
     pub unknown: usize,
+    /// Failures by cause.
+    pub causes: IndexMap<String, usize>,
     pub replica_share: f64,
     /// Milliseconds.
     pub gap: Option<f64>,
@@ -126,6 +128,8 @@
         "replica-behind" => (20, None, (60.0, 15.0, 30.0)),
         "slow-primary" => (20, Some(5), (60.0, 5.0, 10.0)),
         "platform-down" => (610, Some(300), (10.0, 5.0, 10.0)),
+        // Long enough to see both sides of a cut come together again.
+        "primary-zone-cut" | "zone-cut-off" | "node-cut-off" => (45, Some(5), (60.0, 15.0, 30.0)),
         _ => (20, Some(5), (60.0, 15.0, 30.0)),
     };
     Script {
@@ -454,6 +458,10 @@
             broken,
             ..Figures::default()
         };
+        for failure in records.iter().filter_map(|r| r.failure.as_ref()) {
+            let cause = format!("{:?} ({})", failure.kind, failure.verdict);
+            *figures.causes.entry(cause).or_default() += 1;
+        }
         if let Some(fault) = script.fault {
             let fault = start + Duration::from_secs(fault);
             let end = start + Duration::from_secs(script.length);
