--- a/crates/siskinhook-engine/tests/sessions.rs
+++ b/crates/siskinhook-engine/tests/sessions.rs
@@ -5,7 +5,6 @@
 
 use std::time::Duration;
 
-use siskinhook_engine::SessionOptions;
 use siskinhook_standin::Cut;
 use siskinhook_types::{FailureKind, Statement, Verdict};
 use support::{Cluster, claim, claims, plan, run};
--- a/crates/siskinhook-engine/tests/transactions.rs
+++ b/crates/siskinhook-engine/tests/transactions.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use siskinhook_engine::{SessionOptions, TransactionState};
+use siskinhook_engine::TransactionState;
 use siskinhook_standin::Cut;
 use siskinhook_types::{MemberState, Statement, Verdict};
 use support::{Cluster, claim, claims, plan, run};
--- a/crates/siskinhook-engine/tests/unreachable.rs
+++ b/crates/siskinhook-engine/tests/unreachable.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use siskinhook_engine::SessionOptions;
 use siskinhook_standin::Cut;
 use support::{Cluster, claims, insert, plan};
 use tokio::time::{Instant, sleep, timeout};
