Number the fleet task's events

Cause: pauses and unread catalogues were logged without a number, and members and revisions twice. Change: events 1008 and 3022; the duplicates are debug lines.

--- a/crates/siskinhook-fleet/src/fleet.rs
+++ b/crates/siskinhook-fleet/src/fleet.rs
@@ -243,7 +243,7 @@
             }
             Done::Catalogue(result) => {
                 if let Err(reason) = &result {
-                    log::warn!("the catalogue could not be read from the platform: {reason}");
+                    log::warn!(event = 3022_u32; "the catalogue could not be read from the platform: {reason}");
                 }
                 self.controller.read(now(), result);
             }
@@ -289,13 +289,13 @@
         if self.controller.take_catalogue_changed()
             && let Some(catalogue) = self.controller.propagation().catalogue()
         {
-            log::info!("catalogue revision {} is in force", catalogue.revision);
+            log::debug!("catalogue revision {} is in force", catalogue.revision);
             self.catalogue.send_replace(Arc::clone(catalogue));
         }
         let status = self.controller.status();
         if *self.status.borrow() != status {
             if status.pauses > self.status.borrow().pauses {
-                log::warn!("this node was paused or held dead by others; it gives up its servers");
+                log::warn!(event = 1008_u32; "this node was paused or held dead by others; it gives up its servers");
             }
             self.status.send_replace(status);
         }
@@ -322,6 +322,6 @@
         if old == Some(member.state) || (old.is_none() && member.state == MemberState::Alive) {
             continue;
         }
-        log::info!("node {name} in zone {} is {:?}", member.zone, member.state);
+        log::debug!("node {name} in zone {} is {:?}", member.zone, member.state);
     }
 }
--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -81,6 +81,9 @@
     NodeWaiting = 1006, Warn, "node_waiting",
         "The node cannot serve yet; the message says what it waits for.",
         "If it lasts, check the platform and that other nodes can be reached.";
+    NodePaused = 1008, Warn, "node_paused",
+        "The node did not run for longer than the suspicion timeout, or others held it dead; it gave up its servers.",
+        "Nothing; it takes servers again once it has heard from others. Look for overload or migration of the VM if it repeats.";
     EndpointEnded = 1010, Error, "endpoint_ended",
         "The endpoint of metrics and readiness ended.",
         "Restart the node; the load balancer takes it for not ready.";
@@ -146,6 +149,9 @@
     CatalogueBehind = 3021, Warn, "catalogue_behind",
         "A later revision could not be read yet; it spreads with the next poll.",
         "If it lasts over ten seconds, look at the platform and the peers.";
+    CatalogueUnread = 3022, Warn, "catalogue_unread",
+        "The platform did not give this node the catalogue or its changes.",
+        "Nothing while peers have it; else look at the platform.";
     SnapshotUnreadable = 3040, Warn, "snapshot_unreadable",
         "A catalogue snapshot is missing or damaged; all changes are read instead.",
         "Nothing; the next snapshot replaces it.";
