Let stand-by watchers of a group poll slowly

Cause: all owners of a group polled its three servers every 250 ms, 36 polls/s per group, and a watcher that polled once a second took the primary for silent after 437 ms and polled at the urgent interval again. Change: watchers after the first one poll at the idle interval, and silence is measured against the interval in use.

--- a/crates/siskinhook-policy/src/watch/mod.rs
+++ b/crates/siskinhook-policy/src/watch/mod.rs
@@ -271,26 +271,32 @@
         }
     }
 
+    /// Interval between two polls while nothing presses. Watchers after the first one poll
+    /// slowly even in a group in use: they stand by for the first, and a read that needs a newer
+    /// anchor starts a poll of its own.
+    fn pace(&self, now: Instant) -> Duration {
+        if self.config.rank > 0 || self.used + self.settings.idle < now {
+            self.settings.idle
+        } else {
+            self.settings.interval
+        }
+    }
+
     /// Emits the probes that are due.
     fn probe(&mut self, now: Instant, actions: &mut Vec<WatchAction>) {
         let suspect = self.suspect();
         let patience = self.patience();
+        let pace = self.pace(now);
         let silent = suspect.as_ref().is_some_and(|server| {
             let heard = self.servers.get(server).and_then(|seen| seen.heard);
-            heard.is_none_or(|heard| heard + self.settings.interval + patience / 4 < now)
+            heard.is_none_or(|heard| heard + pace + patience / 4 < now)
         });
         let settings = &self.settings;
         let pressing = silent
             || self.vacant.is_some()
             || self.wanted.is_some()
             || !matches!(self.phase, Phase::Watching);
-        let pace = if pressing {
-            settings.urgent
-        } else if self.used + settings.idle < now {
-            settings.idle
-        } else {
-            settings.interval
-        };
+        let pace = if pressing { settings.urgent } else { pace };
         let check = self.phase.check_start();
         for (server, seen) in &mut self.servers {
             let unanswered = seen.asked.is_some_and(|asked| asked + patience / 2 <= now);
@@ -365,11 +371,7 @@
         if pressing {
             return now + self.settings.urgent / 4;
         }
-        let pace = if self.used + self.settings.idle < now {
-            self.settings.idle
-        } else {
-            self.settings.interval
-        };
+        let pace = self.pace(now);
         let due = |seen: &Seen| match seen.asked {
             Some(asked) => asked + self.patience() / 4,
             None => seen.probed.map_or(now, |probed| probed + pace),
