Keep admitted statements until their deadline

Cause: admitted short work expired after twice the limit of its class (1 s). Change: only the deadline ends the wait; admission alone bounds the queue. The 8 queue tests pass unchanged.

--- a/crates/siskinhook-policy/src/slots.rs
+++ b/crates/siskinhook-policy/src/slots.rs
@@ -69,7 +69,7 @@
 pub enum SlotAction {
     /// The statement got a slot; `SlotQueue::finish` frees it.
     Start(u64),
-    /// The statement waited past its deadline or the bound of admitted work: not run.
+    /// The statement waited past its deadline: not run.
     Expire(u64),
 }
 
@@ -231,19 +231,12 @@
         if !ticket.pinned {
             self.admit(&ticket, class, limit, now)?;
         }
-        // A caller that pushed alone may be joined by others, whose turns delay what it has
-        // waiting; the bound keeps the latency of admitted work limited all the same.
-        let bound = if ticket.pinned {
-            limit.saturating_mul(1000)
-        } else {
-            limit * 2
-        };
         let waiting = Waiting {
             id: ticket.id,
             fingerprint: ticket.fingerprint,
             expected: self.times.expected(ticket.fingerprint),
             pushed: now,
-            expires: ticket.deadline.min(now + bound),
+            expires: ticket.deadline,
         };
         match class {
             Class::Short if ticket.pinned => self.pinned.push_back(waiting),
