Share the end of a search between both ways to read the trail

Cause: Trail::by_prefix and Trail::recent repeated the rule that adds a record or ends the search. Change: AuditQuery::collect holds the rule once.

--- a/crates/siskinhook-catalogue/src/trail.rs
+++ b/crates/siskinhook-catalogue/src/trail.rs
@@ -79,16 +79,9 @@
             let rows = self.platform.list(prefix, &after, PAGE).await?;
             for row in &rows {
                 let record: AuditRecord = decode(row)?;
-                let time = record.draft.time;
-                if query.since.is_some_and(|since| time + CLOCK_SKEW < since) {
+                if query.collect(record, &mut found) {
                     return Ok(found);
                 }
-                if query.matches(&record) {
-                    found.push(record);
-                    if found.len() >= query.limit {
-                        return Ok(found);
-                    }
-                }
             }
             match rows.last() {
                 Some(Row { key, .. }) if rows.len() == PAGE => after = key.clone(),
@@ -113,16 +106,9 @@
                 if record.sequence > end {
                     continue;
                 }
-                let time = record.draft.time;
-                if query.since.is_some_and(|since| time + CLOCK_SKEW < since) {
+                if query.collect(record, &mut found) {
                     return Ok(found);
                 }
-                if query.matches(&record) {
-                    found.push(record);
-                    if found.len() >= query.limit {
-                        return Ok(found);
-                    }
-                }
             }
             end = start;
         }
@@ -131,6 +117,20 @@
 }
 
 impl AuditQuery {
+    /// Adds a matching record; returns whether the search is over, as no older record is
+    /// wanted.
+    fn collect(&self, record: AuditRecord, found: &mut Vec<AuditRecord>) -> bool {
+        let time = record.draft.time;
+        if self.since.is_some_and(|since| time + CLOCK_SKEW < since) {
+            return true;
+        }
+        if !self.matches(&record) {
+            return false;
+        }
+        found.push(record);
+        found.len() >= self.limit
+    }
+
     fn matches(&self, record: &AuditRecord) -> bool {
         let draft = &record.draft;
         self.service
