Split the stand-in's site into modules

Cause: site.rs had 594 lines and held the plans, the reported state and fault injection. Change: site/ has one module for each of them; the code is moved unchanged.

--- a/crates/siskinhook-standin/src/site.rs
+++ b/crates/siskinhook-standin/src/site/mod.rs
@@ -1,222 +1,43 @@
 //! A whole site: zones, servers, platform and network in the sizes of a deployment.
 
+mod faults;
+mod plan;
+mod state;
+
 use std::{
     fmt,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
 };
 
 use anyhow::Context;
 use indexmap::IndexMap;
 use jsonrpsee::server::ServerHandle;
-use siskinhook_types::{
-    Class, Database, DatabaseId, Entry, Limits, NodeId, PartnerId, Region, Role, ServerId,
-    ServerStatus, ServiceId, VmRecord, Zone, value_type,
-};
+use siskinhook_types::{Class, Database, Entry, Limits, ServerId, VmRecord};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::{net::TcpListener, task::JoinSet};
 
 use crate::{
-    fault::{Fault, NodeFault},
+    fault::NodeFault,
     local::LocalTargets,
     lock,
-    network::{Cut, Endpoint, Latencies, Network},
-    platform::{LocalPlatform, PlatformState, PlatformStore},
+    network::{Endpoint, Network},
+    platform::{LocalPlatform, PlatformStore},
     relay::{self, Route},
     replication::replicate,
     rpc,
-    server::{Server, ServerOptions},
+    server::Server,
     wire,
 };
 
+pub use plan::Plan;
+pub use state::{ServerState, SiteState};
+
 /// Servers of each database.
 const GROUP_SIZE: usize = 3;
 /// First port of the addresses in an entry whose servers are not on TCP.
 const LOCAL_PORT: usize = 6000;
 
-/// Sizes and seeded tables of a site.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    /// Region.
-    pub region: Region,
-    /// Zones.
-    pub zones: Vec<Zone>,
-    /// Service of the catalogue entry.
-    pub service: ServiceId,
-    /// Owner of the catalogue entry.
-    pub owner: PartnerId,
-    /// Databases and the statements that seed them.
-    pub databases: IndexMap<DatabaseId, Vec<String>>,
-    /// Number of nodes.
-    pub nodes: usize,
-    /// Options of each server.
-    pub server: ServerOptions,
-    /// Latencies.
-    pub latencies: Latencies,
-}
-
-fn seed(statements: &[&str]) -> Vec<String> {
-    let outcome = "CREATE TABLE siskinhook_outcome (request_id text PRIMARY KEY, tag text)";
-    statements
-        .iter()
-        .copied()
-        .chain([outcome])
-        .map(str::to_owned)
-        .collect()
-}
-
-impl Plan {
-    /// The Shared Shift Desk as deployed today.
-    #[must_use]
-    pub fn shiftdesk() -> Self {
-        let databases = [
-            (
-                "shifts",
-                seed(&[
-                    "CREATE TABLE shifts (id bigint PRIMARY KEY, cafe text NOT NULL, \
-                     starts text NOT NULL, claimed_by text)",
-                    "INSERT INTO shifts VALUES (1, 'Ahmedabad Law Garden', '06:30', NULL), \
-                     (2, 'Vadodara Alkapuri', '07:00', NULL), (3, 'Surat Athwa', '06:45', NULL), \
-                     (4, 'Ahmedabad Navrangpura', '07:15', NULL)",
-                ]),
-            ),
-            (
-                "claims",
-                seed(&[
-                    "CREATE TABLE claims (shift_id bigint PRIMARY KEY, barista text NOT NULL)",
-                    "INSERT INTO claims VALUES (90, 'meera'), (91, 'kiran')",
-                ]),
-            ),
-            (
-                "payroll",
-                seed(&[
-                    "CREATE TABLE payroll (barista text PRIMARY KEY, amount bigint NOT NULL)",
-                    "INSERT INTO payroll VALUES ('meera', 41200), ('kiran', 38750), \
-                     ('dhruv', 40100)",
-                ]),
-            ),
-        ];
-        Self {
-            region: "guj-west".into(),
-            zones: ["ahd-a", "vdr-b", "srt-c"].map(Into::into).into(),
-            service: "shiftdesk-db".into(),
-            owner: "sabarmati".into(),
-            databases: databases.map(|(name, seed)| (name.into(), seed)).into(),
-            nodes: 8,
-            server: ServerOptions::default(),
-            latencies: Latencies::default(),
-        }
-    }
-
-    /// The head office's connection pooler as deployed today.
-    #[must_use]
-    pub fn uze() -> Self {
-        let databases = [
-            (
-                "orders",
-                seed(&[
-                    "CREATE TABLE orders (id bigint PRIMARY KEY, workshop text NOT NULL, \
-                     braid text NOT NULL, metres bigint NOT NULL)",
-                    "INSERT INTO orders VALUES (1, 'Split', 'eight-strand', 120), \
-                     (2, 'Sinj', 'solid', 40), (3, 'Omis', 'twelve-strand', 75)",
-                ]),
-            ),
-            (
-                "stock",
-                seed(&[
-                    "CREATE TABLE stock (spool bigint PRIMARY KEY, fibre text NOT NULL, \
-                     metres bigint NOT NULL)",
-                    "INSERT INTO stock VALUES (1, 'hemp', 900), (2, 'flax', 1250), \
-                     (3, 'polyamide', 3100)",
-                ]),
-            ),
-            (
-                "billing",
-                seed(&[
-                    "CREATE TABLE royalties (invoice text PRIMARY KEY, franchisee text NOT NULL, \
-                     amount bigint NOT NULL)",
-                    "INSERT INTO royalties VALUES ('2025-12-split', 'Split', 18400), \
-                     ('2025-12-sinj', 'Sinj', 9200)",
-                ]),
-            ),
-        ];
-        Self {
-            region: "hr-jug".into(),
-            zones: ["split-a", "split-b", "sinj-a", "omis-a"]
-                .map(Into::into)
-                .into(),
-            service: "uze-core".into(),
-            owner: "uzarija".into(),
-            databases: databases.map(|(name, seed)| (name.into(), seed)).into(),
-            nodes: 8,
-            server: ServerOptions {
-                connections: 32,
-                setup: Duration::from_millis(27),
-                ..ServerOptions::default()
-            },
-            latencies: Latencies::default(),
-        }
-    }
-}
-
-value_type! {
-    /// What a site reports about itself.
-    pub struct SiteState {
-        /// Status of each server.
-        pub servers: IndexMap<ServerId, ServerState>,
-        /// How the platform works.
-        pub platform: PlatformState,
-        /// Cuts in force.
-        pub cuts: Vec<Cut>,
-        /// Nodes.
-        pub nodes: Vec<Endpoint>,
-    }
-
-    /// State of a server in a site.
-    pub struct ServerState {
-        /// Zone.
-        pub zone: Zone,
-        /// Whether its process is ended.
-        pub crashed: bool,
-        /// What it reports about itself.
-        pub status: ServerStatus,
-    }
-}
-
-impl fmt::Display for SiteState {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(
-            f,
-            "{:<12} {:<8} {:<8} {:>5} {:>8} {:<12} {:>7} {:>6} {:<8}",
-            "server", "zone", "role", "term", "last", "follows", "contact", "conns", "holder"
-        )?;
-        for (name, server) in &self.servers {
-            let status = &server.status;
-            let role = match (server.crashed, status.role) {
-                (true, _) => "crashed",
-                (false, Role::Primary) => "primary",
-                (false, Role::Replica) => "replica",
-            };
-            writeln!(
-                f,
-                "{name:<12} {:<8} {role:<8} {:>5} {:>8} {:<12} {:>7} {:>6} {:<8}",
-                server.zone,
-                status.term,
-                status.last.to_string(),
-                status.primary.as_deref().unwrap_or("-"),
-                status
-                    .contact
-                    .map_or_else(|| "-".into(), |age| format!("{age} ms")),
-                status.connections,
-                status.holder.as_deref().unwrap_or("-"),
-            )?;
-        }
-        writeln!(f, "platform: {:?}", self.platform)?;
-        write!(f, "cuts: {:?}", self.cuts)
-    }
-}
-
 /// Binds a loopback port chosen by the system.
 async fn bind() -> anyhow::Result<(TcpListener, SocketAddr)> {
     let listener = TcpListener::bind("127.0.0.1:0")
@@ -507,88 +328,4 @@
             nodes: self.nodes.clone(),
         }
     }
-
-    /// Injects a fault, or ends one.
-    ///
-    /// # Errors
-    /// Fails when the fault names something that is not part of the site.
-    pub fn apply(&self, fault: &Fault) -> anyhow::Result<()> {
-        match fault {
-            Fault::Cut(cut) => {
-                self.check(cut)?;
-                self.network.cut(cut.clone());
-            }
-            Fault::Heal { cut, silent } => {
-                self.check(cut)?;
-                self.network.heal(cut, *silent);
-            }
-            Fault::Silence(cut) => {
-                self.check(cut)?;
-                self.network.silence(cut);
-            }
-            Fault::Delay { cut, milliseconds } => {
-                self.check(cut)?;
-                self.network
-                    .delay(cut, Duration::from_millis(*milliseconds));
-            }
-            Fault::Lag {
-                server,
-                milliseconds,
-            } => self
-                .server(server)?
-                .set_lag(Duration::from_millis(*milliseconds)),
-            Fault::Slow {
-                server,
-                milliseconds,
-            } => self
-                .server(server)?
-                .set_slowness(Duration::from_millis(*milliseconds)),
-            Fault::Platform(state) => self.platform.set_state(*state),
-            Fault::Crash(server) => self.server(server)?.crash(),
-            Fault::Restart(server) => self.server(server)?.restart(),
-            Fault::Node(fault) => {
-                self.check_node(fault.node())?;
-                let callback = self
-                    .on_node
-                    .as_ref()
-                    .context("this site has no nodes of its own; start the demo for that")?;
-                callback(fault)?;
-            }
-        }
-        Ok(())
-    }
-
-    fn check(&self, cut: &Cut) -> anyhow::Result<()> {
-        match cut {
-            Cut::Zone(zone) | Cut::Platform(zone) => self.check_zone(zone),
-            Cut::Name(name) => self
-                .check_node(name)
-                .or_else(|_| self.server(name).map(|_| ())),
-            Cut::Pair(first, second) => [first, second].into_iter().try_for_each(|name| {
-                self.check_zone(name)
-                    .or_else(|_| self.check_node(name))
-                    .or_else(|_| self.server(name).map(|_| ()))
-            }),
-        }
-    }
-
-    fn check_zone(&self, zone: &Zone) -> anyhow::Result<()> {
-        let known = self.plan.zones.contains(zone);
-        known.then_some(()).with_context(|| {
-            format!(
-                "there is no zone {zone}; the zones are {}",
-                self.plan.zones.join(", ")
-            )
-        })
-    }
-
-    fn check_node(&self, node: &NodeId) -> anyhow::Result<()> {
-        let known = self.nodes.iter().any(|endpoint| endpoint.name == *node);
-        known.then_some(()).with_context(|| {
-            format!(
-                "there is no node {node}; the nodes are n1 to n{}",
-                self.nodes.len()
-            )
-        })
-    }
 }
