Split the stand-in's wire protocol into modules

Cause: wire.rs had 515 lines and held framing, login, messages and queries together. Change: wire/ has one module for each of them; the code is moved, and Client gains a constructor and into_stream, so that its fields stay private.

--- a/crates/siskinhook-standin/src/wire.rs
+++ b/crates/siskinhook-standin/src/wire/client.rs
@@ -1,229 +1,34 @@
-//! The PostgreSQL protocol of a database server.
+//! A logged-in client: simple and extended queries, prepared statements and portals.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::collections::VecDeque;
 
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
 use indexmap::IndexMap;
-use pgwire::{
-    error::{ErrorInfo, PgWireError},
-    messages::{
-        DecodeContext, PgWireBackendMessage as Backend, PgWireFrontendMessage as Frontend,
-        ProtocolVersion, SslNegotiationMetaMessage,
-        data::{DataRow, FieldDescription, NoData, ParameterDescription, RowDescription},
-        extendedquery::{
-            Bind, BindComplete, CloseComplete, ParseComplete, PortalSuspended,
-            TARGET_TYPE_BYTE_STATEMENT,
-        },
-        response::{
-            CommandComplete, EmptyQueryResponse, GssEncResponse, ReadyForQuery, SslResponse,
-            TransactionStatus,
-        },
-        startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey},
+use pgwire::messages::{
+    PgWireBackendMessage as Backend, PgWireFrontendMessage as Frontend,
+    data::{NoData, ParameterDescription},
+    extendedquery::{
+        Bind, BindComplete, CloseComplete, ParseComplete, PortalSuspended,
+        TARGET_TYPE_BYTE_STATEMENT,
     },
+    response::{CommandComplete, EmptyQueryResponse},
+    startup::ParameterStatus,
 };
 use siskinhook_types::{Column, Control, LogPoint, Protocol, Statement};
 use smol_str::SmolStr;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    select,
-    task::JoinSet,
-    time::{sleep, timeout},
-};
-use tokio_util::codec::{Decoder, Encoder, Framed};
 
+use super::{
+    codec::Stream,
+    fault::Fault,
+    message::{data_row, error_message, ready, row_description},
+};
 use crate::{
     database::{Answer, SqlError},
-    server::{Server, Session},
+    server::Session,
     value::{self, oid},
 };
 
-/// Time in which a client must log in.
-const LOGIN: Duration = Duration::from_mins(1);
-/// Time in which a last message to a terminated connection must be taken.
-const FAREWELL: Duration = Duration::from_secs(1);
-
-/// Encodes and decodes messages on the server's side.
-#[derive(Debug, Default)]
-struct Codec {
-    context: DecodeContext,
-}
-
-impl Decoder for Codec {
-    type Item = Frontend;
-    type Error = PgWireError;
-
-    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Frontend>, PgWireError> {
-        Frontend::decode(buffer, &self.context)
-    }
-}
-
-impl Encoder<Backend> for Codec {
-    type Error = PgWireError;
-
-    fn encode(&mut self, message: Backend, buffer: &mut BytesMut) -> Result<(), PgWireError> {
-        message.encode(buffer)
-    }
-}
-
-type Stream = Framed<TcpStream, Codec>;
-
-/// Accepts connections until the task is aborted.
-pub(crate) async fn listen(server: Arc<Server>, listener: TcpListener) {
-    let mut connections = JoinSet::new();
-    loop {
-        select! {
-            accepted = listener.accept() => {
-                let Ok((socket, _)) = accepted else { continue };
-                if !server.is_crashed() {
-                    connections.spawn(serve(server.clone(), socket));
-                }
-            }
-            Some(_) = connections.join_next() => {}
-        }
-    }
-}
-
-async fn serve(server: Arc<Server>, socket: TcpStream) {
-    // The delay of small segments would add 40 ms to each exchange.
-    let _ = socket.set_nodelay(true);
-    let mut stream = Framed::new(socket, Codec::default());
-    let session = match timeout(LOGIN, log_in(&server, &mut stream)).await {
-        Ok(Ok(Some(session))) => session,
-        Ok(Err(Fault::Sql(error))) => {
-            let _ = timeout(FAREWELL, stream.send(error_message("FATAL", error))).await;
-            return;
-        }
-        _ => return,
-    };
-    let closed = session.closed();
-    let mut client = Client {
-        stream,
-        session,
-        statements: IndexMap::new(),
-        portals: IndexMap::new(),
-    };
-    let ended = select! {
-        biased;
-        () = closed.cancelled() => None,
-        ended = client.exchange() => Some(ended),
-    };
-    let Client {
-        mut stream,
-        session,
-        ..
-    } = client;
-    drop(session);
-    let farewell = match ended {
-        Some(Err(Fault::Protocol(error))) => SqlError::new("08P01", error.to_string()),
-        None if !server.is_crashed() => {
-            SqlError::new("57P01", "the connection was terminated by an administrator")
-        }
-        _ => return,
-    };
-    let _ = timeout(FAREWELL, stream.send(error_message("FATAL", farewell))).await;
-}
-
-/// Why an exchange failed.
-enum Fault {
-    /// The server rejects the statement.
-    Sql(SqlError),
-    /// The connection broke or the client does not speak the protocol.
-    Protocol(PgWireError),
-}
-
-impl From<SqlError> for Fault {
-    fn from(error: SqlError) -> Self {
-        Self::Sql(error)
-    }
-}
-
-impl From<PgWireError> for Fault {
-    fn from(error: PgWireError) -> Self {
-        Self::Protocol(error)
-    }
-}
-
-fn error_message(severity: &str, error: SqlError) -> Backend {
-    let info = ErrorInfo::new(severity.into(), error.code.into(), error.message);
-    Backend::ErrorResponse(info.into())
-}
-
-/// Negotiates and authenticates; `None` when the client left.
-async fn log_in(server: &Arc<Server>, stream: &mut Stream) -> Result<Option<Session>, Fault> {
-    let mut node = SmolStr::default();
-    loop {
-        let Some(message) = stream.next().await.transpose()? else {
-            return Ok(None);
-        };
-        match message {
-            Frontend::SslNegotiation(SslNegotiationMetaMessage::PostgresSsl(_)) => {
-                stream
-                    .send(Backend::SslResponse(SslResponse::Refuse))
-                    .await?;
-            }
-            Frontend::SslNegotiation(SslNegotiationMetaMessage::PostgresGss(_)) => {
-                stream
-                    .send(Backend::GssEncResponse(GssEncResponse::Refuse))
-                    .await?;
-            }
-            Frontend::SslNegotiation(SslNegotiationMetaMessage::None) => {
-                stream.codec_mut().context.awaiting_frontend_ssl = false;
-            }
-            Frontend::Startup(startup) => {
-                let context = &mut stream.codec_mut().context;
-                context.awaiting_frontend_startup = false;
-                context.protocol_version = ProtocolVersion::PROTOCOL3_0;
-                let name = ["application_name", "user"]
-                    .iter()
-                    .find_map(|key| startup.parameters.get(*key));
-                node = name.map(Into::into).unwrap_or_default();
-                stream
-                    .send(Backend::Authentication(Authentication::CleartextPassword))
-                    .await?;
-            }
-            Frontend::PasswordMessageFamily(message) => {
-                let password = message.into_password()?.password;
-                if password != server.options().password {
-                    return Err(SqlError::new("28P01", "the password is wrong").into());
-                }
-                break;
-            }
-            _ => return Ok(None),
-        }
-    }
-    sleep(server.options().setup).await;
-    let session = server.attach(node)?;
-    stream
-        .feed(Backend::Authentication(Authentication::Ok))
-        .await?;
-    for (name, value) in [
-        ("server_version", "16.0"),
-        ("server_encoding", "UTF8"),
-        ("client_encoding", "UTF8"),
-        ("DateStyle", "ISO, MDY"),
-        ("integer_datetimes", "on"),
-        ("standard_conforming_strings", "on"),
-    ] {
-        let status = ParameterStatus::new(name.into(), value.into());
-        stream.feed(Backend::ParameterStatus(status)).await?;
-    }
-    let pid = i32::try_from(session.id()).unwrap_or(i32::MAX);
-    let key = BackendKeyData::new(pid, SecretKey::I32(pid));
-    stream.feed(Backend::BackendKeyData(key)).await?;
-    stream.send(ready(&session)).await?;
-    Ok(Some(session))
-}
-
-fn ready(session: &Session) -> Backend {
-    let status = match session.status() {
-        b'T' => TransactionStatus::Transaction,
-        b'E' => TransactionStatus::Error,
-        _ => TransactionStatus::Idle,
-    };
-    Backend::ReadyForQuery(ReadyForQuery::new(status))
-}
-
 /// A prepared statement.
 struct Prepared {
     sql: SmolStr,
@@ -239,7 +44,7 @@
 }
 
 /// A logged-in connection.
-struct Client {
+pub(super) struct Client {
     stream: Stream,
     session: Session,
     statements: IndexMap<String, Prepared>,
@@ -247,8 +52,22 @@
 }
 
 impl Client {
+    pub(super) fn new(stream: Stream, session: Session) -> Self {
+        Self {
+            stream,
+            session,
+            statements: IndexMap::new(),
+            portals: IndexMap::new(),
+        }
+    }
+
+    /// Ends the session and returns the stream for a last message.
+    pub(super) fn into_stream(self) -> Stream {
+        self.stream
+    }
+
     /// Answers messages until the client leaves.
-    async fn exchange(&mut self) -> Result<(), Fault> {
+    pub(super) async fn exchange(&mut self) -> Result<(), Fault> {
         let mut skipping = false;
         while let Some(message) = self.stream.next().await.transpose()? {
             let is_simple = matches!(message, Frontend::Query(_));
@@ -486,30 +305,3 @@
         format: 0,
     }]
 }
-
-fn data_row(fields: u16, data: &[u8]) -> Backend {
-    // The protocol's 16-bit count is unsigned; pgwire keeps it in a signed field.
-    Backend::DataRow(DataRow::new(BytesMut::from(data), fields.cast_signed()))
-}
-
-fn row_description(columns: &[Column]) -> Backend {
-    let fields = columns.iter().map(|column| {
-        let size = match column.oid {
-            oid::BOOL => 1,
-            oid::INT2 => 2,
-            oid::INT4 | oid::FLOAT4 => 4,
-            oid::INT8 | oid::FLOAT8 => 8,
-            _ => -1,
-        };
-        FieldDescription::new(
-            column.name.to_string(),
-            0,
-            0,
-            column.oid,
-            size,
-            -1,
-            column.format,
-        )
-    });
-    Backend::RowDescription(RowDescription::new(fields.collect()))
-}
