--- a/crates/siskinhook-platform/src/memory.rs
+++ b/crates/siskinhook-platform/src/memory.rs
@@ -107,14 +107,8 @@
 
 impl State {
     fn commit(&mut self, batch: Batch) -> CommitOutcome {
-        for condition in &batch.conditions {
-            let row = self.rows.get(&condition.key);
-            if row.map_or(0, |row| row.version) != condition.version {
-                return CommitOutcome::Conflict {
-                    key: condition.key.clone(),
-                    row: row.cloned(),
-                };
-            }
+        if let Some(conflict) = batch.conflict(&self.rows) {
+            return conflict;
         }
         for write in batch.writes {
             match write.value {
--- a/crates/siskinhook-types/src/platform.rs
+++ b/crates/siskinhook-types/src/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's table service, object store and list of VMs.
 
-use std::{fmt, future::Future};
+use std::{collections::BTreeMap, fmt, future::Future};
 
 use bytes::Bytes;
 use serde_json::Value;
@@ -80,6 +80,22 @@
     }
 }
 
+impl Batch {
+    /// Returns the conflict of the first condition that does not hold for the rows, which are
+    /// stored by key.
+    #[must_use]
+    pub fn conflict(&self, rows: &BTreeMap<SmolStr, Row>) -> Option<CommitOutcome> {
+        self.conditions.iter().find_map(|condition| {
+            let row = rows.get(&condition.key);
+            let version = row.map_or(0, |row| row.version);
+            (version != condition.version).then(|| CommitOutcome::Conflict {
+                key: condition.key.clone(),
+                row: row.cloned(),
+            })
+        })
+    }
+}
+
 impl fmt::Display for PlatformError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
