Make a drain a state that an operator can take back

Cause: siskinctl drain ended the process, undrain was refused, and only the node itself could be told. A caller whose work was cut off at the drain deadline lost its connection without a word. Change: the fleet keeps an intent (serve, drain, stop) that a task of the node follows: it announces leaving, refuses callers after the notice, and on undrain announces staying with a higher incarnation and resumes the engine. The front end has phases; its listener stays open while draining. At the deadline of a stop, statements get 08007 (may have run) and open transactions 57P01 (not run). A node passes a drain request for another node on by a peer call that names the incarnation, so a replay has no effect. Event 1004 is new. A stop reports not ready at once; before, it did not report it at all.

--- a/crates/siskinhook-demo/src/host.rs
+++ b/crates/siskinhook-demo/src/host.rs
@@ -63,12 +63,7 @@
                         return false;
                     }
                 };
-                let end = tokio::select! {
-                    biased;
-                    end = ending => end.unwrap_or(End::Kill),
-                    () = node.drain_requested() => End::Drain,
-                };
-                match end {
+                match ending.await.unwrap_or(End::Kill) {
                     End::Drain => node.drain().await,
                     End::Kill => false,
                 }
--- a/crates/siskinhook-engine/src/engine.rs
+++ b/crates/siskinhook-engine/src/engine.rs
@@ -132,6 +132,11 @@
             .is_some()
     }
 
+    /// Takes a drain back: new sessions and statements are accepted again.
+    pub fn resume(&self) {
+        self.inner.core.draining.send_replace(false);
+    }
+
     /// Returns the counters.
     #[must_use]
     pub fn counters(&self) -> Arc<Counters> {
--- a/crates/siskinhook-engine/tests/handover.rs
+++ b/crates/siskinhook-engine/tests/handover.rs
@@ -136,6 +136,39 @@
     assert_eq!(claims(&mut cluster.session("n3"), 7).await.unwrap(), 1);
 }
 
+/// Guards against a node that stays empty, or cuts work off, after its drain was taken back.
+#[tokio::test(start_paused = true)]
+async fn resumed_node_takes_its_servers_back() {
+    let cluster = Cluster::start(106, plan(4)).await;
+    let owner = cluster.owner("claims-a");
+    let caller = if owner == "n2" { "n3" } else { "n2" };
+    let storm = Storm::start(&cluster, &[caller], false);
+    sleep(Duration::from_secs(1)).await;
+    cluster.set_state(&owner, MemberState::Leaving, None);
+    let node = cluster.node(&owner);
+    assert!(
+        node.drain((Instant::now() + Duration::from_secs(10)).into_std())
+            .await
+    );
+    sleep(Duration::from_secs(2)).await;
+    assert_ne!(
+        cluster.owner("claims-a"),
+        owner,
+        "the leaving node is still owner"
+    );
+    node.resume();
+    cluster.set_state(&owner, MemberState::Alive, None);
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(cluster.owner("claims-a"), owner);
+    let report = node.report();
+    assert!(report.databases["claims"].servers["claims-a"].locked);
+    let mut session = cluster.session(&owner);
+    claim(&mut session, 6).await.unwrap();
+    let written = storm.finish(&cluster).await;
+    let failed = written.iter().filter(|write| write.result.is_err()).count();
+    assert_eq!(failed, 0, "statements were cut off");
+}
+
 /// Guards against a target that gets new work although it is leaving.
 #[tokio::test(start_paused = true)]
 async fn leaving_target_gets_no_new_work() {
--- a/crates/siskinhook-fleet/src/controller.rs
+++ b/crates/siskinhook-fleet/src/controller.rs
@@ -239,6 +239,11 @@
         self.membership.leave(now);
     }
 
+    /// Takes the announcement that the node is leaving back.
+    pub fn stay(&mut self, now: Instant) {
+        self.membership.stay(now);
+    }
+
     /// Announces that the node is gone.
     pub fn stop(&mut self, now: Instant) {
         self.membership.stop(now);
--- a/crates/siskinhook-fleet/src/fleet.rs
+++ b/crates/siskinhook-fleet/src/fleet.rs
@@ -27,6 +27,26 @@
     view: watch::Receiver<Arc<FleetView>>,
     catalogue: watch::Receiver<Arc<Catalogue>>,
     status: watch::Receiver<FleetStatus>,
+    intent: watch::Sender<Intent>,
+}
+
+/// What is wanted of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Intent {
+    /// It serves.
+    Serve,
+    /// It finishes its work and stays as an empty node until it is to serve again.
+    Drain,
+    /// It finishes its work and ends.
+    Stop,
+}
+
+impl Intent {
+    /// Returns what an operator's request to drain, or to serve again, asks for.
+    #[must_use]
+    pub const fn from_drain(drain: bool) -> Self {
+        if drain { Self::Drain } else { Self::Serve }
+    }
 }
 
 #[derive(Debug)]
@@ -34,6 +54,7 @@
     Request(PeerMessage, oneshot::Sender<PeerMessage>),
     Publish(Change),
     Leave,
+    Stay,
     Stop(oneshot::Sender<()>),
 }
 
@@ -83,6 +104,7 @@
             view: view_out,
             catalogue: catalogue_out,
             status: status_out,
+            intent: watch::Sender::new(Intent::Serve),
         }
     }
 
@@ -105,8 +127,44 @@
         self.status.clone()
     }
 
+    /// Returns what operators and the process want of the node. The node's drain follows this
+    /// value; the fleet task does not act on it.
+    #[must_use]
+    pub fn intent(&self) -> watch::Receiver<Intent> {
+        self.intent.subscribe()
+    }
+
+    /// Changes what is wanted of the node. Returns false when the node is to stop already,
+    /// which nothing takes back.
+    #[must_use]
+    pub fn intend(&self, intent: Intent) -> bool {
+        let mut accepted = false;
+        self.intent.send_if_modified(|current| {
+            accepted = *current != Intent::Stop;
+            let modified = accepted && *current != intent;
+            if modified {
+                *current = intent;
+            }
+            modified
+        });
+        accepted
+    }
+
+    fn accept_drain(&self, drain: bool, incarnation: u64) -> bool {
+        let known = {
+            let view = self.view.borrow();
+            let local = view.members.get(&view.local);
+            local.is_some_and(|local| local.incarnation == incarnation)
+        };
+        known && self.intend(Intent::from_drain(drain))
+    }
+
     /// Answers a request of another node; `None` when the task has ended.
     pub async fn receive(&self, message: PeerMessage) -> Option<PeerMessage> {
+        if let PeerMessage::Drain { drain, incarnation } = message {
+            let accepted = self.accept_drain(drain, incarnation);
+            return Some(PeerMessage::Drained(accepted));
+        }
         let (reply, answer) = oneshot::channel();
         self.send(Command::Request(message, reply)).await;
         answer.await.ok()
@@ -117,6 +175,12 @@
         self.send(Command::Leave).await;
     }
 
+    /// Announces that the node stays after all, with a higher incarnation; it then takes its
+    /// ownerships back. Without effect unless the node had announced that it is leaving.
+    pub async fn announce_staying(&self) {
+        self.send(Command::Stay).await;
+    }
+
     /// Spreads a change that the platform accepted.
     pub async fn publish(&self, change: Change) {
         self.send(Command::Publish(change)).await;
@@ -189,6 +253,7 @@
             Command::Request(message, reply) => self.request(message, reply),
             Command::Publish(change) => self.controller.learn(now(), [change]),
             Command::Leave => self.controller.leave(now()),
+            Command::Stay => self.controller.stay(now()),
             Command::Stop(_) => {}
         }
     }
--- a/crates/siskinhook-fleet/src/lib.rs
+++ b/crates/siskinhook-fleet/src/lib.rs
@@ -13,7 +13,7 @@
 mod settings;
 
 pub use controller::{Action, Controller, FleetStatus, Identity};
-pub use fleet::Fleet;
+pub use fleet::{Fleet, Intent};
 pub use membership::{Answer, Call, CallId, Membership};
 pub use memory::{MemoryNetwork, MemoryPeers, MemorySettings, Traffic};
 pub use message::{Digest, PeerMessage, Profile, Rumour};
--- a/crates/siskinhook-fleet/src/membership.rs
+++ b/crates/siskinhook-fleet/src/membership.rs
@@ -467,6 +467,14 @@
         }
     }
 
+    /// Takes the announcement of [`Membership::leave`] back; a stopped node stays gone.
+    pub fn stay(&mut self, now: Instant) {
+        if self.departure == Departure::Leaving {
+            self.departure = Departure::Staying;
+            self.raise(now, self.incarnation);
+        }
+    }
+
     /// Announces that the node is gone. Members that know it as leaving drop it at once.
     pub fn stop(&mut self, now: Instant) {
         self.leave(now);
--- a/crates/siskinhook-fleet/src/message.rs
+++ b/crates/siskinhook-fleet/src/message.rs
@@ -101,6 +101,20 @@
             #[serde(rename = "r")]
             after: Option<Revision>,
         },
+        /// Passes an operator's request to drain on to the named node. Answer: `Drained`.
+        #[serde(rename = "d")]
+        Drain {
+            /// Whether to drain; false takes a drain back.
+            #[serde(rename = "d")]
+            drain: bool,
+            /// Incarnation of the receiver in the sender's view. The receiver refuses another
+            /// one, and each drain and undrain raises it, so a replayed request has no effect.
+            #[serde(rename = "i")]
+            incarnation: u64,
+        },
+        /// Whether the request to drain was accepted.
+        #[serde(rename = "e")]
+        Drained(bool),
         /// The receiver is alive.
         #[serde(rename = "a")]
         Ack(Digest),
@@ -138,7 +152,11 @@
             | Self::Ack(digest)
             | Self::Unreachable(digest)
             | Self::Members { digest, .. } => Some(digest),
-            Self::Pull { .. } | Self::Changes(_) | Self::Snapshot(_) => None,
+            Self::Pull { .. }
+            | Self::Changes(_)
+            | Self::Snapshot(_)
+            | Self::Drain { .. }
+            | Self::Drained(_) => None,
         }
     }
 
@@ -151,6 +169,8 @@
             Self::Hello { .. } => "hello",
             Self::News { .. } => "news",
             Self::Pull { .. } => "pull",
+            Self::Drain { .. } => "drain",
+            Self::Drained(_) => "drained",
             Self::Ack(_) => "ack",
             Self::Unreachable(_) => "unreachable",
             Self::Members { .. } => "members",
--- a/crates/siskinhook-fleet/tests/membership.rs
+++ b/crates/siskinhook-fleet/tests/membership.rs
@@ -157,3 +157,29 @@
         assert_eq!(serde_json::to_string(&ack).unwrap(), r#"{"a":{"f":"a","r":7}}"#);
     });
 }
+
+/// Guards against a drain that cannot be taken back: other nodes would go on to rank the node
+/// last, or an older announcement would win over the newer one.
+#[test]
+fn leaving_node_stays_after_all() {
+    let now = Instant::now();
+    let (mut a, mut b) = (node("a", now), node("b", now));
+    a.request(now, &news("b", Alive, 0));
+    b.request(now, &news("a", Alive, 0));
+    exchange(now, &mut a, &mut b);
+    let before = b.view().members["a"].incarnation;
+    a.leave(now);
+    a.tick(now + SECOND);
+    exchange(now + SECOND, &mut a, &mut b);
+    assert_eq!(state(&b, "a"), Some(MemberState::Leaving));
+    let leaving = b.view().members["a"].incarnation;
+    a.stay(now + SECOND);
+    a.tick(now + 2 * SECOND);
+    exchange(now + 2 * SECOND, &mut a, &mut b);
+    assert_eq!(state(&b, "a"), Some(Alive));
+    assert_eq!(state(&a, "a"), Some(Alive));
+    assert!(before < leaving && leaving < b.view().members["a"].incarnation);
+    // The old announcement arrives late.
+    b.request(now + 2 * SECOND, &news("a", MemberState::Leaving, leaving));
+    assert_eq!(state(&b, "a"), Some(Alive));
+}
--- a/crates/siskinhook-frontend/src/messages.rs
+++ b/crates/siskinhook-frontend/src/messages.rs
@@ -49,6 +49,31 @@
     })
 }
 
+/// Error that ends a connection whose statement is cut off because the node ends.
+pub(crate) fn cut_off() -> PgWireError {
+    ending(Failure::may_have_run(
+        FailureKind::Draining,
+        "the node ended while the statement was in progress; repeat it with the same request \
+         id, or check before repeating it",
+    ))
+}
+
+/// Error that ends a connection whose open transaction is rolled back because the node ends.
+pub(crate) fn rolled_back() -> PgWireError {
+    ending(Failure::not_run(
+        FailureKind::Draining,
+        sqlstate::SHUTDOWN,
+        "the node ended and the open transaction was rolled back; connect again to reach \
+         another node and repeat the transaction",
+    ))
+}
+
+fn ending(failure: Failure) -> PgWireError {
+    let mut info = ErrorInfo::new("FATAL".into(), failure.code.to_string(), failure.message);
+    info.detail = Some(format!("verdict: {}", failure.verdict));
+    PgWireError::UserError(Box::new(info))
+}
+
 /// Creates an error that ends the connection.
 pub(crate) fn fatal(code: &str, message: impl Into<String>) -> PgWireError {
     PgWireError::UserError(Box::new(ErrorInfo::new(
--- a/crates/siskinhook-frontend/src/server.rs
+++ b/crates/siskinhook-frontend/src/server.rs
@@ -13,7 +13,7 @@
         },
         cancel::DefaultCancelHandler,
     },
-    error::ErrorInfo,
+    error::{ErrorInfo, PgWireError},
     messages::{PgWireFrontendMessage, response::TransactionStatus},
     tokio::server::{
         MaybeTls, PgWireMessageServerCodec, negotiate_tls, process_error, process_message,
@@ -29,7 +29,7 @@
 use tokio_util::codec::Framed;
 
 use crate::{
-    Admit, Backend, Execute, FrontendSettings, StatementSettings, Users,
+    Admit, Backend, Execute, FrontendSettings, Phase, StatementSettings, Users,
     connection::{Connection, Shared, State},
     messages,
     portal::Prepared,
@@ -49,22 +49,25 @@
 /// Wait after the listener failed to accept, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time that a caller has to read the last error before its connection is closed.
+const LAST_WORD: Duration = Duration::from_secs(1);
+
 /// The front end of one node.
 pub struct Frontend<B: Backend> {
     settings: FrontendSettings,
     shared: Arc<Shared<B, Chain>>,
     manager: Arc<ConnectionManager>,
     sessions: Arc<Semaphore>,
-    drain: watch::Receiver<bool>,
+    phase: watch::Receiver<Phase>,
 }
 
 impl<B: Backend> Frontend<B> {
-    /// Creates a front end for the callers in `users`; it closes when `drain` becomes true.
+    /// Creates a front end for the callers in `users` that follows `phase`.
     pub fn new(
         settings: FrontendSettings,
         users: Users,
         backend: B,
-        drain: watch::Receiver<bool>,
+        phase: watch::Receiver<Phase>,
     ) -> Self {
         let manager = Arc::new(ConnectionManager::new());
         let chain = StatementSettings::new(Admit::new(settings.active, Execute));
@@ -81,7 +84,7 @@
                 sessions: Sessions::default(),
             }),
             manager,
-            drain,
+            phase,
         }
     }
 
@@ -98,7 +101,8 @@
     }
 }
 
-/// Accepts callers until the node drains; returns when the last connection has ended.
+/// Accepts callers until the phase is [`Phase::Closing`]; returns when the last connection has
+/// ended.
 ///
 /// Idle connections are closed once the node drains; connections in a
 /// statement or transaction are closed after it.
@@ -112,7 +116,7 @@
     let address = listener.local_addr()?;
     log::info!(target: "siskinhook::frontend", event = 4000_u32; "accepting callers on {address}");
     let mut connections = JoinSet::new();
-    let mut drain = frontend.drain.clone();
+    let mut phase = frontend.phase.clone();
     loop {
         tokio::select! {
             biased;
@@ -128,7 +132,7 @@
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
-            () = draining(&mut drain) => break,
+            () = reached(&mut phase, Phase::Closing) => break,
         }
     }
     drop(listener);
@@ -171,16 +175,16 @@
 ) -> io::Result<()> {
     let cancel = Arc::new(DefaultCancelHandler::new(Arc::clone(&frontend.manager)));
     let copy = Arc::new(NoopHandler);
-    let mut drain = frontend.drain.clone();
+    let mut phase = frontend.phase.clone();
     loop {
         release_buffers(socket);
-        let message = match next_message(&mut drain, socket, limit).await? {
+        let message = match next_message(&mut phase, socket, limit).await? {
             Some(PgWireFrontendMessage::Terminate(_)) | None => return Ok(()),
             Some(message) => message,
         };
         let last = matches!(message, PgWireFrontendMessage::CancelRequest(_));
         let extended = message.is_extended_query();
-        let result = process_message(
+        let work = process_message(
             message,
             socket,
             Arc::clone(connection),
@@ -188,8 +192,15 @@
             Arc::clone(connection),
             Arc::clone(&copy),
             Arc::clone(&cancel),
-        )
-        .await;
+        );
+        let worked = tokio::select! {
+            biased;
+            result = work => Some(result),
+            () = reached(&mut phase, Phase::Ended) => None,
+        };
+        let Some(result) = worked else {
+            return end(socket, messages::cut_off()).await;
+        };
         if let Err(error) = result {
             let ends = error.is_fatal() || starting(socket);
             process_error(socket, error, extended && !ends).await?;
@@ -205,7 +216,7 @@
 
 /// Waits for the next message; `None` when the connection is to be closed.
 async fn next_message(
-    drain: &mut watch::Receiver<bool>,
+    phase: &mut watch::Receiver<Phase>,
     socket: &mut Socket,
     limit: Instant,
 ) -> io::Result<Option<PgWireFrontendMessage>> {
@@ -215,17 +226,24 @@
         tokio::select! {
             biased;
             message = socket.next() => message,
-            () = draining(drain) => {
+            () = reached(phase, Phase::Draining) => {
                 let error = messages::fatal(
                     sqlstate::SHUTDOWN,
                     "the node is shutting down; connect again to reach another node",
                 );
-                process_error(socket, error, false).await?;
+                end(socket, error).await?;
                 return Ok(None);
             }
         }
     } else {
-        socket.next().await
+        tokio::select! {
+            biased;
+            message = socket.next() => message,
+            () = reached(phase, Phase::Ended) => {
+                end(socket, messages::rolled_back()).await?;
+                return Ok(None);
+            }
+        }
     };
     match received {
         Some(Ok(message)) => Ok(Some(message)),
@@ -239,10 +257,18 @@
     }
 }
 
-/// Waits until the node drains.
-async fn draining(drain: &mut watch::Receiver<bool>) {
+/// Waits until the front end has come to a phase.
+async fn reached(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
     // A closed channel means that the node is gone.
-    let _ = drain.wait_for(|draining| *draining).await;
+    let _ = phase.wait_for(|phase| *phase >= wanted).await;
+}
+
+/// Sends a last error. A caller that does not read cannot hold up the end of the node.
+async fn end(socket: &mut Socket, error: PgWireError) -> io::Result<()> {
+    let told = process_error(socket, error, false);
+    timeout_at(Instant::now() + LAST_WORD, told)
+        .await
+        .unwrap_or(Ok(()))
 }
 
 fn starting(socket: &Socket) -> bool {
--- a/crates/siskinhook-frontend/tests/protocol.rs
+++ b/crates/siskinhook-frontend/tests/protocol.rs
@@ -7,12 +7,14 @@
 use assert_matches::assert_matches;
 use futures::TryStreamExt;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use siskinhook_frontend::FrontendSettings;
-use support::{config, connect, start};
+use siskinhook_frontend::{FrontendSettings, Phase};
+use support::{Running, config, connect, start};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    task::JoinHandle,
 };
+use tokio_postgres::{Client, NoTls, error::DbError};
 
 /// Guards against descriptions out of order: prepare, execute and a portal read in pieces.
 #[tokio::test]
@@ -110,7 +112,7 @@
     let idle = connect(&config(running.address)).await.unwrap();
     let busy = connect(&config(running.address)).await.unwrap();
     busy.simple_query("begin").await.unwrap();
-    running.drain.send(true).unwrap();
+    running.drain.send(Phase::Closing).unwrap();
     assert!(idle.simple_query("rows 1").await.is_err());
     busy.simple_query("write").await.unwrap();
     busy.simple_query("commit").await.unwrap();
@@ -118,6 +120,61 @@
     assert_matches!(TcpStream::connect(running.address).await, Err(_));
 }
 
+/// Connects, and returns the error that ends the connection as well.
+async fn watched(running: &Running) -> (Client, JoinHandle<Option<DbError>>) {
+    let (client, connection) = config(running.address)
+        .connect(NoTls)
+        .await
+        .expect("a connection");
+    let ended = tokio::spawn(async move {
+        let error = connection.await.err()?;
+        error.as_db_error().cloned()
+    });
+    (client, ended)
+}
+
+/// Guards against a drain that cannot be taken back, or that cuts off an open transaction.
+#[tokio::test]
+async fn drain_is_taken_back() {
+    let running = start(FrontendSettings::default()).await;
+    let (_idle, ended) = watched(&running).await;
+    let busy = connect(&config(running.address)).await.unwrap();
+    busy.simple_query("begin").await.unwrap();
+    running.drain.send(Phase::Draining).unwrap();
+    let error = ended.await.unwrap().expect("an idle caller is told");
+    assert_eq!(error.code().code(), "57P01");
+    busy.simple_query("write").await.unwrap();
+    running.drain.send(Phase::Serving).unwrap();
+    busy.simple_query("commit").await.unwrap();
+    busy.simple_query("rows 1").await.unwrap();
+    let fresh = connect(&config(running.address)).await.unwrap();
+    fresh.simple_query("rows 1").await.unwrap();
+}
+
+/// Guards against callers that are left without a word, or told something untrue, when the
+/// drain deadline cuts off their work.
+#[tokio::test]
+async fn cut_off_work_is_told_the_truth() {
+    let running = start(FrontendSettings::default()).await;
+    let (open, ended) = watched(&running).await;
+    open.simple_query("begin").await.unwrap();
+    let hanging = connect(&config(running.address)).await.unwrap();
+    let hanging = tokio::spawn(async move { hanging.simple_query("hang").await });
+    while running.backend.hanging.load(Ordering::Relaxed) == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    running.drain.send(Phase::Closing).unwrap();
+    running.drain.send(Phase::Ended).unwrap();
+    let error = hanging.await.unwrap().unwrap_err();
+    let error = error.as_db_error().expect("the caller is told");
+    assert_eq!(error.code().code(), "08007");
+    assert_eq!(error.detail(), Some("verdict: may have run"));
+    let error = ended.await.unwrap().expect("the caller is told");
+    assert_eq!(error.code().code(), "57P01");
+    assert_eq!(error.detail(), Some("verdict: not run"));
+    running.server.await.unwrap().unwrap();
+}
+
 /// Guards against input that stops the node: random bytes, then a normal caller.
 #[tokio::test]
 async fn random_bytes_do_not_stop_the_node() {
--- a/crates/siskinhook-frontend/tests/support/mod.rs
+++ b/crates/siskinhook-frontend/tests/support/mod.rs
@@ -10,8 +10,8 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use siskinhook_frontend::{
-    Answer, Backend, CallerOptions, CallerSession, Frontend, FrontendSettings, TransactionState,
-    Users, serve,
+    Answer, Backend, CallerOptions, CallerSession, Frontend, FrontendSettings, Phase,
+    TransactionState, Users, serve,
 };
 use siskinhook_types::{
     CallerId, Column, DatabaseId, Failure, FailureKind, LogPoint, Part, RequestId, Statement,
@@ -25,6 +25,8 @@
 pub struct Scripted {
     /// Rows taken from answers so far, over all sessions.
     pub taken: Arc<AtomicUsize>,
+    /// Statements `hang` that have begun.
+    pub hanging: Arc<AtomicUsize>,
 }
 
 pub struct ScriptedSession {
@@ -99,7 +101,10 @@
                 Ok(self.answer(0, "", "INSERT 0 1"))
             }
             ["seen"] => Ok(self.answer(1, &format!("{:?}", self.options), "SELECT 1")),
-            ["hang"] => std::future::pending().await,
+            ["hang"] => {
+                self.backend.hanging.fetch_add(1, Ordering::Relaxed);
+                std::future::pending().await
+            }
             ["refuse"] => {
                 if self.state == TransactionState::Active {
                     self.state = TransactionState::Failed;
@@ -183,7 +188,7 @@
 pub struct Running {
     pub address: SocketAddr,
     pub backend: Scripted,
-    pub drain: watch::Sender<bool>,
+    pub drain: watch::Sender<Phase>,
     pub server: JoinHandle<std::io::Result<()>>,
 }
 
@@ -191,7 +196,7 @@
     let backend = Scripted::default();
     let mut users = Users::default();
     users.add("meera".into(), "secret");
-    let (drain, drained) = watch::channel(false);
+    let (drain, drained) = watch::channel(Phase::Serving);
     let frontend = Frontend::new(settings, users, backend.clone(), drained);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
--- a/crates/siskinhook-node/src/lib.rs
+++ b/crates/siskinhook-node/src/lib.rs
@@ -5,6 +5,7 @@
 //! channels that are connected here.
 
 mod backend;
+mod drain;
 mod listeners;
 mod monitor;
 mod node;
--- a/crates/siskinhook-node/src/monitor.rs
+++ b/crates/siskinhook-node/src/monitor.rs
@@ -28,6 +28,7 @@
     /// Samples until the node ends.
     pub(crate) async fn run(self) {
         let mut platform = PlatformSnapshot::default();
+        let mut intent = self.view.intent();
         loop {
             self.report_readiness();
             self.sample_members();
@@ -35,7 +36,8 @@
             let now = self.platform.counters().snapshot();
             self.sample_platform(&platform, &now);
             platform = now;
-            tokio::time::sleep(SAMPLE_INTERVAL).await;
+            // A drain shows at once: the load balancer has only the notice to act on it.
+            let _ = tokio::time::timeout(SAMPLE_INTERVAL, intent.changed()).await;
         }
     }
 
--- a/crates/siskinhook-node/src/node.rs
+++ b/crates/siskinhook-node/src/node.rs
@@ -10,15 +10,17 @@
 use rand::Rng;
 use siskinhook_catalogue::{AuditLog, CatalogueStore};
 use siskinhook_engine::{Engine, Identity, PgTargets, TcpLinks, serve_links};
-use siskinhook_fleet::{Fleet, Profile, RpcPeers, Secret};
-use siskinhook_frontend::{Frontend, serve};
+use siskinhook_fleet::{Fleet, Intent, Profile, RpcPeers, Secret};
+use siskinhook_frontend::{Frontend, Phase, serve};
 use siskinhook_operator::{OperatorService, Operators};
 use siskinhook_platform::{Budgeted, RpcPlatform};
 use siskinhook_settings::{Addresses, NodeSettings};
 use siskinhook_telemetry::{Metrics, Readiness};
 use tokio::{net::TcpListener, sync::watch, task::JoinSet, time::Instant};
 
-use crate::{Listeners, backend::NodeBackend, monitor::Monitor, translate, view::View};
+use crate::{
+    Listeners, backend::NodeBackend, drain::Drain, monitor::Monitor, translate, view::View,
+};
 
 /// The platform client of a node.
 pub(crate) type NodePlatform = Budgeted<RpcPlatform>;
@@ -31,13 +33,17 @@
 /// Interval at which audit records of the node are written.
 const AUDIT_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time for the last errors to callers whose work was cut off.
+const LAST_WORDS: Duration = Duration::from_secs(2);
+
 /// A running node. Dropping it ends its tasks at once; `drain` ends it gracefully.
 pub struct Node {
     settings: NodeSettings,
     addresses: Addresses,
     engine: NodeEngine,
     fleet: Fleet,
-    drain: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
+    drain: JoinSet<()>,
     callers: JoinSet<std::io::Result<()>>,
     tasks: JoinSet<()>,
     metrics: Metrics,
@@ -57,8 +63,9 @@
         let secret = translate::secret(&settings.secret).context("setting secret")?;
         let seed = rand::rng().random();
         let platform = platform(&settings, seed)?;
-        let fleet = start_fleet(&settings, &addresses, &secret, seed, platform.clone());
         let peer_secret = Secret::new(&secret);
+        let calls = RpcPeers::new(peer_secret.clone()).with_dials(settings.dial.clone());
+        let fleet = start_fleet(&settings, &addresses, seed, calls.clone(), platform.clone());
         let peers = siskinhook_fleet::serve(
             listeners.peers,
             addresses.peers.clone(),
@@ -100,7 +107,7 @@
                 log::error!(target: "siskinhook::node", event = 1003_u32; "links are no longer accepted: {error}");
             }
         });
-        let (drain, drained) = watch::channel(false);
+        let (phase, phases) = watch::channel(Phase::Serving);
         let backend = NodeBackend {
             engine: engine.clone(),
             fleet: fleet.clone(),
@@ -109,7 +116,7 @@
             translate::frontend(&settings),
             translate::users(&settings)?,
             backend.clone(),
-            drained,
+            phases,
         ));
         let mut callers = JoinSet::new();
         let listener = TcpListener::from_std(listeners.callers)?;
@@ -119,9 +126,18 @@
             backend,
             frontend,
             platform.urgent(),
-            drain.clone(),
+            calls,
         );
         tasks.spawn(view.clone().follow_contact());
+        let follower = Drain {
+            name: settings.name.clone(),
+            fleet: fleet.clone(),
+            engine: engine.clone(),
+            phase: phase.clone(),
+            notice: settings.drain.notice,
+        };
+        let mut drain = JoinSet::new();
+        drain.spawn(follower.follow());
         let metrics = start_metrics(&mut tasks, listeners.metrics, &view, &engine, &platform)?;
         let operators =
             start_operators(&mut tasks, listeners.operators, &settings, view, platform).await?;
@@ -134,6 +150,7 @@
             addresses,
             engine,
             fleet,
+            phase,
             drain,
             callers,
             tasks,
@@ -161,25 +178,29 @@
         let _ = catalogue.wait_for(|catalogue| catalogue.revision > 0).await;
     }
 
-    /// Waits until an operator tells the node to drain.
-    pub async fn drain_requested(&self) {
-        let mut requested = self.drain.subscribe();
-        // The sender lives as long as the node.
-        let _ = requested.wait_for(|drain| *drain).await;
-    }
-
     /// Shuts down gracefully: announces that it leaves, lets work in flight finish up to the
-    /// deadline of the settings, and ends. Returns whether all work was finished.
+    /// deadline of the settings, and ends. Returns whether all work was finished; callers of
+    /// work that was cut off are told whether it ran.
+    ///
+    /// A drain that an operator asked for goes over into the shutdown.
     pub async fn drain(mut self) -> bool {
         let deadline = Instant::now() + self.settings.drain.deadline;
-        log::info!(target: "siskinhook::node", event = 1001_u32; "node {} is draining", self.settings.name);
-        self.fleet.announce_leaving().await;
-        tokio::time::sleep(self.settings.drain.notice).await;
-        self.drain.send_replace(true);
-        let callers = tokio::time::timeout_at(deadline, async {
-            while self.callers.join_next().await.is_some() {}
-        });
+        // Refused only when the node is to stop already.
+        let _ = self.fleet.intend(Intent::Stop);
+        while self.drain.join_next().await.is_some() {}
+        if *self.phase.borrow() == Phase::Serving {
+            log::info!(target: "siskinhook::node", event = 1001_u32; "node {} is draining", self.settings.name);
+            self.fleet.announce_leaving().await;
+            tokio::time::sleep(self.settings.drain.notice).await;
+        }
+        self.phase.send_replace(Phase::Closing);
+        let callers = tokio::time::timeout_at(deadline, join(&mut self.callers));
         let finished = callers.await.is_ok();
+        if !finished {
+            self.phase.send_replace(Phase::Ended);
+            // Callers that do not read their last error lose their connection.
+            let _ = tokio::time::timeout(LAST_WORDS, join(&mut self.callers)).await;
+        }
         let finished = self.engine.drain(deadline.into_std()).await && finished;
         self.engine.shutdown();
         self.fleet.stop().await;
@@ -193,6 +214,10 @@
     }
 }
 
+async fn join(callers: &mut JoinSet<std::io::Result<()>>) {
+    while callers.join_next().await.is_some() {}
+}
+
 fn start_metrics(
     tasks: &mut JoinSet<()>,
     listener: std::net::TcpListener,
@@ -254,8 +279,8 @@
 fn start_fleet(
     settings: &NodeSettings,
     addresses: &Addresses,
-    secret: &str,
     seed: u64,
+    peers: RpcPeers,
     platform: NodePlatform,
 ) -> Fleet {
     let identity = siskinhook_fleet::Identity {
@@ -268,7 +293,6 @@
         },
         seeds: Vec::new(),
     };
-    let peers = RpcPeers::new(Secret::new(secret)).with_dials(settings.dial.clone());
     Fleet::start(translate::fleet(settings), identity, seed, peers, platform)
 }
 
--- a/crates/siskinhook-node/src/view.rs
+++ b/crates/siskinhook-node/src/view.rs
@@ -8,17 +8,24 @@
 use serde_json::{Value, json};
 use siskinhook_catalogue::CatalogueReader;
 use siskinhook_engine::{Operation, classify};
+use siskinhook_fleet::{Intent, PeerMessage, Peers, RpcPeers};
 use siskinhook_frontend::Frontend;
 use siskinhook_operator::{Explain, NodeState, NodeStatus, NodeView, Report};
 use siskinhook_settings::NodeSettings;
 use siskinhook_types::{Catalogue, FleetView, MemberState, NodeId, Revision};
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::watch,
+    time::{Instant, timeout},
+};
 
 use crate::{backend::NodeBackend, node::NodePlatform};
 
 /// Interval at which the node looks whether it reaches the fleet.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time limit of a request that is passed on to another node.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// View of a node for operators; clones share it.
 #[derive(Clone)]
 pub(crate) struct View {
@@ -30,7 +37,7 @@
     backend: NodeBackend,
     frontend: Arc<Frontend<NodeBackend>>,
     reader: CatalogueReader<NodePlatform>,
-    drain: watch::Sender<bool>,
+    calls: RpcPeers,
     /// When most of the known nodes were last alive in this node's view.
     reached: Mutex<Instant>,
 }
@@ -41,7 +48,7 @@
         backend: NodeBackend,
         frontend: Arc<Frontend<NodeBackend>>,
         platform: NodePlatform,
-        drain: watch::Sender<bool>,
+        calls: RpcPeers,
     ) -> Self {
         Self {
             inner: Arc::new(Inner {
@@ -49,7 +56,7 @@
                 backend,
                 frontend,
                 reader: CatalogueReader::new(platform),
-                drain,
+                calls,
                 reached: Mutex::new(Instant::now()),
             }),
         }
@@ -89,7 +96,43 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        *self.inner.drain.borrow()
+        *self.intent().borrow() != Intent::Serve
+    }
+
+    /// Returns what is wanted of the node.
+    pub(crate) fn intent(&self) -> watch::Receiver<Intent> {
+        self.inner.backend.fleet.intent()
+    }
+
+    /// Passes a request to drain on to another node.
+    async fn forward(&self, node: &NodeId, drain: bool) -> Result<(), String> {
+        let member = self.fleet().members.shift_remove(node);
+        let Some(member) = member.filter(|member| member.state != MemberState::Dead) else {
+            return Err(format!(
+                "node {node} is not a live member in the view of {}; siskinctl fleet lists all",
+                self.inner.settings.name
+            ));
+        };
+        let message = PeerMessage::Drain {
+            drain,
+            incarnation: member.incarnation,
+        };
+        let call = self.inner.calls.call(&member.peer, message);
+        match timeout(FORWARD_TIMEOUT, call).await {
+            Ok(Ok(PeerMessage::Drained(true))) => Ok(()),
+            Ok(Ok(_)) => Err(format!(
+                "node {node} refused: it is stopping, or its state has changed since this node \
+                 heard of it; look at siskinctl fleet and try again"
+            )),
+            Ok(Err(error)) => Err(format!(
+                "{error}; whether node {node} was told is not known, repeat the command"
+            )),
+            Err(_) => Err(format!(
+                "node {node} did not answer within {} s; whether it was told is not known, \
+                 repeat the command",
+                FORWARD_TIMEOUT.as_secs()
+            )),
+        }
     }
 
     pub(crate) fn sessions(&self) -> usize {
@@ -168,18 +211,13 @@
 
     async fn drain(&self, node: &NodeId, drain: bool) -> Result<(), String> {
         if *node != self.inner.settings.name {
-            return Err(format!(
-                "this is node {}; connect to {node} itself with --node, its address is in \
-                 siskinctl fleet",
-                self.inner.settings.name
-            ));
+            return self.forward(node, drain).await;
         }
-        if !drain && self.is_draining() {
+        if !self.inner.backend.fleet.intend(Intent::from_drain(drain)) {
             return Err(format!(
-                "node {node} has begun to drain and ends; the platform starts a fresh one"
+                "the process of node {node} is stopping; the platform starts a fresh one"
             ));
         }
-        self.inner.drain.send_replace(drain);
         Ok(())
     }
 
--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -75,6 +75,9 @@
     LinksEnded = 1003, Error, "links_ended",
         "The node no longer accepts links from other nodes.",
         "Restart the node; its servers move to others when it leaves.";
+    NodeUndrained = 1004, Info, "node_undrained",
+        "An operator took a drain back; the node serves again and takes its servers back.",
+        "Nothing.";
     NodeReady = 1005, Info, "node_ready",
         "The node has a catalogue and serves callers.",
         "Nothing.";
--- a/src/bin/siskinhook/run.rs
+++ b/src/bin/siskinhook/run.rs
@@ -17,11 +17,7 @@
     let runtime = Runtime::new().context("cannot create the runtime")?;
     runtime.block_on(async {
         let node = Node::start(settings, listeners).await?;
-        tokio::select! {
-            biased;
-            requested = shutdown::requested() => requested?,
-            () = node.drain_requested() => {}
-        }
+        shutdown::requested().await?;
         Ok(if node.drain().await {
             ExitCode::SUCCESS
         } else {
