--- a/crates/siskinhook-demo/src/demo.rs
+++ b/crates/siskinhook-demo/src/demo.rs
@@ -138,6 +138,16 @@
         &self.site
     }
 
+    /// Ends a node at once and starts it again on its addresses, without its state.
+    ///
+    /// # Errors
+    /// Fails when there is no such node or it cannot be started.
+    pub async fn restart(&self, node: &str) -> anyhow::Result<()> {
+        let host = self.hosts.get(node);
+        let host = host.with_context(|| format!("there is no node {node}"))?;
+        host.restart().await
+    }
+
     /// Drains all nodes at once; returns whether all work was finished.
     pub async fn stop(self) -> bool {
         let mut finished = true;
--- a/crates/siskinhook-demo/tests/drain.rs
+++ b/crates/siskinhook-demo/tests/drain.rs
@@ -6,10 +6,10 @@
 
 use jsonrpsee::http_client::HttpClient;
 use siskinhook_demo::Demo;
-use siskinhook_operator::{EditRequest, NodeState, OperatorApiClient, Report};
+use siskinhook_operator::{NodeState, OperatorApiClient, Report};
 use siskinhook_types::{Revision, ServerId};
 use support::{
-    connect, eventually, limited, load::Load, operator, owner, place, primary, run, start,
+    connect, edit, eventually, limited, load::Load, operator, owner, place, primary, run, start,
     try_connect, value,
 };
 use tokio_postgres::NoTls;
@@ -100,22 +100,12 @@
 
 /// Edits the entry so that exactly one server of its database is leaving.
 async fn leave(demo: &Demo, server: &str) -> Revision {
-    let node = operator(demo, 0);
-    let service = demo.site().entry().name;
-    let current = node.entry(service.clone()).await.unwrap().unwrap();
-    let mut entry = current.entry.clone();
-    for member in entry.databases.values_mut().flat_map(|d| &mut d.servers) {
-        member.leaving = member.name == server;
-    }
-    let edit = EditRequest {
-        id: format!("leave-{server}").into(),
-        service,
-        entry: Some(entry),
-        base: current.revision,
-        reason: "test".into(),
-        confirmed: true,
-    };
-    node.edit(edit).await.unwrap().revision
+    edit(demo, 0, "leave", |entry| {
+        for member in entry.databases.values_mut().flat_map(|d| &mut d.servers) {
+            member.leaving = member.name == server;
+        }
+    })
+    .await
 }
 
 /// Checks that a leaving server finishes its work and starts nothing else, under load.
--- a/crates/siskinhook-demo/tests/support/mod.rs
+++ b/crates/siskinhook-demo/tests/support/mod.rs
@@ -10,8 +10,8 @@
 
 use jsonrpsee::http_client::{HeaderMap, HttpClient, HttpClientBuilder};
 use siskinhook_demo::{Demo, DemoOptions};
-use siskinhook_operator::{OperatorApiClient, Report};
-use siskinhook_types::{DatabaseId, MemberState, NodeId};
+use siskinhook_operator::{EditRequest, OperatorApiClient, Report};
+use siskinhook_types::{DatabaseId, Entry, MemberState, NodeId, Revision};
 use tokio_postgres::{Client, Config, Error, NoTls, SimpleQueryMessage};
 
 pub mod load;
@@ -157,3 +157,24 @@
     let owner = answer.value["servers"][server]["owner"].as_str()?;
     Some(owner.into())
 }
+
+/// Edits the entry of the site through a node's operator interface.
+pub async fn edit(demo: &Demo, node: usize, id: &str, change: impl FnOnce(&mut Entry)) -> Revision {
+    let node = operator(demo, node);
+    let service = demo.site().entry().name;
+    let current = node.entry(service.clone()).await;
+    let current = current.expect("the platform answers");
+    let current = current.expect("the site has an entry");
+    let mut entry = current.entry.clone();
+    change(&mut entry);
+    let edit = EditRequest {
+        id: id.into(),
+        service,
+        entry: Some(entry),
+        base: current.revision,
+        reason: "test".into(),
+        confirmed: true,
+    };
+    let accepted = node.edit(edit).await;
+    accepted.expect("the edit is accepted").revision
+}
