--- a/crates/siskinhook-engine/src/owner/execute.rs
+++ b/crates/siskinhook-engine/src/owner/execute.rs
@@ -38,8 +38,7 @@
             owner.ensure_fresh(&self.core, &request).await?;
         }
         let queued = now();
-        let slot = owner.slots.acquire(&request, false);
-        let slot = owner.while_owned(slot).await?;
+        let slot = owner.slot(&request, false).await?;
         if request.kind == Kind::Read {
             // An age that the caller stated counts from now, not from before the queue.
             let waited = now().saturating_duration_since(queued);
@@ -69,8 +68,7 @@
 
     /// Runs a write that commits by itself.
     pub async fn write(&mut self, owner: &Arc<Owner<T>>, request: Request) -> Result<(), Failure> {
-        let slot = owner.slots.acquire(&request, false);
-        let slot = owner.while_owned(slot).await?;
+        let slot = owner.slot(&request, false).await?;
         let mut connection = owner.send(&request).await?;
         let done = owner
             .collect(&mut connection, Rows::Pass(&self.reply))
--- a/crates/siskinhook-engine/src/owner/mod.rs
+++ b/crates/siskinhook-engine/src/owner/mod.rs
@@ -13,7 +13,9 @@
 
 use std::sync::Arc;
 
-use siskinhook_types::{Failure, FailureKind, Limits, Server, ServerId, Targets, sqlstate};
+use siskinhook_types::{
+    Failure, FailureKind, Limits, Request, Server, ServerId, Targets, sqlstate,
+};
 use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -22,7 +24,7 @@
 pub use link::OwnerLink;
 pub use pool::{DataConnection, Pool};
 pub use silence::Silence;
-pub use slots::Slots;
+pub use slots::{Slot, Slots};
 
 /// Connections of the limit that are not used for data: the owner's and the watchers' control
 /// connections, and one for a confirmation or a probe.
@@ -89,6 +91,16 @@
         self.pool.forbid();
     }
 
+    /// Waits for the lock and then for a slot. A statement that waited for the lock in a slot
+    /// would be learnt as a slow one, and others would be refused for a wait that never comes.
+    pub async fn slot(&self, request: &Request, pinned: bool) -> Result<Slot, Failure> {
+        self.while_owned(async {
+            self.pool.permission(request.deadline).await?;
+            self.slots.acquire(request, pinned).await
+        })
+        .await
+    }
+
     /// Waits for a slot or a connection, and gives up once the owner is retired: its queue is
     /// not served from then on, the lock has gone, and the next owner takes the request.
     pub async fn while_owned<R>(
--- a/crates/siskinhook-engine/src/owner/outcome.rs
+++ b/crates/siskinhook-engine/src/owner/outcome.rs
@@ -30,8 +30,7 @@
         request: Request,
     ) -> Result<(), Failure> {
         let id = request.id.clone().unwrap_or_default();
-        let slot = owner.slots.acquire(&request, false);
-        let slot = owner.while_owned(slot).await?;
+        let slot = owner.slot(&request, false).await?;
         let begin = Request {
             statement: Statement::simple("BEGIN"),
             ..request.clone()
--- a/crates/siskinhook-engine/src/owner/pool.rs
+++ b/crates/siskinhook-engine/src/owner/pool.rs
@@ -201,7 +201,7 @@
     }
 
     /// Waits until the node holds the lock.
-    async fn permission(&self, deadline: Instant) -> Result<(), Failure> {
+    pub async fn permission(&self, deadline: Instant) -> Result<(), Failure> {
         let mut allowed = self.allowed.subscribe();
         // Another server or owner may serve the request, so that it does not wait for the lock
         // up to its deadline.
--- a/crates/siskinhook-engine/src/owner/transaction.rs
+++ b/crates/siskinhook-engine/src/owner/transaction.rs
@@ -39,8 +39,7 @@
             Ok(pin)
         };
         let pin = owner.while_owned(pin).await?;
-        let slot = owner.slots.acquire(&request, true);
-        let slot = owner.while_owned(slot).await?;
+        let slot = owner.slot(&request, true).await?;
         let mut connection = owner.send(&request).await?;
         let done = owner
             .collect(&mut connection, Rows::Pass(&self.reply))
