--- a/crates/siskinhook-engine/src/owner/pool.rs
+++ b/crates/siskinhook-engine/src/owner/pool.rs
@@ -146,6 +146,11 @@
         state.idle.clear();
     }
 
+    /// What the parts of the node's engine share.
+    pub fn core(&self) -> &Core<T> {
+        &self.core
+    }
+
     /// Whether the node holds the lock.
     pub fn is_allowed(&self) -> bool {
         *self.allowed.borrow()
@@ -196,7 +201,7 @@
     }
 
     /// Waits until the node holds the lock.
-    async fn permission(&self, deadline: Instant) -> Result<(), Failure> {
+    pub async fn permission(&self, deadline: Instant) -> Result<(), Failure> {
         let mut allowed = self.allowed.subscribe();
         // Another server or owner may serve the request, so that it does not wait for the lock
         // up to its deadline.
--- a/crates/siskinhook-node/src/view.rs
+++ b/crates/siskinhook-node/src/view.rs
@@ -9,12 +9,15 @@
 use serde_json::{Value, json};
 use siskinhook_catalogue::CatalogueReader;
 use siskinhook_engine::{Operation, classify};
-use siskinhook_fleet::{Digest, PeerMessage, Peers, RpcPeers};
+use siskinhook_fleet::{Digest, Intent, PeerMessage, Peers, RpcPeers};
 use siskinhook_frontend::Frontend;
 use siskinhook_operator::{Explain, NodeRevision, NodeState, NodeStatus, NodeView, Report};
 use siskinhook_settings::NodeSettings;
 use siskinhook_types::{Catalogue, FleetView, Member, MemberState, NodeId, Revision};
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::watch,
+    time::{Instant, timeout},
+};
 
 use crate::{backend::NodeBackend, node::NodePlatform};
 
@@ -26,6 +29,8 @@
 
 /// Time that a node has to tell its revision.
 const REVISION_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit of a request that is passed on to another node.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// View of a node for operators; clones share it.
 #[derive(Clone)]
@@ -37,9 +42,8 @@
     settings: NodeSettings,
     backend: NodeBackend,
     frontend: Arc<Frontend<NodeBackend>>,
-    peers: RpcPeers,
     reader: CatalogueReader<NodePlatform>,
-    drain: watch::Sender<bool>,
+    calls: RpcPeers,
     /// When most of the known nodes were last alive in this node's view.
     reached: Mutex<Instant>,
 }
@@ -49,18 +53,16 @@
         settings: NodeSettings,
         backend: NodeBackend,
         frontend: Arc<Frontend<NodeBackend>>,
-        peers: RpcPeers,
         platform: NodePlatform,
-        drain: watch::Sender<bool>,
+        calls: RpcPeers,
     ) -> Self {
         Self {
             inner: Arc::new(Inner {
                 settings,
                 backend,
                 frontend,
-                peers,
                 reader: CatalogueReader::new(platform),
-                drain,
+                calls,
                 reached: Mutex::new(Instant::now()),
             }),
         }
@@ -100,7 +102,43 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        *self.inner.drain.borrow()
+        *self.intent().borrow() != Intent::Serve
+    }
+
+    /// Returns what is wanted of the node.
+    pub(crate) fn intent(&self) -> watch::Receiver<Intent> {
+        self.inner.backend.fleet.intent()
+    }
+
+    /// Passes a request to drain on to another node.
+    async fn forward(&self, node: &NodeId, drain: bool) -> Result<(), String> {
+        let member = self.fleet().members.shift_remove(node);
+        let Some(member) = member.filter(|member| member.state != MemberState::Dead) else {
+            return Err(format!(
+                "node {node} is not a live member in the view of {}; siskinctl fleet lists all",
+                self.inner.settings.name
+            ));
+        };
+        let message = PeerMessage::Drain {
+            drain,
+            incarnation: member.incarnation,
+        };
+        let call = self.inner.calls.call(&member.peer, message);
+        match timeout(FORWARD_TIMEOUT, call).await {
+            Ok(Ok(PeerMessage::Drained(true))) => Ok(()),
+            Ok(Ok(_)) => Err(format!(
+                "node {node} refused: it is stopping, or its state has changed since this node \
+                 heard of it; look at siskinctl fleet and try again"
+            )),
+            Ok(Err(error)) => Err(format!(
+                "{error}; whether node {node} was told is not known, repeat the command"
+            )),
+            Err(_) => Err(format!(
+                "node {node} did not answer within {} s; whether it was told is not known, \
+                 repeat the command",
+                FORWARD_TIMEOUT.as_secs()
+            )),
+        }
     }
 
     pub(crate) fn sessions(&self) -> usize {
@@ -136,7 +174,7 @@
         }
         let call = self
             .inner
-            .peers
+            .calls
             .call(&member.peer, PeerMessage::Probe(digest));
         let answer = tokio::time::timeout(REVISION_TIMEOUT, call).await;
         let revision = match answer {
@@ -224,18 +262,13 @@
 
     async fn drain(&self, node: &NodeId, drain: bool) -> Result<(), String> {
         if *node != self.inner.settings.name {
-            return Err(format!(
-                "this is node {}; connect to {node} itself with --node, its address is in \
-                 siskinctl fleet",
-                self.inner.settings.name
-            ));
+            return self.forward(node, drain).await;
         }
-        if !drain && self.is_draining() {
+        if !self.inner.backend.fleet.intend(Intent::from_drain(drain)) {
             return Err(format!(
-                "node {node} has begun to drain and ends; the platform starts a fresh one"
+                "the process of node {node} is stopping; the platform starts a fresh one"
             ));
         }
-        self.inner.drain.send_replace(drain);
         Ok(())
     }
 
