--- a/crates/siskinhook-fleet/tests/membership.rs
+++ b/crates/siskinhook-fleet/tests/membership.rs
@@ -28,7 +28,6 @@
 }
 
 fn node_with(settings: FleetSettings, name: &str, now: Instant) -> Membership {
-    let settings = settings;
     Membership::new(settings, name.into(), profile(name), Vec::new(), 1, now)
 }
 
