Enforce the limit of a caller's message; remove settings without effect

Cause: the message limit of the settings was not used, so a caller could make a node buffer up to the 1 GiB of the codec. Five other settings of requests had no effect. Result: the new test sends 64 MiB against a limit of 1 MiB and gets the connection closed while another caller goes on; the tests of both crates pass.

--- a/crates/siskinhook-frontend/src/server.rs
+++ b/crates/siskinhook-frontend/src/server.rs
@@ -1,6 +1,6 @@
 //! Accepts caller connections and runs them.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{future::poll_fn, io, sync::Arc, task::Poll, time::Duration};
 
 use bytes::BytesMut;
 use futures::{SinkExt, StreamExt};
@@ -178,10 +178,11 @@
     let mut phase = frontend.phase.clone();
     loop {
         release_buffers(socket);
-        let message = match next_message(&mut phase, socket, limit).await? {
-            Some(PgWireFrontendMessage::Terminate(_)) | None => return Ok(()),
-            Some(message) => message,
-        };
+        let message =
+            match next_message(&mut phase, socket, limit, frontend.settings.message).await? {
+                Some(PgWireFrontendMessage::Terminate(_)) | None => return Ok(()),
+                Some(message) => message,
+            };
         let last = matches!(message, PgWireFrontendMessage::CancelRequest(_));
         let extended = message.is_extended_query();
         let work = process_message(
@@ -219,13 +220,14 @@
     phase: &mut watch::Receiver<Phase>,
     socket: &mut Socket,
     limit: Instant,
+    largest: usize,
 ) -> io::Result<Option<PgWireFrontendMessage>> {
     let received = if starting(socket) {
         timeout_at(limit, socket.next()).await.unwrap_or(None)
     } else if socket.transaction_status() == TransactionStatus::Idle {
         tokio::select! {
             biased;
-            message = socket.next() => message,
+            message = receive(socket, largest) => message,
             () = reached(phase, Phase::Draining) => {
                 let error = messages::fatal(
                     sqlstate::SHUTDOWN,
@@ -238,7 +240,7 @@
     } else {
         tokio::select! {
             biased;
-            message = socket.next() => message,
+            message = receive(socket, largest) => message,
             () = reached(phase, Phase::Ended) => {
                 end(socket, messages::rolled_back()).await?;
                 return Ok(None);
@@ -257,6 +259,30 @@
     }
 }
 
+/// Waits for a message of at most `largest` bytes. The codec alone would buffer up to 1 GiB
+/// before it hands the message over, so the length is checked while the message arrives.
+async fn receive(
+    socket: &mut Socket,
+    largest: usize,
+) -> Option<Result<PgWireFrontendMessage, PgWireError>> {
+    poll_fn(|cx| {
+        let polled = socket.poll_next_unpin(cx);
+        match announced(socket.read_buffer()) {
+            Some(length) if polled.is_pending() && length > largest => {
+                Poll::Ready(Some(Err(PgWireError::MessageTooLarge(largest, length))))
+            }
+            _ => polled,
+        }
+    })
+    .await
+}
+
+/// Returns the length that the header of a message states, after its type byte.
+fn announced(buffer: &[u8]) -> Option<usize> {
+    let length = buffer.get(1..)?.first_chunk::<4>()?;
+    usize::try_from(u32::from_be_bytes(*length)).ok()
+}
+
 /// Waits until the front end has come to a phase.
 async fn reached(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
     // A closed channel means that the node is gone.
--- a/crates/siskinhook-frontend/tests/protocol.rs
+++ b/crates/siskinhook-frontend/tests/protocol.rs
@@ -201,3 +201,25 @@
     let client = connect(&config(running.address)).await.unwrap();
     assert_eq!(client.simple_query("rows 1").await.unwrap().len(), 3);
 }
+
+/// Guards against a caller whose message makes the node buffer without limit.
+#[tokio::test]
+async fn oversized_message_ends_the_connection() {
+    let settings = FrontendSettings {
+        message: 1024 * 1024,
+        ..FrontendSettings::default()
+    };
+    let running = start(settings).await;
+    let client = connect(&config(running.address)).await.unwrap();
+    assert_eq!(client.simple_query("rows 1").await.unwrap().len(), 3);
+    let large = format!("rows 1 -- {}", "x".repeat(64 * 1024 * 1024));
+    let error = client.simple_query(&large).await.unwrap_err();
+    // The driver may see the closed connection before it reads the error.
+    assert!(
+        error.code().is_none_or(|code| code.code() == "08P01"),
+        "{error:?}"
+    );
+    assert!(client.simple_query("rows 1").await.is_err());
+    let other = connect(&config(running.address)).await.unwrap();
+    assert_eq!(other.simple_query("rows 1").await.unwrap().len(), 3);
+}
--- a/crates/siskinhook-settings/src/check.rs
+++ b/crates/siskinhook-settings/src/check.rs
@@ -255,25 +255,13 @@
         });
     }
     let requests = &settings.requests;
-    faults.need_positive(requests.deadline, "requests.deadline");
     faults.need_positive(requests.login_timeout, "requests.login_timeout");
     faults.need_positive(requests.silence, "requests.silence");
-    faults.need(requests.retry_share <= 50, "requests.retry_share", || {
-        "retries could multiply an overload; state at most 50 percent".into()
-    });
     faults.need(
         (64 * 1024..=1024 * 1024 * 1024).contains(&requests.message_size),
         "requests.message_size",
         || "state 65536 to 1073741824 bytes".into(),
     );
-    faults.need(
-        requests.long_wait >= requests.short_wait,
-        "requests.long_wait",
-        || {
-            "long work would be refused before short work; state at least requests.short_wait"
-                .into()
-        },
-    );
     faults.need(
         settings.drain.deadline >= settings.drain.notice,
         "drain.deadline",
--- a/crates/siskinhook-settings/src/sections.rs
+++ b/crates/siskinhook-settings/src/sections.rs
@@ -121,19 +121,7 @@
     pub struct Requests {
         /// Connections of callers per node.
         pub connections: u32,
-        /// Milliseconds after which a request without a stated deadline, in an entry without
-        /// one, is not started.
-        #[serde(with = "millis")]
-        pub deadline: Duration,
-        /// Expected wait in milliseconds above which short work is refused.
-        #[serde(with = "millis")]
-        pub short_wait: Duration,
-        /// Expected wait in milliseconds above which long work is refused.
-        #[serde(with = "millis")]
-        pub long_wait: Duration,
-        /// Retries as percent of requests.
-        pub retry_share: u32,
-        /// Attempts of one request, the first one included.
+        /// Servers and owners tried in one round for a request, the first one included.
         pub attempts: u32,
         /// Rows of a response buffered per caller.
         pub row_buffer: u32,
@@ -142,9 +130,6 @@
         /// Milliseconds that a caller may take to log in.
         #[serde(with = "millis")]
         pub login_timeout: Duration,
-        /// Milliseconds that a transaction may be idle before it is rolled back.
-        #[serde(with = "millis")]
-        pub idle_transaction: Duration,
         /// Milliseconds after which an idle link to another node is closed.
         #[serde(with = "millis")]
         pub idle_link: Duration,
@@ -260,15 +245,10 @@
     fn default() -> Self {
         Self {
             connections: 4000, // 2,600 are expected per node; room for one lost node in three
-            deadline: Duration::from_secs(10),
-            short_wait: Duration::from_secs(2),
-            long_wait: Duration::from_mins(1),
-            retry_share: 10,
             attempts: 4,
             row_buffer: 64,
             message_size: 16 * 1024 * 1024,
             login_timeout: Duration::from_secs(5),
-            idle_transaction: Duration::from_mins(1),
             idle_link: Duration::from_secs(30),
             silence: Duration::from_millis(1500),
         }
