Do not answer SHOW transaction_isolation with a fixed value

Cause: the node told callers serializable whatever the target does. Change: the statement is refused as other settings of PostgreSQL are.

--- a/crates/siskinhook-frontend/src/statement_settings.rs
+++ b/crates/siskinhook-frontend/src/statement_settings.rs
@@ -130,7 +130,6 @@
             .into(),
         Some(option) => options.get(option)?,
         None => match name.as_str() {
-            "transaction_isolation" => "serializable".into(),
             "standard_conforming_strings" => "on".into(),
             "client_encoding" | "server_encoding" => "UTF8".into(),
             "server_version" => crate::startup::SERVER_VERSION.into(),
