--- a/crates/siskinhook-telemetry/src/metrics.rs
+++ b/crates/siskinhook-telemetry/src/metrics.rs
@@ -54,8 +54,6 @@
     members: Sampled,
     catalogue_revision: Sampled,
     audit_waiting: Sampled,
-    control_bytes: Counter<u64>,
-    control_messages: Counter<u64>,
     platform_calls: Counter<u64>,
     platform_wait: Counter<f64>,
     /// Totals of the engine's counters at the last sample.
@@ -117,8 +115,6 @@
             members: gauge("members", "state"),
             catalogue_revision: gauge("catalogue_revision", ""),
             audit_waiting: gauge("audit_waiting", ""),
-            control_bytes: counter("control_bytes"),
-            control_messages: counter("control_messages"),
             platform_calls: counter("platform_calls"),
             platform_wait: time("platform_wait_seconds"),
             totals: Arc::default(),
@@ -276,13 +272,6 @@
         self.audit_waiting.set(None, float(records));
     }
 
-    /// Counts control messages; `direction` is `sent` or `received`.
-    pub fn control(&self, direction: &str, messages: u64, bytes: u64) {
-        let labels = [label("direction", direction)];
-        self.control_messages.add(messages, &labels);
-        self.control_bytes.add(bytes, &labels);
-    }
-
     /// Counts calls to the platform; `kind` is `read` or `write`, `result` is `done`, `failed`,
     /// `lost` or `refused`.
     pub fn platform_calls(&self, kind: &str, result: &str, calls: u64) {
--- a/crates/siskinhook-telemetry/src/names.rs
+++ b/crates/siskinhook-telemetry/src/names.rs
@@ -235,20 +235,6 @@
         "",
         "Which catalogue revision is in force on this node?",
     ),
-    metric(
-        "siskinhook_control_bytes_total",
-        Counter,
-        "bytes",
-        "direction",
-        "How much control traffic does this node cause? (direction sent or received)",
-    ),
-    metric(
-        "siskinhook_control_messages_total",
-        Counter,
-        "messages",
-        "direction",
-        "How many control messages does this node exchange?",
-    ),
     metric(
         "siskinhook_platform_calls_total",
         Counter,
--- a/crates/siskinhook-telemetry/tests/pages.rs
+++ b/crates/siskinhook-telemetry/tests/pages.rs
@@ -210,7 +210,6 @@
     metrics.callers(10);
     metrics.members("alive", 8);
     metrics.catalogue_revision(12);
-    metrics.control("sent", 1, 100);
     metrics.platform_calls("read", "done", 2);
     metrics.platform_wait(second);
     metrics.audit_waiting(1);
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -106,7 +106,7 @@
             "replica_share_least": self.worst(|run| Some(run.replica_share), true),
             "failover_gap_ms": self.gap(),
             "goodput_least": self.worst(|run| run.goodput, true),
-            "crest_p99_ms": self.worst(|run| run.crest, false),
+            "peak_p99_ms": self.worst(|run| run.peak, false),
             "short_wait_ms": self.waits(),
             "broken": broken,
         })
@@ -140,9 +140,9 @@
             println!("    failover gap p50 / p99 / worst: {}", spread(Some(gap)));
         }
         if let Some(goodput) = self.worst(|run| run.goodput, true) {
-            let crest = self.worst(|run| run.crest, false).unwrap_or(0.0);
+            let peak = self.worst(|run| run.peak, false).unwrap_or(0.0);
             let goodput = goodput * 100.0;
-            println!("    crest: goodput, least: {goodput:.1}% of capacity, p99 {crest:.0} ms");
+            println!("    peak: goodput, least: {goodput:.1}% of capacity, p99 {peak:.0} ms");
         }
         if let Some(waits) = self.waits() {
             println!(
--- a/examples/measure/scenario.rs
+++ b/examples/measure/scenario.rs
@@ -41,9 +41,9 @@
 const BALANCER: Duration = Duration::from_secs(2);
 /// Time in which the groups recover after the end, before their data is compared.
 const RECOVERY: Duration = Duration::from_secs(10);
-/// Start and length of the hold of a crest, after a rise of 2 s.
-const CREST: (f64, f64) = (7.0, 5.0);
-/// Factor of the crest.
+/// Start and length of the hold of a peak, after a rise of 2 s.
+const PEAK: (f64, f64) = (7.0, 5.0);
+/// Factor of the peak.
 const FACTOR: f64 = 10.0;
 /// Milliseconds that a short statement holds a server's slot.
 const SERVICE: f64 = 4.5;
@@ -77,11 +77,11 @@
     pub replica_share: f64,
     /// Milliseconds.
     pub gap: Option<f64>,
-    /// Share of the servers' slots filled with statements that succeeded, during the crest.
+    /// Share of the servers' slots filled with statements that succeeded, during the peak.
     pub goodput: Option<f64>,
-    /// 99th percentile of the latency of statements that succeeded in the crest, in
+    /// 99th percentile of the latency of statements that succeeded in the peak, in
     /// milliseconds.
-    pub crest: Option<f64>,
+    pub peak: Option<f64>,
     /// Waits of short statements beside long work in milliseconds.
     pub waits: Vec<f64>,
     pub broken: Broken,
@@ -122,7 +122,7 @@
     let capacity = 2000.0 / SERVICE;
     let (length, fault, rates) = match name {
         "calm-day" => (60, None, (60.0, 15.0, 30.0)),
-        // Half of the capacity before the crest: writes on one server, reads on two.
+        // Half of the capacity before the peak: writes on one server, reads on two.
         "swing" => (20, None, (0.8 * capacity, 0.2 * capacity, 0.5 * capacity)),
         "billing" => (30, None, (60.0, 15.0, 30.0)),
         "replica-behind" => (20, None, (60.0, 15.0, 30.0)),
@@ -338,8 +338,8 @@
             let load = load.clone();
             let shape = move |at: Duration| match (swing, long) {
                 (true, _) => {
-                    let rise = (at.as_secs_f64() - (CREST.0 - 2.0)) / 2.0;
-                    let over = at.as_secs_f64() > CREST.0 + CREST.1;
+                    let rise = (at.as_secs_f64() - (PEAK.0 - 2.0)) / 2.0;
+                    let over = at.as_secs_f64() > PEAK.0 + PEAK.1;
                     1.0 + (FACTOR - 1.0) * if over { 0.0 } else { rise.clamp(0.0, 1.0) }
                 }
                 (false, true) if at < BILLING => 0.0,
@@ -476,16 +476,16 @@
             figures.gap = gaps.max().map(millis);
         }
         if name == "swing" {
-            let from = start + Duration::from_secs_f64(CREST.0);
-            let to = from + Duration::from_secs_f64(CREST.1);
+            let from = start + Duration::from_secs_f64(PEAK.0);
+            let to = from + Duration::from_secs_f64(PEAK.1);
             let good = records
                 .iter()
                 .filter(|r| r.is_ok() && from <= r.ended && r.ended < to);
             let latencies: Vec<f64> = good.map(|r| millis(r.latency())).collect();
             let busy = float(latencies.len()) * SERVICE / 1000.0;
             let slots = 3.0 * float(site.plan().server.slots);
-            figures.goodput = Some(busy / (slots * CREST.1));
-            figures.crest = percentile(&latencies, 99);
+            figures.goodput = Some(busy / (slots * PEAK.1));
+            figures.peak = percentile(&latencies, 99);
         }
         if name == "billing" {
             figures.waits = waits(records, database, start);
