Stop the busy loop on an unreachable primary; lease between promoters; one dial at a time

Cause: a statement whose primary could not be reached tried again without waiting, up to 128,000 times, and starved all other work of the node. After a power loss the servers' connection caps were full of dead connections. Ruled out: load; the loop shows in the attempts of the log lines.

--- a/crates/siskinhook-gateway/src/attempt.rs
+++ b/crates/siskinhook-gateway/src/attempt.rs
@@ -1,6 +1,9 @@
 //! One attempt of a statement on one connection.
 
-use std::{collections::BTreeMap, hash::{DefaultHasher, Hash, Hasher}};
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+};
 
 use siskinhook_types::LogPoint;
 use smol_str::{SmolStr, format_smolstr};
@@ -27,6 +30,19 @@
     pub values: &'a BTreeMap<SmolStr, SmolStr>,
 }
 
+impl<'a> Work<'a> {
+    /// No statement: only the gate is of interest.
+    pub const fn none(values: &'a BTreeMap<SmolStr, SmolStr>) -> Self {
+        Self {
+            id: "",
+            text: "",
+            prepared: None,
+            writes: false,
+            values,
+        }
+    }
+}
+
 /// How the server shows that it is fit for the statement before the statement is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Gate {
@@ -126,7 +142,10 @@
 
 /// Queues what brings the connection to the session's values and prepared statement.
 fn set_up<L: Line>(pooled: &mut Pooled<L>, work: &Work<'_>) {
-    let stale = pooled.values.keys().any(|name| !work.values.contains_key(name));
+    let stale = pooled
+        .values
+        .keys()
+        .any(|name| !work.values.contains_key(name));
     if stale || pooled.prepared.len() > PREPARED {
         pooled.line.push(&Step::Reset);
         pooled.values.clear();
@@ -172,7 +191,12 @@
     if let Some((shape, arguments)) = work.prepared {
         let name = shared_name(shape);
         let name = name.as_str();
-        pooled.line.push(&Step::Execute { id, after, name, arguments });
+        pooled.line.push(&Step::Execute {
+            id,
+            after,
+            name,
+            arguments,
+        });
     } else {
         let text = work.text;
         pooled.line.push(&Step::Forward { id, after, text });
@@ -201,7 +225,9 @@
 /// Returns the connection to the pool, rolling back what is open on it.
 pub async fn release<D: Dialer>(mut leased: Leased<D>, state: TransactionState) {
     if state != TransactionState::Idle {
-        let Some(pooled) = leased.pooled() else { return };
+        let Some(pooled) = leased.pooled() else {
+            return;
+        };
         pooled.line.push(&Step::Rollback);
         // A connection that cannot be written to is closed by dropping it.
         if pooled.line.flush().await.is_err() {
--- a/crates/siskinhook-gateway/src/clock.rs
+++ b/crates/siskinhook-gateway/src/clock.rs
@@ -34,6 +34,12 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// Returns the point this much later.
+    #[must_use]
+    pub const fn after(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(duration))
+    }
+
     /// Returns the point this much earlier; the boot at the earliest.
     #[must_use]
     pub const fn before(self, duration: Duration) -> Self {
--- a/crates/siskinhook-gateway/src/failover.rs
+++ b/crates/siskinhook-gateway/src/failover.rs
@@ -6,11 +6,7 @@
 //! by any other means than a promotion: until one is carried out no commit can be acknowledged,
 //! so an earlier order that is still under way loses nothing.
 
-use std::{
-    collections::BTreeMap,
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -22,7 +18,10 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
-    Dialer, Gateway, GroupStatus, Line, Report, Step, choose_successor, group::Group,
+    BootInstant, Dialer, Gateway, GroupStatus, Line, Report, Step,
+    attempt::{self, AttemptError, Gate, Work},
+    choose_successor,
+    group::Group,
     target::Target,
 };
 
@@ -41,8 +40,11 @@
 const CALM: Duration = Duration::from_secs(2);
 /// Largest random delay before a node takes the duty, so that nodes seldom compete.
 const SPREAD: u64 = 80;
-/// The duty passes on when its holder changed nothing for this long.
-const TAKEOVER: Duration = Duration::from_millis(2500);
+/// A holder acts at most this long after it wrote the duty's row.
+const ACT_WITHIN: Duration = Duration::from_millis(1200);
+/// The duty passes on when its row is this old: two holders may not act within three seconds,
+/// counted from the last possible act, and calls may be under way.
+const TAKEOVER: Duration = Duration::from_millis(4500);
 /// Interval at which the duty of another node is read.
 const WATCH: Duration = Duration::from_millis(300);
 /// Longest wait for one server's answer to an order.
@@ -88,6 +90,32 @@
     token: u64,
     /// Whether an order may be under way.
     open: bool,
+    /// The table service's clock when the row was written, in milliseconds.
+    #[serde(default)]
+    written: u64,
+}
+
+/// The duty's row as read.
+struct Held {
+    version: u64,
+    duty: Duty,
+    /// The table service's clock.
+    now: u64,
+}
+
+impl Held {
+    /// Whether this node may take the duty over: it is its own, or too old for its holder to act.
+    fn is_free_for(&self, node: &NodeId) -> bool {
+        let age = Duration::from_millis(self.now.saturating_sub(self.duty.written));
+        self.duty.holder.is_empty() || self.duty.holder == *node || age >= TAKEOVER
+    }
+}
+
+/// Permission to act, until its row could pass on.
+#[derive(Clone, Copy)]
+struct Permit {
+    token: u64,
+    until: BootInstant,
 }
 
 /// Watches a group and replaces its primary when needed, until dropped.
@@ -137,6 +165,13 @@
         for target in failing {
             tokio::task::spawn_local(async move { target.probe().await });
         }
+        if self
+            .group
+            .leader()
+            .is_none_or(|leader| leader.failing().is_some())
+        {
+            tokio::task::spawn_local(find_leader(self.group.clone()));
+        }
         sleep(PROBE).await;
     }
 
@@ -171,7 +206,7 @@
         if self.reason().is_none() {
             return;
         }
-        let Some(token) = self.take_duty().await else {
+        let Some(permit) = self.take_duty().await else {
             sleep(RETRY).await;
             return;
         };
@@ -179,7 +214,7 @@
         event!(
             Event::FailoverStarted,
             service = self.group.service.as_str(), server = leader.as_deref().unwrap_or("none"),
-            fence = token, term = self.group.term.get(), stuck = self.group.stuck.get();
+            fence = permit.token, term = self.group.term.get(), stuck = self.group.stuck.get();
             "replacing the primary: {reason}"
         );
         let Some(chosen) = self.stop_servers(leader.as_ref()).await else {
@@ -187,66 +222,71 @@
             sleep(RETRY).await;
             return;
         };
-        let Some(token) = self.order(&chosen, token).await else {
+        let Some(permit) = self.order(&chosen, permit).await else {
             sleep(RETRY).await;
             return;
         };
         self.group.promoted(&chosen);
         self.gateway.counters.promotions.add(1);
-        self.write_duty(token, false).await;
+        self.close_duty(permit).await;
     }
 
-    /// Becomes the only node that may replace the primary; returns the fencing token.
-    async fn take_duty(&self) -> Option<u64> {
-        let mut seen: Option<(u64, Instant)> = None;
+    /// Becomes the only node that may replace the primary.
+    async fn take_duty(&self) -> Option<Permit> {
         loop {
-            let (version, duty) = self.read_duty().await?;
-            if !duty.open || duty.holder == self.gateway.node {
-                return self.claim(version, duty.token + 1).await;
-            }
-            match seen {
-                Some((old, since)) if old == version => {
-                    if since.elapsed() >= TAKEOVER {
-                        return self.claim(version, duty.token + 1).await;
-                    }
-                }
-                _ => seen = Some((version, Instant::now())),
+            let held = self.read_duty().await?;
+            if held.is_free_for(&self.gateway.node) {
+                return self.claim(&held, held.duty.token + 1, true).await;
             }
             sleep(WATCH).await;
             self.reason()?;
         }
     }
 
-    async fn read_duty(&self) -> Option<(u64, Duty)> {
-        match self.platform.get(&self.key()).await {
-            Ok(None) => Some((0, Duty::default())),
-            Ok(Some(row)) => match serde_json::from_value(row.value) {
-                Ok(duty) => Some((row.version, duty)),
-                Err(error) => {
-                    self.failed(&format!("the duty's row cannot be read: {error}"));
-                    None
-                }
-            },
+    async fn read_duty(&self) -> Option<Held> {
+        let (row, now) = match self.platform.get_at(&self.key()).await {
+            Ok(found) => found,
             Err(error) => {
                 self.failed(&error.to_string());
+                return None;
+            }
+        };
+        let now = now.unwrap_or_default();
+        let Some(row) = row else {
+            let duty = Duty::default();
+            return Some(Held {
+                version: 0,
+                duty,
+                now,
+            });
+        };
+        match serde_json::from_value(row.value) {
+            Ok(duty) => {
+                let version = row.version;
+                Some(Held { version, duty, now })
+            }
+            Err(error) => {
+                self.failed(&format!("the duty's row cannot be read: {error}"));
                 None
             }
         }
     }
 
     /// Writes the duty's row if it is unchanged.
-    async fn claim(&self, version: u64, token: u64) -> Option<u64> {
+    async fn claim(&self, held: &Held, token: u64, open: bool) -> Option<Permit> {
+        let until = BootInstant::now().after(ACT_WITHIN);
         let duty = Duty {
             holder: self.gateway.node.clone(),
             token,
-            open: true,
+            open,
+            written: held.now,
         };
         let value = serde_json::to_value(&duty).ok()?;
         let key = self.key();
         let batch = Batch {
             conditions: vec![Condition {
                 key: key.clone(),
-                version,
+                version: held.version,
             }],
             writes: vec![RowWrite {
                 key,
@@ -254,7 +294,7 @@
             }],
         };
         match self.platform.commit(batch).await {
-            Ok(CommitOutcome::Applied) => Some(token),
+            Ok(CommitOutcome::Applied) => Some(Permit { token, until }),
             Ok(CommitOutcome::Conflict { .. }) => None,
             Err(error) => {
                 // After a lost answer the row may be ours: the next attempt reads it and takes a
@@ -265,27 +305,25 @@
         }
     }
 
-    /// Gives the duty up, or takes a new token, while the row is still ours.
-    async fn write_duty(&self, token: u64, again: bool) -> Option<u64> {
-        let (version, duty) = self.read_duty().await?;
-        if duty.holder != self.gateway.node || duty.token != token {
-            return None;
-        }
-        if again {
-            return self.claim(version, token + 1).await;
-        }
-        let closed = Duty { open: false, ..duty };
-        let value = serde_json::to_value(&closed).ok()?;
-        let key = self.key();
-        let batch = Batch {
-            conditions: vec![Condition { key: key.clone(), version }],
-            writes: vec![RowWrite { key, value: Some(value) }],
-        };
-        if let Err(error) = self.platform.commit(batch).await {
-            // The row stays open; the next failover takes it over.
-            self.failed(&error.to_string());
+    /// Reads the duty's row if it is still as this node wrote it.
+    async fn own_duty(&self, permit: Permit) -> Option<Held> {
+        let held = self.read_duty().await?;
+        let own = held.duty.holder == self.gateway.node && held.duty.token == permit.token;
+        own.then_some(held)
+    }
+
+    /// Takes a higher token while the duty is still held.
+    async fn renew(&self, permit: Permit) -> Option<Permit> {
+        let held = self.own_duty(permit).await?;
+        self.claim(&held, permit.token + 1, true).await
+    }
+
+    /// Records that no order is under way.
+    async fn close_duty(&self, permit: Permit) {
+        if let Some(held) = self.own_duty(permit).await {
+            // When this fails the row stays open; the next failover takes it over.
+            self.claim(&held, permit.token, false).await;
         }
-        Some(token)
     }
 
     /// Stops replicas from receiving and the primary from leading, and chooses a successor from
@@ -333,22 +371,31 @@
         chosen
     }
 
-    /// Orders the server to lead until an order is answered; returns the token of that order.
-    async fn order(&self, server: &ServerId, first: u64) -> Option<u64> {
-        let mut token = first;
+    /// Orders the server to lead until an order is answered; returns the permit of that order.
+    async fn order(&self, server: &ServerId, first: Permit) -> Option<Permit> {
+        let mut permit = first;
         for _ in 0..ATTEMPTS {
+            if BootInstant::now() >= permit.until {
+                permit = self.renew(permit).await?;
+            }
             let service = &self.group.service;
             let node = &self.gateway.node;
-            match self.orders.promote(service, server, node, token).await {
-                OrderOutcome::Accepted => return Some(token),
+            match self
+                .orders
+                .promote(service, server, node, permit.token)
+                .await
+            {
+                OrderOutcome::Accepted => return Some(permit),
                 OrderOutcome::Refused => {
-                    self.failed("the order was refused: a newer token was seen, or the server does not run");
+                    self.failed(
+                        "the order was refused: a newer token was seen, or the server does not run",
+                    );
                     return None;
                 }
                 OrderOutcome::NotDone => sleep(RETRY).await,
                 OrderOutcome::Unanswered => {
                     self.failed("the order was not answered; it is repeated under a higher token");
-                    token = self.write_duty(token, true).await?;
+                    permit = self.renew(permit).await?;
                 }
             }
         }
@@ -364,6 +411,29 @@
     }
 }
 
+/// Asks all servers that can be reached whether they lead. A node that cannot read the store
+/// learns of a new primary this way.
+async fn find_leader<D: Dialer>(group: Rc<Group<D>>) {
+    let targets: Vec<Rc<Target<D>>> = group.targets.borrow().values().cloned().collect();
+    let deadline = Instant::now() + PROBE;
+    let values = BTreeMap::new();
+    for target in targets.iter().filter(|target| target.is_usable()) {
+        let Ok(mut leased) = target.acquire(&values, FIRST, deadline).await else {
+            continue;
+        };
+        let work = Work::none(&values);
+        match attempt::prepare(&group, &mut leased, &work, Gate::Leads, deadline).await {
+            Ok(()) => {
+                leased.keep();
+                return;
+            }
+            Err(AttemptError::Unfit(_)) => leased.keep(),
+            // The statements that use this server find out why.
+            Err(_) => {}
+        }
+    }
+}
+
 /// Stops one server and returns the state it reports.
 async fn stop_server<D: Dialer>(
     gateway: &Gateway<D>,
@@ -379,7 +449,11 @@
             continue;
         };
         let pooled = leased.pooled()?;
-        pooled.line.push(&if former { Step::Demote(term) } else { Step::Pause(term) });
+        pooled.line.push(&if former {
+            Step::Demote(term)
+        } else {
+            Step::Pause(term)
+        });
         let replies = pooled.line.outstanding();
         let exchange = async {
             pooled.line.flush().await?;
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -11,7 +11,9 @@
 use siskinhook_types::{LogPoint, Role, ServerId, ServiceId, Term, Zone};
 use tokio::{sync::Notify, time::Instant};
 
-use crate::{BootInstant, Counters, Dialer, Instance, Service, Watermark, Watermarks, target::Target};
+use crate::{
+    BootInstant, Counters, Dialer, Instance, Service, Watermark, Watermarks, target::Target,
+};
 
 /// Factor on the expected time of a server in another zone: traffic between zones is metered.
 const OTHER_ZONE: f64 = 1.3;
@@ -47,7 +49,12 @@
 }
 
 impl<D: Dialer> Group<D> {
-    pub fn new(service: ServiceId, settings: &Service, dialer: Rc<D>, counters: Rc<Counters>) -> Self {
+    pub fn new(
+        service: ServiceId,
+        settings: &Service,
+        dialer: Rc<D>,
+        counters: Rc<Counters>,
+    ) -> Self {
         Self {
             service,
             targets: RefCell::default(),
@@ -193,7 +200,9 @@
 
     /// Returns for how long no server has been known to lead.
     pub fn leaderless(&self) -> Duration {
-        self.leaderless.get().map_or(Duration::ZERO, |since| since.elapsed())
+        self.leaderless
+            .get()
+            .map_or(Duration::ZERO, |since| since.elapsed())
     }
 
     /// Takes in that a server that was held to lead does not; the next candidate is the server
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -95,7 +95,11 @@
                 }
                 continue;
             };
-            let plan = Plan { target, gate: Gate::None, after: None };
+            let plan = Plan {
+                target,
+                gate: Gate::None,
+                after: None,
+            };
             let asked = BootInstant::now();
             match self.attempt(&plan, &mut course).await {
                 Ok((reply, leased)) => {
@@ -125,8 +129,14 @@
             let plan = if anywhere {
                 self.plan_read(&mut course).map(|plan| Plan {
                     gate: match plan.gate {
-                        Gate::Leads => Gate::Begin { read_only: false, after: None },
-                        _ => Gate::Begin { read_only: true, after: plan.after },
+                        Gate::Leads => Gate::Begin {
+                            read_only: false,
+                            after: None,
+                        },
+                        _ => Gate::Begin {
+                            read_only: true,
+                            after: plan.after,
+                        },
                     },
                     after: None,
                     ..plan
@@ -134,7 +144,10 @@
             } else {
                 self.group.leader().map(|target| Plan {
                     target,
-                    gate: Gate::Begin { read_only: false, after: None },
+                    gate: Gate::Begin {
+                        read_only: false,
+                        after: None,
+                    },
                     after: None,
                 })
             };
@@ -168,7 +181,10 @@
             Err(error) => {
                 self.blame(&leased, &error);
                 let text = "the connection of the transaction was lost; it is rolled back";
-                (self.refuse(Refusal::Aborted, text, &Course::default()), None)
+                (
+                    self.refuse(Refusal::Aborted, text, &Course::default()),
+                    None,
+                )
             }
         }
     }
@@ -178,16 +194,22 @@
         let asked = BootInstant::now();
         let error = match attempt::run(&mut leased, &self.work, None, self.deadline).await {
             Ok(reply) => {
-                if let (Ok(_), Some(point), Some(target), true) =
-                    (&reply.result, reply.point, leased.target(), self.work.writes)
-                {
+                if let (Ok(_), Some(point), Some(target), true) = (
+                    &reply.result,
+                    reply.point,
+                    leased.target(),
+                    self.work.writes,
+                ) {
                     self.group.stuck.set(0);
                     self.group.proved(target, asked, point);
                 }
                 let unsure = matches!(&reply.result, Err((code, _)) if !code.not_run());
                 if unsure && !self.work.writes {
                     let text = "the commit failed; the transaction wrote nothing";
-                    return (self.refuse(Refusal::Aborted, text, &Course::default()), None);
+                    return (
+                        self.refuse(Refusal::Aborted, text, &Course::default()),
+                        None,
+                    );
                 }
                 return (self.answer(reply), Some(leased));
             }
@@ -200,14 +222,21 @@
             return (self.unknown(text), None);
         }
         let text = "the connection of the transaction was lost; it is rolled back";
-        (self.refuse(Refusal::Aborted, text, &Course::default()), None)
+        (
+            self.refuse(Refusal::Aborted, text, &Course::default()),
+            None,
+        )
     }
 
     /// Chooses a server for a read, and what it has to show.
     fn plan_read(&self, course: &mut Course) -> Option<Plan<D>> {
         let at_leader = |gate| {
             let target = self.group.leader()?;
-            Some(Plan { target, gate, after: None })
+            Some(Plan {
+                target,
+                gate,
+                after: None,
+            })
         };
         if self.route.consistency == Consistency::Strong {
             return at_leader(Gate::Leads);
@@ -216,7 +245,10 @@
         let Some(mark) = self.group.marks.borrow().oldest_since(since) else {
             return at_leader(Gate::Leads);
         };
-        let after = self.rights.own.map_or(mark.point, |own| own.max(mark.point));
+        let after = self
+            .rights
+            .own
+            .map_or(mark.point, |own| own.max(mark.point));
         match self.group.choose(&self.gateway.zone, &course.tried) {
             Some(target) => Some(Plan {
                 target,
@@ -275,11 +307,11 @@
             Err(error) => {
                 course.last = "the server could not be reached";
                 self.group.trouble.notify_one();
+                // Without another server to choose, the next attempt would fail at once as well.
+                let alone = plan.after.is_none() || course.tried.contains(id);
                 self.skip(course, id.clone());
-                if error == AcquireError::Gone || course.tried.len() >= self.group.targets.borrow().len() {
-                    if let Some(answer) = self.wait_for_news(course).await {
-                        return Err(Some(answer));
-                    }
+                if error == AcquireError::Gone || alone {
+                    return Err(self.wait_for_news(course).await);
                 }
                 Err(None)
             }
@@ -340,7 +372,9 @@
         if let Some(point) = reply.point {
             self.group.observed(point);
         }
-        let Err((code, _)) = &reply.result else { return };
+        let Err((code, _)) = &reply.result else {
+            return;
+        };
         match code {
             TargetCode::Lagging => {
                 course.last = "the server's data is not fresh enough";
--- a/crates/siskinhook-gateway/src/successor.rs
+++ b/crates/siskinhook-gateway/src/successor.rs
@@ -27,9 +27,17 @@
 pub fn choose_successor(reports: &[Report], sync: usize) -> Option<ServerId> {
     let heard = |report: &&Report| report.status.is_some();
     let end = |report: &Report| report.status.map_or(LogPoint::default(), |s| s.received);
-    let missing = reports.iter().filter(|r| !r.former && r.status.is_none()).count();
+    let missing = reports
+        .iter()
+        .filter(|r| !r.former && r.status.is_none())
+        .count();
     let needed = if missing < sync.max(1) {
-        reports.iter().filter(|r| !r.former).filter(heard).map(end).max()?
+        reports
+            .iter()
+            .filter(|r| !r.former)
+            .filter(heard)
+            .map(end)
+            .max()?
     } else {
         end(reports.iter().filter(|r| r.former).find(heard)?)
     };
--- a/crates/siskinhook-gateway/src/target.rs
+++ b/crates/siskinhook-gateway/src/target.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use rand::Rng;
 use siskinhook_telemetry::{Event, event};
 use smol_str::SmolStr;
 use tokio::{
@@ -17,9 +18,14 @@
 
 use crate::{Counters, Dialer, Instance, Line, LineError, TargetCode};
 
-/// Pause before another attempt when the server has no connection left for this node. Other
-/// nodes return theirs within a statement's time.
+/// First pause before another attempt when the server has no connection left for this node.
+/// Other nodes return theirs within a statement's time.
 const CAP_PAUSE: Duration = Duration::from_millis(30);
+/// Longest such pause. A server keeps the connections of a lost VM for some seconds.
+const CAP_PAUSE_LIMIT: Duration = Duration::from_millis(150);
+/// Connections to one server that are opened at a time. Opening one occupies a slot of the server
+/// for longer than most statements do.
+const DIALING: usize = 1;
 /// Time for which the node opens no further connections after the server had none left.
 const CAP_HOLD: Duration = Duration::from_millis(500);
 /// Shortest time between two attempts to reach a server that did not answer.
@@ -27,9 +33,7 @@
 /// Time for which a replica that lagged is chosen last; longer than the usual replication lag.
 const LAG_HOLD: Duration = Duration::from_millis(60);
 /// Connections that idle longer than this are closed, but for one.
-const SPARE_IDLE: Duration = Duration::from_millis(1500);
-/// The last connection is closed after this; below the servers' own idle limits.
-const LAST_IDLE: Duration = Duration::from_secs(30);
+const SPARE_IDLE: Duration = Duration::from_millis(400);
 /// Weight of a new measurement in the mean time of a statement.
 const MEAN_WEIGHT: f64 = 0.1;
 /// Assumed time of a statement before one was measured, in milliseconds.
@@ -70,6 +74,8 @@
     dialing: usize,
     /// Until when no further connection is opened, after the server had none left.
     capped: Option<Instant>,
+    /// Refusals in a row for want of a connection.
+    refusals: u32,
 }
 
 /// Whether the server could be reached lately.
@@ -117,6 +123,7 @@
                 open: 0,
                 dialing: 0,
                 capped: None,
+                refusals: 0,
             }),
             health: Cell::default(),
             lagging: Cell::default(),
@@ -159,7 +166,10 @@
     pub fn expected(&self) -> f64 {
         let pool = self.pool.borrow();
         let busy = pool.open - pool.dialing - pool.idle.len() + pool.waiters.len();
-        let lagging = self.lagging.get().is_some_and(|until| Instant::now() < until);
+        let lagging = self
+            .lagging
+            .get()
+            .is_some_and(|until| Instant::now() < until);
         #[allow(clippy::cast_precision_loss)] // a pool has a few connections
         let load = (busy + 1) as f64;
         self.mean.get() * load * if lagging { 20.0 } else { 1.0 }
@@ -200,9 +210,7 @@
             return Ok(self.lease(pooled));
         }
         let health = self.health.get();
-        if health.failing.is_some()
-            && health.last_dial.is_some_and(|at| at.elapsed() < REDIAL)
-        {
+        if health.failing.is_some() && health.last_dial.is_some_and(|at| at.elapsed() < REDIAL) {
             return Err(AcquireError::Unreachable);
         }
         let (grant, granted) = oneshot::channel();
@@ -252,7 +260,8 @@
             pool.capped = None;
         }
         let capped = pool.capped.is_some() && pool.open > 0;
-        if pool.waiters.len() <= pool.dialing || pool.open >= self.cap.get() || capped {
+        let wanted = pool.waiters.len() > pool.dialing || pool.open == 0;
+        if !wanted || pool.dialing >= DIALING || pool.open >= self.cap.get() || capped {
             return;
         }
         pool.open += 1;
@@ -267,7 +276,11 @@
     async fn dial(self: Rc<Self>) {
         let (service, id, address) = {
             let instance = self.instance.borrow();
-            (instance.service.clone(), instance.id.clone(), instance.address)
+            (
+                instance.service.clone(),
+                instance.id.clone(),
+                instance.address,
+            )
         };
         self.counters.dials.add(1);
         let result = self.dialer.dial(&service, &id, address).await;
@@ -275,12 +288,14 @@
         match result {
             Ok(line) => {
                 self.reached();
+                self.pool.borrow_mut().refusals = 0;
                 self.give_back(Pooled {
                     line,
                     values: BTreeMap::new(),
                     prepared: HashSet::new(),
                     since: Instant::now(),
                 });
+                self.dial_if_needed();
             }
             Err(error) => {
                 self.pool.borrow_mut().open -= 1;
@@ -295,8 +310,15 @@
         match error {
             LineError::Refused(TargetCode::TooMany | TargetCode::Busy) => {
                 self.reached();
-                self.pool.borrow_mut().capped = Some(Instant::now() + CAP_HOLD);
-                sleep(CAP_PAUSE).await;
+                let refusals = {
+                    let mut pool = self.pool.borrow_mut();
+                    pool.capped = Some(Instant::now() + CAP_HOLD);
+                    pool.refusals += 1;
+                    pool.refusals
+                };
+                let pause = CAP_PAUSE.saturating_mul(refusals).min(CAP_PAUSE_LIMIT);
+                // Jitter spreads the attempts of all nodes.
+                sleep(pause.mul_f64(rand::rng().random_range(0.5..1.0))).await;
                 self.dial_if_needed();
             }
             LineError::Refused(TargetCode::Misrouted) => self.retire(),
@@ -376,19 +398,23 @@
         self.dial_if_needed();
     }
 
-    /// Closes connections that were idle for long or that the server closed.
+    /// Closes connections that were idle for long or that the server closed, and keeps one open.
     pub fn sweep(&self) {
         let mut pool = self.pool.borrow_mut();
         let before = pool.idle.len();
         let mut kept = 0;
         pool.idle.retain_mut(|pooled| {
-            let limit = if kept == 0 { LAST_IDLE } else { SPARE_IDLE };
-            let keep = pooled.line.is_open() && pooled.since.elapsed() < limit;
+            let fresh = kept == 0 || pooled.since.elapsed() < SPARE_IDLE;
+            let keep = pooled.line.is_open() && fresh;
             kept += usize::from(keep);
             keep
         });
         let closed = before - pool.idle.len();
         pool.open -= closed;
+        drop(pool);
+        if self.is_usable() {
+            self.dial_if_needed();
+        }
     }
 
     /// Returns the number of open connections and of statements waiting for one.
--- a/crates/siskinhook-types/src/platform.rs
+++ b/crates/siskinhook-types/src/platform.rs
@@ -120,6 +120,18 @@
     /// `PlatformError::NotDone`.
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<Row>, PlatformError>> + Send;
 
+    /// Reads a row together with the table service's own steady clock in milliseconds, where it
+    /// tells one.
+    ///
+    /// # Errors
+    /// `PlatformError::NotDone`.
+    fn get_at(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<(Option<Row>, Option<u64>), PlatformError>> + Send {
+        async { Ok((self.get(key).await?, None)) }
+    }
+
     /// Lists rows whose key starts with `prefix` and is greater than `after`, in key order.
     ///
     /// # Errors
