Stop servers under a term above their own before a promotion

Cause: a node that had been cut off took the duty with an old view: it paused servers under a term that they had reached already, which stops nothing, and took the present primary for a replica. Change: a server counts as stopped only under a term above its own; one that leads is demoted and is the primary that is replaced; the node asks who leads before it stops anything; a restarted process waits for the lease; the duty's row is written once a failover.

--- a/crates/siskinhook-gateway/src/failover.rs
+++ b/crates/siskinhook-gateway/src/failover.rs
@@ -6,13 +6,13 @@
 //! by any other means than a promotion: until one is carried out no commit can be acknowledged,
 //! so an earlier order that is still under way loses nothing.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{
-    Batch, CommitOutcome, Condition, NodeId, Platform, RowWrite, ServerId, ServiceId, Term,
+    Batch, CommitOutcome, Condition, NodeId, Platform, Role, RowWrite, ServerId, ServiceId, Term,
 };
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -51,6 +51,8 @@
 const ORDER_LIMIT: Duration = Duration::from_millis(700);
 /// Pause before a failed step is tried again.
 const RETRY: Duration = Duration::from_millis(150);
+/// Longest such pause.
+const RETRY_LIMIT: Duration = Duration::from_millis(900);
 /// Attempts to get an order through under one duty.
 const ATTEMPTS: u32 = 6;
 /// Time without any server that leads after which one is promoted.
@@ -87,9 +89,10 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Duty {
     holder: SmolStr,
+    /// Which process of the holder: a restarted one knows nothing of orders under way.
+    #[serde(default)]
+    process: u64,
     token: u64,
-    /// Whether an order may be under way.
-    open: bool,
     /// The table service's clock when the row was written, in milliseconds.
     #[serde(default)]
     written: u64,
@@ -104,10 +107,10 @@
 }
 
 impl Held {
-    /// Whether this node may take the duty over: it is its own, or too old for its holder to act.
-    fn is_free_for(&self, node: &NodeId) -> bool {
+    /// Whether a process may take the duty over: it is its own, or too old for its holder to act.
+    fn is_free_for(&self, process: u64) -> bool {
         let age = Duration::from_millis(self.now.saturating_sub(self.duty.written));
-        self.duty.holder.is_empty() || self.duty.holder == *node || age >= TAKEOVER
+        self.duty.token == 0 || self.duty.process == process || age >= TAKEOVER
     }
 }
 
@@ -130,6 +133,7 @@
         group,
         platform,
         orders,
+        failures: Cell::default(),
     };
     loop {
         controller.wait().await;
@@ -144,6 +148,8 @@
     group: Rc<Group<D>>,
     platform: P,
     orders: Rc<O>,
+    /// Failures in a row to take the duty.
+    failures: Cell<u32>,
 }
 
 impl<D: Dialer, P: Platform, O: Orders> Controller<D, P, O> {
@@ -177,7 +183,7 @@
 
     /// Returns why the primary has to be replaced.
     fn reason(&self) -> Option<&'static str> {
-        if self.group.targets.borrow().len() < 2 {
+        if self.group.targets.borrow().len() < 2 || self.group.is_order_fresh() {
             return None;
         }
         if self.group.leaderless() > LEADERLESS {
@@ -207,9 +213,15 @@
             return;
         }
         let Some(permit) = self.take_duty().await else {
-            sleep(RETRY).await;
+            self.back_off().await;
             return;
         };
+        self.failures.set(0);
+        // The view of a node that was cut off until now is out of date.
+        find_leader(self.group.clone()).await;
+        if self.reason().is_none() {
+            return;
+        }
         let leader = self.group.leader_id();
         event!(
             Event::FailoverStarted,
@@ -222,21 +234,27 @@
             sleep(RETRY).await;
             return;
         };
-        let Some(permit) = self.order(&chosen, permit).await else {
+        if self.order(&chosen, permit).await {
+            self.group.promoted(&chosen);
+            self.gateway.counters.promotions.add(1);
+        } else {
             sleep(RETRY).await;
-            return;
-        };
-        self.group.promoted(&chosen);
-        self.gateway.counters.promotions.add(1);
-        self.close_duty(permit).await;
+        }
+    }
+
+    /// Waits longer after each failure to take the duty: all calls count.
+    async fn back_off(&self) {
+        let failures = self.failures.get().saturating_add(1);
+        self.failures.set(failures);
+        sleep(RETRY.saturating_mul(failures).min(RETRY_LIMIT)).await;
     }
 
     /// Becomes the only node that may replace the primary.
     async fn take_duty(&self) -> Option<Permit> {
         loop {
             let held = self.read_duty().await?;
-            if held.is_free_for(&self.gateway.node) {
-                return self.claim(&held, held.duty.token + 1, true).await;
+            if held.is_free_for(self.gateway.process) {
+                return self.claim(&held, held.duty.token + 1).await;
             }
             sleep(WATCH).await;
             self.reason()?;
@@ -273,12 +291,12 @@
     }
 
     /// Writes the duty's row if it is unchanged.
-    async fn claim(&self, held: &Held, token: u64, open: bool) -> Option<Permit> {
+    async fn claim(&self, held: &Held, token: u64) -> Option<Permit> {
         let until = BootInstant::now().after(ACT_WITHIN);
         let duty = Duty {
             holder: self.gateway.node.clone(),
+            process: self.gateway.process,
             token,
-            open,
             written: held.now,
         };
         let value = serde_json::to_value(&duty).ok()?;
@@ -305,25 +323,14 @@
         }
     }
 
-    /// Reads the duty's row if it is still as this node wrote it.
-    async fn own_duty(&self, permit: Permit) -> Option<Held> {
-        let held = self.read_duty().await?;
-        let own = held.duty.holder == self.gateway.node && held.duty.token == permit.token;
-        own.then_some(held)
-    }
-
     /// Takes a higher token while the duty is still held.
     async fn renew(&self, permit: Permit) -> Option<Permit> {
-        let held = self.own_duty(permit).await?;
-        self.claim(&held, permit.token + 1, true).await
-    }
-
-    /// Records that no order is under way.
-    async fn close_duty(&self, permit: Permit) {
-        if let Some(held) = self.own_duty(permit).await {
-            // When this fails the row stays open; the next failover takes it over.
-            self.claim(&held, permit.token, false).await;
+        let held = self.read_duty().await?;
+        let own = held.duty.process == self.gateway.process && held.duty.token == permit.token;
+        if !own {
+            return None;
         }
+        self.claim(&held, permit.token + 1).await
     }
 
     /// Stops replicas from receiving and the primary from leading, and chooses a successor from
@@ -335,26 +342,29 @@
         let mut asked = Vec::new();
         for target in targets {
             let id = target.instance.borrow().id.clone();
-            let former = Some(&id) == leader;
+            let draining = target.is_draining();
             let group = self.group.clone();
             let gateway = self.gateway.clone();
-            let handle = target.clone();
             let task = tokio::task::spawn_local(async move {
-                stop_server(&gateway, &group, &handle, former, term, deadline).await
+                stop_server(&gateway, &group, &target, term, deadline).await
             });
-            asked.push((id, former, target.is_draining(), task));
+            asked.push((id, draining, task));
         }
-        let mut reports = Vec::new();
-        for (server, former, draining, task) in asked {
+        let mut stopped = Vec::new();
+        for (server, draining, task) in asked {
             // A task that ended without an answer counts as a server without an answer.
-            let status = task.await.ok().flatten();
-            reports.push(Report {
+            stopped.push((server, draining, task.await.ok().flatten()));
+        }
+        let former = former_primary(&stopped, leader);
+        let reports: Vec<Report> = stopped
+            .into_iter()
+            .map(|(server, draining, stopped)| Report {
+                former: Some(&server) == former.as_ref(),
                 server,
-                former,
                 draining,
-                status,
-            });
-        }
+                status: stopped.map(|stopped| stopped.status),
+            })
+            .collect();
         let chosen = choose_successor(&reports, self.group.sync.get());
         for report in &reports {
             let (end, held) = report
@@ -371,12 +381,15 @@
         chosen
     }
 
-    /// Orders the server to lead until an order is answered; returns the permit of that order.
-    async fn order(&self, server: &ServerId, first: Permit) -> Option<Permit> {
+    /// Orders the server to lead until an order is answered; returns whether it was accepted.
+    async fn order(&self, server: &ServerId, first: Permit) -> bool {
         let mut permit = first;
         for _ in 0..ATTEMPTS {
             if BootInstant::now() >= permit.until {
-                permit = self.renew(permit).await?;
+                let Some(renewed) = self.renew(permit).await else {
+                    return false;
+                };
+                permit = renewed;
             }
             let service = &self.group.service;
             let node = &self.gateway.node;
@@ -385,21 +398,21 @@
                 .promote(service, server, node, permit.token)
                 .await
             {
-                OrderOutcome::Accepted => return Some(permit),
+                OrderOutcome::Accepted => return true,
                 OrderOutcome::Refused => {
                     self.failed(
                         "the order was refused: a newer token was seen, or the server does not run",
                     );
-                    return None;
+                    return false;
                 }
                 OrderOutcome::NotDone => sleep(RETRY).await,
                 OrderOutcome::Unanswered => {
                     self.failed("the order was not answered; it is repeated under a higher token");
-                    permit = self.renew(permit).await?;
+                    permit.until = BootInstant::now();
                 }
             }
         }
-        None
+        false
     }
 
     fn failed(&self, reason: &str) {
@@ -434,49 +447,88 @@
     }
 }
 
-/// Stops one server and returns the state it reports.
+/// A server that was stopped.
+struct Stopped {
+    status: GroupStatus,
+    /// The term in which it led until then; `None` for a replica.
+    led: Option<Term>,
+}
+
+/// Returns the primary that is replaced: the server that led in the highest term, or the one
+/// held to lead when none of those that answered did.
+fn former_primary(
+    stopped: &[(ServerId, bool, Option<Stopped>)],
+    leader: Option<&ServerId>,
+) -> Option<ServerId> {
+    let led = |(server, _, stopped): &(ServerId, bool, Option<Stopped>)| {
+        let term = stopped.as_ref()?.led?;
+        Some((term, server.clone()))
+    };
+    let found = stopped.iter().filter_map(led).max();
+    found.map(|(_, server)| server).or_else(|| leader.cloned())
+}
+
+/// Stops one server from receiving or leading, under a term above the newest one that it knows.
 async fn stop_server<D: Dialer>(
     gateway: &Gateway<D>,
     group: &Group<D>,
     target: &Target<D>,
-    former: bool,
-    mut term: Term,
+    first: Term,
     deadline: Instant,
-) -> Option<GroupStatus> {
+) -> Option<Stopped> {
+    let mut term = first;
+    let mut led = None;
     while Instant::now() < deadline {
-        let Ok(mut leased) = target.acquire(&BTreeMap::new(), FIRST, deadline).await else {
-            sleep(PROBE).await;
+        let step = match led {
+            Some(_) => Step::Demote(term),
+            None => Step::Pause(term),
+        };
+        let Some(status) = control(gateway, group, target, &step, deadline).await else {
+            term = term.max(group.term.get() + 1);
+            sleep(PROBE / 4).await;
             continue;
         };
-        let pooled = leased.pooled()?;
-        pooled.line.push(&if former {
-            Step::Demote(term)
-        } else {
-            Step::Pause(term)
-        });
-        let replies = pooled.line.outstanding();
-        let exchange = async {
-            pooled.line.flush().await?;
-            for _ in 1..replies {
-                pooled.line.next().await?;
+        group.term.set(group.term.get().max(status.term));
+        let newer = term > status.term;
+        match status.role {
+            // A pause has no effect on a primary; neither has a term that is too low.
+            Role::Primary => led = Some(status.term),
+            Role::Replica if led.is_some() || (newer && status.held >= term) => {
+                return Some(Stopped { status, led });
             }
-            pooled.line.next().await
-        };
-        let reply = match timeout_at(deadline, exchange).await {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(_)) | Err(_) => continue,
-        };
-        leased.keep();
-        if let Some(point) = reply.point {
-            group.observed(point);
-        }
-        if let Some(status) = gateway.dialer.status(&reply) {
-            group.term.set(group.term.get().max(status.term));
-            return Some(status);
+            Role::Replica => {}
         }
-        // Refused for a term that is too low, or for load.
-        term = term.max(group.term.get() + 1);
-        sleep(PROBE / 4).await;
+        term = term.max(status.term + 1).max(group.term.get() + 1);
     }
     None
 }
+
+/// Sends one control command and returns the state that the server reports.
+async fn control<D: Dialer>(
+    gateway: &Gateway<D>,
+    group: &Group<D>,
+    target: &Target<D>,
+    step: &Step<'_>,
+    deadline: Instant,
+) -> Option<GroupStatus> {
+    let mut leased = target
+        .acquire(&BTreeMap::new(), FIRST, deadline)
+        .await
+        .ok()?;
+    let pooled = leased.pooled()?;
+    pooled.line.push(step);
+    let replies = pooled.line.outstanding();
+    let exchange = async {
+        pooled.line.flush().await?;
+        for _ in 1..replies {
+            pooled.line.next().await?;
+        }
+        pooled.line.next().await
+    };
+    let reply = timeout_at(deadline, exchange).await.ok()?.ok()?;
+    leased.keep();
+    if let Some(point) = reply.point {
+        group.observed(point);
+    }
+    gateway.dialer.status(&reply)
+}
--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -24,6 +24,8 @@
 pub struct Gateway<D: Dialer> {
     /// Name of the node.
     pub node: NodeId,
+    /// Tells this process from others of the same name.
+    pub process: u64,
     /// Availability zone of the node.
     pub zone: Zone,
     /// Counters of the node.
@@ -45,6 +47,7 @@
     pub fn new(node: NodeId, zone: Zone, dialer: D) -> Rc<Self> {
         Rc::new(Self {
             node,
+            process: rand::random(),
             zone,
             counters: Rc::default(),
             dialer: Rc::new(dialer),
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -21,7 +21,7 @@
 const AT_PRIMARY: f64 = 2.0;
 /// Time for which a server that was ordered to lead may still deny it; promotions take up to a
 /// second.
-const PENDING: Duration = Duration::from_secs(3);
+const PENDING: Duration = Duration::from_secs(2);
 
 /// The servers of a service.
 pub struct Group<D: Dialer> {
@@ -198,6 +198,14 @@
         self.leaderless.set(None);
     }
 
+    /// Whether an order to lead was accepted so lately that it may not be in force yet.
+    pub fn is_order_fresh(&self) -> bool {
+        let pending = self.pending.borrow();
+        pending
+            .as_ref()
+            .is_some_and(|(_, until)| Instant::now() < *until)
+    }
+
     /// Returns for how long no server has been known to lead.
     pub fn leaderless(&self) -> Duration {
         self.leaderless
