Test the gateway on a group in memory; look for a new primary while another node holds the duty

Change: the controller never waits inside an attempt to take the duty; all random choices come from a seed that tests pass in. Measured: 26 tests, 40 seeds per failover test.

--- a/crates/siskinhook-gateway/src/failover.rs
+++ b/crates/siskinhook-gateway/src/failover.rs
@@ -8,7 +8,6 @@
 
 use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use rand::Rng;
 use serde::{Deserialize, Serialize};
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{
@@ -39,14 +38,12 @@
 /// Interval at which a group without trouble is looked at; everything urgent raises an event.
 const CALM: Duration = Duration::from_secs(2);
 /// Largest random delay before a node takes the duty, so that nodes seldom compete.
-const SPREAD: u64 = 80;
+const SPREAD: Duration = Duration::from_millis(80);
 /// A holder acts at most this long after it wrote the duty's row.
 const ACT_WITHIN: Duration = Duration::from_millis(1200);
 /// The duty passes on when its row is this old: two holders may not act within three seconds,
 /// counted from the last possible act, and calls may be under way.
 const TAKEOVER: Duration = Duration::from_millis(4500);
-/// Interval at which the duty of another node is read.
-const WATCH: Duration = Duration::from_millis(300);
 /// Longest wait for one server's answer to an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(700);
 /// Pause before a failed step is tried again.
@@ -134,6 +131,7 @@
         platform,
         orders,
         failures: Cell::default(),
+        pause: Cell::new(Instant::now()),
     };
     loop {
         controller.wait().await;
@@ -150,6 +148,8 @@
     orders: Rc<O>,
     /// Failures in a row to take the duty.
     failures: Cell<u32>,
+    /// When it may try again.
+    pause: Cell<Instant>,
 }
 
 impl<D: Dialer, P: Platform, O: Orders> Controller<D, P, O> {
@@ -164,8 +164,9 @@
             .cloned()
             .collect();
         if failing.is_empty() {
+            let limit = if self.reason().is_some() { PROBE } else { CALM };
             // Without an event the next look is due anyway.
-            let _ = timeout(CALM, self.group.trouble.notified()).await;
+            let _ = timeout(limit, self.group.trouble.notified()).await;
             return;
         }
         for target in failing {
@@ -207,17 +208,17 @@
 
     /// Takes the duty and replaces the primary.
     async fn replace(&self, reason: &'static str) {
-        let spread = rand::rng().random_range(0..SPREAD);
-        sleep(Duration::from_millis(spread)).await;
-        if self.reason().is_none() {
+        sleep(self.gateway.jitter(SPREAD)).await;
+        // Another node may have replaced it, and this one may have been cut off until now.
+        find_leader(self.group.clone()).await;
+        if self.reason().is_none() || Instant::now() < self.pause.get() {
             return;
         }
         let Some(permit) = self.take_duty().await else {
-            self.back_off().await;
+            self.back_off();
             return;
         };
         self.failures.set(0);
-        // The view of a node that was cut off until now is out of date.
         find_leader(self.group.clone()).await;
         if self.reason().is_none() {
             return;
@@ -242,23 +243,21 @@
         }
     }
 
-    /// Waits longer after each failure to take the duty: all calls count.
-    async fn back_off(&self) {
+    /// Takes longer pauses after each failure to take the duty: all calls are counted.
+    fn back_off(&self) {
         let failures = self.failures.get().saturating_add(1);
         self.failures.set(failures);
-        sleep(RETRY.saturating_mul(failures).min(RETRY_LIMIT)).await;
+        let pause = RETRY.saturating_mul(failures).min(RETRY_LIMIT);
+        self.pause.set(Instant::now() + self.gateway.jitter(pause));
     }
 
-    /// Becomes the only node that may replace the primary.
+    /// Becomes the only node that may replace the primary, unless another one holds the duty.
     async fn take_duty(&self) -> Option<Permit> {
-        loop {
-            let held = self.read_duty().await?;
-            if held.is_free_for(self.gateway.process) {
-                return self.claim(&held, held.duty.token + 1).await;
-            }
-            sleep(WATCH).await;
-            self.reason()?;
+        let held = self.read_duty().await?;
+        if held.is_free_for(self.gateway.process) {
+            return self.claim(&held, held.duty.token + 1).await;
         }
+        None
     }
 
     async fn read_duty(&self) -> Option<Held> {
--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 };
 
 use indexmap::IndexMap;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{NodeId, ServerId, ServiceId, Zone};
 use tokio::{
@@ -40,14 +41,17 @@
     pub configured: Notify,
     draining: Cell<bool>,
     discovered: Cell<bool>,
+    random: RefCell<SmallRng>,
 }
 
 impl<D: Dialer> Gateway<D> {
-    /// Creates the gateway of a node.
-    pub fn new(node: NodeId, zone: Zone, dialer: D) -> Rc<Self> {
+    /// Creates the gateway of a node. The seed must differ between processes in production.
+    pub fn new(node: NodeId, zone: Zone, dialer: D, seed: u64) -> Rc<Self> {
+        let mut random = SmallRng::seed_from_u64(seed);
         Rc::new(Self {
             node,
-            process: rand::random(),
+            process: random.random(),
+            random: RefCell::new(random),
             zone,
             counters: Rc::default(),
             dialer: Rc::new(dialer),
@@ -60,6 +64,11 @@
         })
     }
 
+    /// Returns a random part of a duration, between half of it and the whole.
+    pub fn jitter(&self, duration: Duration) -> Duration {
+        duration.mul_f64(self.random.borrow_mut().random_range(0.5..=1.0))
+    }
+
     /// Returns the version of the configuration in force; 0 before the first one.
     pub fn version(&self) -> u64 {
         self.configuration.borrow().version
--- a/crates/siskinhook-gateway/src/target.rs
+++ b/crates/siskinhook-gateway/src/target.rs
@@ -7,7 +7,6 @@
     time::Duration,
 };
 
-use rand::Rng;
 use siskinhook_telemetry::{Event, event};
 use smol_str::SmolStr;
 use tokio::{
@@ -317,8 +316,7 @@
                     pool.refusals
                 };
                 let pause = CAP_PAUSE.saturating_mul(refusals).min(CAP_PAUSE_LIMIT);
-                // Jitter spreads the attempts of all nodes.
-                sleep(pause.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+                sleep(pause).await;
                 self.dial_if_needed();
             }
             LineError::Refused(TargetCode::Misrouted) => self.retire(),
--- /dev/null
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -0,0 +1,221 @@
+//! Replacement of a primary by several nodes, on tokio's paused clock.
+
+mod support;
+
+use std::{collections::HashSet, rc::Rc, time::Duration};
+
+use siskinhook_gateway::{Gateway, Session, watch_group};
+use siskinhook_types::Role;
+use support::{FakeDialer, FakeOrders, Table, World, ask, instance, seeded_node, world};
+use tokio::{
+    task::{LocalSet, spawn_local},
+    time::sleep,
+};
+
+/// Seeds of the nodes' random choices.
+const SEEDS: std::ops::Range<u64> = 0..40;
+
+struct Site {
+    world: World,
+    table: Table,
+    orders: FakeOrders,
+    seed: u64,
+}
+
+impl Site {
+    fn new(seed: u64) -> Self {
+        println!("seed {seed}");
+        let world = world();
+        let orders = FakeOrders::new(&world);
+        Self {
+            world,
+            table: Table::default(),
+            orders,
+            seed,
+        }
+    }
+
+    fn start(&self, name: &str) -> Rc<Gateway<FakeDialer>> {
+        let number = name.bytes().map(u64::from).sum::<u64>();
+        let gateway = seeded_node(name, &self.world, self.seed * 1000 + number);
+        let group = gateway.group(&"svc".into()).unwrap();
+        let orders = Rc::new(self.orders.clone());
+        spawn_local(watch_group(
+            gateway.clone(),
+            group,
+            self.table.clone(),
+            orders,
+        ));
+        gateway
+    }
+
+    fn primaries(&self) -> Vec<usize> {
+        let world = self.world.borrow();
+        (0..3)
+            .filter(|i| world[*i].reachable && world[*i].role == Role::Primary)
+            .collect()
+    }
+}
+
+/// Keeps a caller of each node busy, so that a failure is noticed.
+async fn write_for(gateways: &[Rc<Gateway<FakeDialer>>], rounds: u32) {
+    for _ in 0..rounds {
+        for gateway in gateways {
+            let gateway = gateway.clone();
+            spawn_local(async move {
+                let mut session = Session::open(&gateway, "strong").unwrap();
+                ask(&mut session, "WRITE 1 a").await;
+            });
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Guards against a lost primary that nobody replaces, against two promotions for one loss, and
+/// against a node that waits for the duty and does not look for the new primary meanwhile.
+#[tokio::test(start_paused = true)]
+async fn lost_primary_is_replaced_once() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                let nodes = [site.start("n1"), site.start("n2"), site.start("n3")];
+                write_for(&nodes, 3).await;
+                site.world.borrow_mut()[0].reachable = false;
+                write_for(&nodes, 60).await;
+                assert_eq!(
+                    site.orders.seen.borrow().len(),
+                    1,
+                    "{:?}",
+                    site.orders.seen.borrow()
+                );
+                assert_eq!(site.primaries().len(), 1);
+                let mut session = Session::open(&nodes[0], "strong").unwrap();
+                let answer = ask(&mut session, "WRITE 1 a").await;
+                assert!(answer.result.is_ok());
+            })
+            .await;
+    }
+}
+
+/// Guards against two holders of the duty within the lease of three seconds.
+#[tokio::test(start_paused = true)]
+async fn holders_of_the_duty_do_not_take_turns_within_the_lease() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                let nodes = [site.start("n1"), site.start("n2"), site.start("n3")];
+                for _ in 0..4 {
+                    write_for(&nodes, 5).await;
+                    let primary = site.primaries()[0];
+                    site.world.borrow_mut()[primary].reachable = false;
+                    write_for(&nodes, 30).await;
+                    let mut world = site.world.borrow_mut();
+                    world[primary].reachable = true;
+                    world[primary].role = Role::Replica;
+                    world[primary].term = world.iter().map(|server| server.term).max().unwrap();
+                }
+                let seen = site.orders.seen.borrow();
+                assert!(seen.len() >= 2, "{seen:?}");
+                for pair in seen.windows(2) {
+                    let near = pair[1].at - pair[0].at < 3000;
+                    assert!(!near || pair[0].holder == pair[1].holder, "{pair:?}");
+                    assert!(pair[1].token > pair[0].token, "{pair:?}");
+                }
+            })
+            .await;
+    }
+}
+
+/// Guards against an order without an answer that is carried out late: the repeated one has a
+/// higher token, so that the late one is refused.
+#[tokio::test(start_paused = true)]
+async fn unanswered_order_is_repeated_under_a_higher_token() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                site.orders.unanswered.set(2);
+                let nodes = [site.start("n1")];
+                write_for(&nodes, 3).await;
+                site.world.borrow_mut()[0].reachable = false;
+                write_for(&nodes, 40).await;
+                let tokens: Vec<u64> = site.orders.seen.borrow().iter().map(|o| o.token).collect();
+                assert_eq!(tokens.len(), 3);
+                assert_eq!(tokens.iter().collect::<HashSet<_>>().len(), 3, "{tokens:?}");
+                assert_eq!(site.primaries().len(), 1);
+            })
+            .await;
+    }
+}
+
+/// Guards against a node that was cut off and takes the duty with an old view: it stopped servers
+/// under a term that they had reached already, and acknowledged commits were lost.
+#[tokio::test(start_paused = true)]
+async fn node_with_an_old_view_does_not_replace_a_live_primary() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                let old = site.start("n1");
+                write_for(&[old.clone()], 3).await;
+                {
+                    let mut world = site.world.borrow_mut();
+                    world[0].reachable = false;
+                    world[1].role = Role::Primary;
+                    world[1].term = 2;
+                    world[1].position = 50;
+                    world[2].term = 2;
+                }
+                write_for(&[old.clone()], 30).await;
+                assert_eq!(*site.orders.seen.borrow(), []);
+                assert_eq!(site.primaries(), [1]);
+                let mut session = Session::open(&old, "strong").unwrap();
+                assert!(ask(&mut session, "WRITE 1 a").await.result.is_ok());
+            })
+            .await;
+    }
+}
+
+/// Guards against a promotion without the word of a replica that may hold the only copy of an
+/// acknowledged commit.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_promoted_while_a_replica_is_silent() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                let nodes = [site.start("n1"), site.start("n2")];
+                write_for(&nodes, 3).await;
+                site.world.borrow_mut()[0].reachable = false;
+                site.world.borrow_mut()[1].reachable = false;
+                write_for(&nodes, 50).await;
+                assert_eq!(*site.orders.seen.borrow(), []);
+                site.world.borrow_mut()[1].reachable = true;
+                write_for(&nodes, 80).await;
+                assert_eq!(site.orders.seen.borrow().len(), 1);
+            })
+            .await;
+    }
+}
+
+/// Guards against a primary that announced its stop and is not replaced before it goes.
+#[tokio::test(start_paused = true)]
+async fn leaving_primary_is_replaced() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                let gateway = site.start("n1");
+                write_for(&[gateway.clone()], 3).await;
+                let mut leaving = instance(0, Role::Primary);
+                leaving.draining = true;
+                gateway.discover(leaving);
+                write_for(&[gateway.clone()], 20).await;
+                assert_eq!(site.orders.seen.borrow().len(), 1);
+                assert_ne!(site.primaries(), [0]);
+            })
+            .await;
+    }
+}
--- /dev/null
+++ b/crates/siskinhook-gateway/tests/sessions.rs
@@ -0,0 +1,318 @@
+//! Sessions over a group in memory, on tokio's paused clock.
+
+mod support;
+
+use assert_matches::assert_matches;
+use siskinhook_gateway::{Consistency, Refusal, Session, TargetCode, TransactionState};
+use siskinhook_types::Role;
+use support::{DATABASES, ask, configuration, instance, node, world};
+use tokio::{task::LocalSet, time::Instant};
+
+/// Runs a test on one thread, as a node does.
+async fn local(test: impl Future<Output = ()>) {
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a loop without a wait: it starved all other work of a node whose primary
+/// could not be reached.
+#[tokio::test(start_paused = true)]
+async fn unreachable_primary_is_not_tried_in_a_busy_loop() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        world.borrow_mut()[0].reachable = false;
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        let started = Instant::now();
+        let answer = ask(&mut session, "WRITE 1 a").await;
+        assert_matches!(answer.result, Err((Refusal::Busy, _)));
+        assert!(
+            started.elapsed().as_millis() >= 800,
+            "the deadline is the route's timeout"
+        );
+        assert!(
+            world.borrow()[0].dials < 20,
+            "{} dials",
+            world.borrow()[0].dials
+        );
+        assert!(
+            gateway.counters.retries.get() < 50,
+            "{} retries",
+            gateway.counters.retries.get()
+        );
+    })
+    .await;
+}
+
+/// Guards against a stale read at a primary that was replaced while this node could not know.
+#[tokio::test(start_paused = true)]
+async fn strong_read_never_runs_on_a_replaced_primary() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        assert!(ask(&mut session, "READ 1").await.result.is_ok());
+        {
+            let mut world = world.borrow_mut();
+            world[0].role = Role::Replica;
+            world[1].role = Role::Primary;
+            world[1].term = 2;
+            world[1].position = 20;
+        }
+        assert!(ask(&mut session, "READ 1").await.result.is_ok());
+        assert_eq!(
+            world.borrow()[0].ran.len(),
+            1,
+            "only the first read ran on the old primary"
+        );
+        assert_eq!(world.borrow()[1].led, [true]);
+    })
+    .await;
+}
+
+/// Guards against a session that does not see its own write at a replica.
+#[tokio::test(start_paused = true)]
+async fn session_reads_its_own_write() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "own").unwrap();
+        assert!(ask(&mut session, "WRITE 1 a").await.result.is_ok());
+        for _ in 0..5 {
+            assert!(ask(&mut session, "READ 1").await.result.is_ok());
+        }
+        let world = world.borrow();
+        assert!(
+            world[1].ran.is_empty() && world[2].ran.is_empty(),
+            "replicas lack the write"
+        );
+    })
+    .await;
+}
+
+/// Guards against reads that burden the primary although replicas are fresh enough.
+#[tokio::test(start_paused = true)]
+async fn bounded_reads_go_to_replicas() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "bounded").unwrap();
+        for _ in 0..10 {
+            assert!(ask(&mut session, "READ 1").await.result.is_ok());
+        }
+        let world = world.borrow();
+        assert!(world[1].ran.len() + world[2].ran.len() >= 8);
+    })
+    .await;
+}
+
+/// Guards against values or prepared statements of one session in force for another.
+#[tokio::test(start_paused = true)]
+async fn values_and_prepared_statements_follow_the_session() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut first = Session::open(&gateway, "strong").unwrap();
+        let mut second = Session::open(&gateway, "strong").unwrap();
+        ask(&mut first, "SET lang hr").await;
+        ask(&mut first, "PREPARE p READ a").await;
+        ask(&mut second, "PREPARE p READ b").await;
+        for _ in 0..2 {
+            assert!(ask(&mut first, "EXECUTE p 7").await.result.is_ok());
+            assert!(ask(&mut second, "EXECUTE p 8").await.result.is_ok());
+        }
+        let world = world.borrow();
+        let ran: Vec<(&str, usize)> = world[0]
+            .ran
+            .iter()
+            .map(|(text, values)| (text.as_str(), values.len()))
+            .collect();
+        assert_eq!(
+            ran,
+            [
+                ("READ a 7", 1),
+                ("READ b 8", 0),
+                ("READ a 7", 1),
+                ("READ b 8", 0)
+            ]
+        );
+    })
+    .await;
+}
+
+/// Guards against a promise that nothing is kept for a write whose answer was lost, and against
+/// a second run of it.
+#[tokio::test(start_paused = true)]
+async fn write_with_a_lost_answer_is_unknown_and_runs_once() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        world.borrow_mut()[0].lose_answer = true;
+        let answer = ask(&mut session, "WRITE 1 a").await;
+        assert_matches!(answer.result, Err((Refusal::Unknown, _)));
+        assert_eq!(world.borrow()[0].ran.len(), 1);
+    })
+    .await;
+}
+
+/// Guards against an error to the caller where another attempt is harmless.
+#[tokio::test(start_paused = true)]
+async fn read_with_a_lost_answer_runs_again() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        world.borrow_mut()[0].lose_answer = true;
+        assert!(ask(&mut session, "READ 1").await.result.is_ok());
+    })
+    .await;
+}
+
+/// Guards against a write that is given up although the server said that it did not run.
+#[tokio::test(start_paused = true)]
+async fn write_that_did_not_run_is_sent_again() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        world.borrow_mut()[0]
+            .errors
+            .extend([TargetCode::Busy, TargetCode::Busy]);
+        assert!(ask(&mut session, "WRITE 1 a").await.result.is_ok());
+        assert_eq!(world.borrow()[0].ran.len(), 1);
+    })
+    .await;
+}
+
+/// Guards against a transaction that goes on over another connection.
+#[tokio::test(start_paused = true)]
+async fn transaction_with_a_lost_connection_is_aborted() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        assert!(ask(&mut session, "BEGIN").await.result.is_ok());
+        assert!(ask(&mut session, "WRITE 1 a").await.result.is_ok());
+        world.borrow_mut()[0].lose_answer = true;
+        let answer = ask(&mut session, "READ 2").await;
+        assert_matches!(answer.result, Err((Refusal::Aborted, _)));
+        assert_eq!(answer.state, TransactionState::Failed);
+        let answer = ask(&mut session, "READ 2").await;
+        assert_matches!(answer.result, Err((Refusal::Malformed, _)));
+        let answer = ask(&mut session, "ROLLBACK").await;
+        assert_eq!(answer.state, TransactionState::Idle);
+    })
+    .await;
+}
+
+/// Guards against a promise about a commit whose answer was lost, and against doubt about one
+/// that had nothing to keep.
+#[tokio::test(start_paused = true)]
+async fn lost_commit_is_unknown_only_after_a_write() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        for (first, refusal) in [
+            ("WRITE 1 a", Refusal::Unknown),
+            ("READ 1", Refusal::Aborted),
+        ] {
+            let mut session = Session::open(&gateway, "strong").unwrap();
+            ask(&mut session, "BEGIN").await;
+            assert!(ask(&mut session, first).await.result.is_ok());
+            world.borrow_mut()[0].lose_answer = true;
+            let answer = ask(&mut session, "COMMIT").await;
+            assert_eq!(answer.result.map_err(|(refusal, _)| refusal), Err(refusal));
+            assert_eq!(answer.state, TransactionState::Idle);
+        }
+    })
+    .await;
+}
+
+/// Guards against a connection that an idle caller keeps for good, and against an error that
+/// promises nothing when the node itself rolled back.
+#[tokio::test(start_paused = true)]
+async fn idle_transaction_is_rolled_back_with_a_promise() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        ask(&mut session, "BEGIN").await;
+        ask(&mut session, "WRITE 1 a").await;
+        assert!(session.is_pinned());
+        session.expire().await;
+        assert!(!session.is_pinned());
+        let answer = ask(&mut session, "COMMIT").await;
+        assert_matches!(answer.result, Err((Refusal::Aborted, _)));
+        assert!(
+            world.borrow()[0]
+                .ran
+                .iter()
+                .all(|(text, _)| text != "COMMIT")
+        );
+    })
+    .await;
+}
+
+/// Guards against a configuration that goes back, and a session that outlives its route.
+#[tokio::test(start_paused = true)]
+async fn older_configuration_never_replaces_a_newer_one() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        let fewer = [("bounded", Consistency::Bounded)];
+        assert!(gateway.configure(configuration(5, &fewer), "test"));
+        assert!(!gateway.configure(configuration(4, &DATABASES), "test"));
+        assert_eq!(gateway.version(), 5);
+        let answer = ask(&mut session, "READ 1").await;
+        assert_matches!(answer.result, Err((Refusal::NoDatabase, _)));
+        assert!(Session::open(&gateway, "strong").is_none());
+    })
+    .await;
+}
+
+/// Guards against more connections than the server accepts, and a storm of attempts beyond.
+#[tokio::test(start_paused = true)]
+async fn connection_limit_of_the_server_is_respected() {
+    local(async {
+        let world = world();
+        world.borrow_mut()[0].cap = 2;
+        let gateway = node("n1", &world);
+        let mut tasks = Vec::new();
+        for _ in 0..20 {
+            let gateway = gateway.clone();
+            tasks.push(tokio::task::spawn_local(async move {
+                let mut session = Session::open(&gateway, "strong").unwrap();
+                ask(&mut session, "WRITE 1 a").await.result.is_ok()
+            }));
+        }
+        for task in tasks {
+            assert!(task.await.unwrap());
+        }
+        assert!(
+            world.borrow()[0].dials <= 6,
+            "{} dials",
+            world.borrow()[0].dials
+        );
+    })
+    .await;
+}
+
+/// Guards against new work for a server that is leaving.
+#[tokio::test(start_paused = true)]
+async fn draining_replica_gets_no_new_work() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "bounded").unwrap();
+        ask(&mut session, "READ 1").await;
+        let mut leaving = instance(1, Role::Replica);
+        leaving.draining = true;
+        gateway.discover(leaving);
+        for _ in 0..10 {
+            assert!(ask(&mut session, "READ 1").await.result.is_ok());
+        }
+        assert!(world.borrow()[1].ran.is_empty());
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/siskinhook-gateway/tests/successor.rs
@@ -0,0 +1,122 @@
+//! Choice of a successor, and the proofs of freshness: pure functions.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use siskinhook_gateway::{
+    BootInstant, GroupStatus, Report, Watermark, Watermarks, choose_successor,
+};
+use siskinhook_types::{LogPoint, Role};
+
+fn report(server: &str, former: bool, draining: bool, end: Option<u64>) -> Report {
+    Report {
+        server: server.into(),
+        former,
+        draining,
+        status: end.map(|end| GroupStatus {
+            role: Role::Replica,
+            term: 1,
+            received: LogPoint::new(1, end),
+            held: 2,
+        }),
+    }
+}
+
+/// Guards against the loss of a commit that only a silent replica received.
+#[test]
+fn silent_replica_and_silent_primary_leave_nobody_to_choose() {
+    let reports = [
+        report("p", true, false, None),
+        report("a", false, false, Some(7)),
+        report("b", false, false, None),
+    ];
+    assert_eq!(choose_successor(&reports, 1), None);
+}
+
+/// Guards against waiting for a silent replica when the stopped primary shows what is needed.
+#[test]
+fn stopped_primary_replaces_the_word_of_a_silent_replica() {
+    let mut reports = [
+        report("p", true, true, Some(7)),
+        report("a", false, false, Some(7)),
+        report("b", false, false, None),
+    ];
+    assert_eq!(choose_successor(&reports, 1).as_deref(), Some("a"));
+    reports[1] = report("a", false, false, Some(6));
+    assert_eq!(choose_successor(&reports, 1).as_deref(), Some("p"));
+}
+
+/// Guards against a leaving server being preferred to one that stays.
+#[test]
+fn server_that_stays_is_preferred_among_equals() {
+    let reports = [
+        report("p", true, false, None),
+        report("a", false, true, Some(7)),
+        report("b", false, false, Some(7)),
+    ];
+    assert_eq!(choose_successor(&reports, 1).as_deref(), Some("b"));
+}
+
+proptest! {
+    /// No choice may lose an acknowledged commit, whichever servers are silent. Broken variants
+    /// that it catches: counting the former primary among the replicas, taking the highest log
+    /// that answered although a replica is silent, and preferring a server that stays to a longer
+    /// log.
+    #[test]
+    fn chosen_log_holds_every_acknowledged_commit(
+        logs in prop::collection::vec((0_u64..8, any::<bool>(), any::<bool>()), 1..5),
+        ahead in 0_u64..4,
+        primary_heard in any::<bool>(),
+        primary_draining in any::<bool>(),
+    ) {
+        let acknowledged = logs.iter().map(|(end, ..)| *end).max().unwrap();
+        let primary = acknowledged + ahead;
+        let mut reports = vec![
+            report("p", true, primary_draining, primary_heard.then_some(primary)),
+        ];
+        for (index, (end, heard, draining)) in logs.iter().enumerate() {
+            let name = format!("r{index}");
+            reports.push(report(&name, false, *draining, heard.then_some(*end)));
+        }
+        if let Some(chosen) = choose_successor(&reports, 1) {
+            let found = reports.iter().find(|report| report.server == chosen).unwrap();
+            prop_assert!(found.status.unwrap().received.position >= acknowledged);
+        }
+        let all_replicas = logs.iter().all(|(_, heard, _)| *heard);
+        prop_assert_eq!(choose_successor(&reports, 1).is_some(), all_replicas || primary_heard);
+    }
+}
+
+fn mark(at: u64, term: u64, position: u64) -> Watermark {
+    Watermark {
+        at: BootInstant::at(Duration::from_millis(at)),
+        point: LogPoint::new(term, position),
+    }
+}
+
+/// Guards against a read that takes an older proof than its bound allows.
+#[test]
+fn proof_is_never_older_than_asked() {
+    let mut marks = Watermarks::default();
+    for at in (0..1000).step_by(100) {
+        marks.add(mark(at, 1, at));
+    }
+    let since = BootInstant::at(Duration::from_millis(450));
+    assert_eq!(marks.oldest_since(since), Some(mark(500, 1, 500)));
+    let since = BootInstant::at(Duration::from_millis(901));
+    assert_eq!(marks.oldest_since(since), None);
+}
+
+/// Guards against a position that a promotion rolled back: no replica would ever reach it.
+#[test]
+fn proofs_of_an_older_term_are_dropped() {
+    let mut marks = Watermarks::default();
+    marks.add(mark(0, 1, 100));
+    marks.add(mark(500, 2, 90));
+    assert_eq!(
+        marks.oldest_since(BootInstant::at(Duration::ZERO)),
+        Some(mark(500, 2, 90))
+    );
+    marks.add(mark(600, 1, 101));
+    assert_eq!(marks.latest(), Some(mark(500, 2, 90)));
+}
--- /dev/null
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -0,0 +1,516 @@
+//! A group of three servers behind the traits of the gateway, in memory.
+#![allow(dead_code)] // each test file uses a part of it
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use siskinhook_gateway::{
+    Answer, Arrival, Configuration, Consistency, Dialer, Gateway, GroupStatus, Instance, Line,
+    LineError, OrderOutcome, Orders, Query, Route, Service, Session, Step, StepReply, TargetCode,
+    TransactionState,
+};
+use siskinhook_types::{
+    Batch, CommitOutcome, LogPoint, NodeId, Platform, PlatformError, Role, Row, ServerId,
+    ServiceId, Term, VmRecord,
+};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::time::{Instant, sleep};
+
+/// Time that a server takes for each request.
+const STEP: Duration = Duration::from_millis(1);
+
+/// One server of the model.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub role: Role,
+    pub term: Term,
+    pub position: u64,
+    pub held: Term,
+    pub reachable: bool,
+    /// Codes that the next statements get instead of being run.
+    pub errors: VecDeque<TargetCode>,
+    /// Closes the connection after the next statement ran, without an answer.
+    pub lose_answer: bool,
+    pub cap: usize,
+    pub open: usize,
+    pub dials: u32,
+    /// Texts that ran, with the values of the connection at that time.
+    pub ran: Vec<(String, BTreeMap<SmolStr, SmolStr>)>,
+    /// Whether the server led when each of them ran.
+    pub led: Vec<bool>,
+}
+
+pub type World = Rc<RefCell<Vec<Server>>>;
+
+pub fn world() -> World {
+    let server = |role| Server {
+        role,
+        term: 1,
+        position: 10,
+        held: 0,
+        reachable: true,
+        errors: VecDeque::new(),
+        lose_answer: false,
+        cap: 16,
+        open: 0,
+        dials: 0,
+        ran: Vec::new(),
+        led: Vec::new(),
+    };
+    Rc::new(RefCell::new(vec![
+        server(Role::Primary),
+        server(Role::Replica),
+        server(Role::Replica),
+    ]))
+}
+
+pub struct FakeDialer(pub World);
+
+pub struct FakeLine {
+    world: World,
+    index: usize,
+    queue: VecDeque<String>,
+    state: TransactionState,
+    values: BTreeMap<SmolStr, SmolStr>,
+    prepared: HashMap<String, String>,
+    broken: Cell<bool>,
+}
+
+impl Drop for FakeLine {
+    fn drop(&mut self) {
+        self.world.borrow_mut()[self.index].open -= 1;
+    }
+}
+
+impl Dialer for FakeDialer {
+    type Line = FakeLine;
+
+    async fn dial(
+        &self,
+        _service: &ServiceId,
+        _server: &ServerId,
+        address: SocketAddr,
+    ) -> Result<FakeLine, LineError> {
+        let index = usize::from(address.port()) - 1;
+        self.0.borrow_mut()[index].dials += 1;
+        if !self.0.borrow()[index].reachable {
+            sleep(STEP).await;
+            return Err(LineError::Unreachable("refused".into()));
+        }
+        sleep(STEP).await;
+        let mut world = self.0.borrow_mut();
+        if world[index].open >= world[index].cap {
+            return Err(LineError::Refused(TargetCode::TooMany));
+        }
+        world[index].open += 1;
+        Ok(FakeLine {
+            world: self.0.clone(),
+            index,
+            queue: VecDeque::new(),
+            state: TransactionState::Idle,
+            values: BTreeMap::new(),
+            prepared: HashMap::new(),
+            broken: Cell::new(false),
+        })
+    }
+
+    fn status(&self, reply: &StepReply) -> Option<GroupStatus> {
+        let row = String::from_utf8(reply.rows.first()?.to_vec()).ok()?;
+        let fields: Vec<u64> = row.split(' ').map(|f| f.parse().unwrap()).collect();
+        Some(GroupStatus {
+            role: if fields[0] == 1 {
+                Role::Primary
+            } else {
+                Role::Replica
+            },
+            term: fields[1],
+            received: LogPoint::new(fields[1], fields[2]),
+            held: fields[3],
+        })
+    }
+}
+
+impl FakeLine {
+    fn handle(&mut self, text: &str) -> Result<StepReply, LineError> {
+        let mut world = self.world.borrow_mut();
+        let server = &mut world[self.index];
+        if !server.reachable || self.broken.get() {
+            self.broken.set(true);
+            return Err(LineError::Closed("reset".into()));
+        }
+        let (after, text) = match text.strip_prefix("AFTER ") {
+            Some(rest) => {
+                let (point, text) = rest.split_once(' ').unwrap();
+                let (_, number) = point.split_once('.').unwrap();
+                (number.parse().unwrap(), text)
+            }
+            None => (0, text),
+        };
+        let leads = server.role == Role::Primary;
+        let words: Vec<&str> = text.split(' ').collect();
+        let mut rows = Vec::new();
+        let mut result = Ok(SmolStr::default());
+        let lagging = after > server.position;
+        match words[0] {
+            _ if lagging => result = Err(TargetCode::Lagging),
+            "BEGIN" if words.len() == 1 && !leads => result = Err(TargetCode::ReadOnly),
+            "BEGIN" => self.state = TransactionState::Open,
+            "ROLLBACK" => self.state = TransactionState::Idle,
+            "RESET" => {
+                self.values.clear();
+                self.prepared.clear();
+            }
+            "SET" => {
+                self.values.insert(words[1].into(), words[2].into());
+            }
+            "PREPARE" => {
+                self.prepared.insert(words[1].into(), words[2..].join(" "));
+            }
+            "PAUSE" | "DEMOTE" => {
+                let term: Term = words[1].parse().unwrap();
+                if term > server.term && words[0] == "PAUSE" && !leads {
+                    server.held = term;
+                }
+                if term > server.term && words[0] == "DEMOTE" {
+                    server.role = Role::Replica;
+                }
+                let leads = u64::from(server.role == Role::Primary);
+                let row = format!(
+                    "{leads} {} {} {}",
+                    server.term, server.position, server.held
+                );
+                rows.push(Bytes::from(row));
+            }
+            _ if !server.errors.is_empty() => {
+                result = Err(server.errors.pop_front().unwrap());
+            }
+            verb => {
+                let text = match verb {
+                    "EXECUTE" => match self.prepared.get(words[1]) {
+                        Some(shape) => format!("{shape} {}", words[2..].join(" ")),
+                        None => "NOSTMT".into(),
+                    },
+                    _ => text.to_string(),
+                };
+                if text == "NOSTMT" {
+                    result = Err(TargetCode::NoStatement);
+                } else if text.starts_with("WRITE") && !leads {
+                    result = Err(TargetCode::ReadOnly);
+                } else {
+                    server.position += u64::from(text.starts_with("WRITE") || verb == "COMMIT");
+                    if verb == "COMMIT" {
+                        self.state = TransactionState::Idle;
+                    }
+                    server.ran.push((text, self.values.clone()));
+                    server.led.push(leads);
+                    result = Ok("signature".into());
+                    if std::mem::take(&mut server.lose_answer) {
+                        self.broken.set(true);
+                        return Err(LineError::Closed("reset".into()));
+                    }
+                }
+            }
+        }
+        if result.is_err() && self.state == TransactionState::Open {
+            self.state = TransactionState::Failed;
+        }
+        Ok(StepReply {
+            rows,
+            result: result.map_err(|code| (code, SmolStr::default())),
+            state: self.state,
+            point: Some(LogPoint::new(server.term, server.position)),
+        })
+    }
+}
+
+fn prefix(after: Option<LogPoint>) -> String {
+    after.map_or_else(String::new, |p| format!("AFTER {}.{} ", p.term, p.position))
+}
+
+impl Line for FakeLine {
+    fn push(&mut self, step: &Step<'_>) {
+        self.queue.push_back(match step {
+            Step::Begin { read_only, after } => {
+                format!(
+                    "{}BEGIN{}",
+                    prefix(*after),
+                    if *read_only { " READ" } else { "" }
+                )
+            }
+            Step::Rollback => "ROLLBACK".into(),
+            Step::Reset => "RESET".into(),
+            Step::Set { name, value } => format!("SET {name} {value}"),
+            Step::Prepare { name, writes, text } => {
+                format!(
+                    "PREPARE {name} {} {text}",
+                    if *writes { "WRITE" } else { "READ" }
+                )
+            }
+            Step::Forward { after, text, .. } => format!("{}{text}", prefix(*after)),
+            Step::Execute {
+                after,
+                name,
+                arguments,
+                ..
+            } => {
+                format!("{}EXECUTE {name} {arguments}", prefix(*after))
+            }
+            Step::Status => "STATUS".into(),
+            Step::Pause(term) => format!("PAUSE {term}"),
+            Step::Demote(term) => format!("DEMOTE {term}"),
+        });
+    }
+
+    async fn flush(&mut self) -> Result<(), LineError> {
+        Ok(())
+    }
+
+    async fn next(&mut self) -> Result<StepReply, LineError> {
+        sleep(STEP).await;
+        let text = self.queue.pop_front().expect("a request is outstanding");
+        self.handle(&text)
+    }
+
+    fn outstanding(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn is_open(&mut self) -> bool {
+        !self.broken.get()
+    }
+}
+
+pub fn instance(index: usize, role: Role) -> Instance {
+    Instance {
+        id: format_smolstr!("s{index}"),
+        service: "svc".into(),
+        address: format!("127.0.0.1:{}", index + 1).parse().unwrap(),
+        zone: "z".into(),
+        draining: false,
+        role,
+        started: 1,
+    }
+}
+
+pub fn configuration(version: u64, databases: &[(&str, Consistency)]) -> Configuration {
+    let route = |(name, consistency): &(&str, Consistency)| {
+        let route = Route {
+            database: (*name).into(),
+            service: "svc".into(),
+            consistency: *consistency,
+            staleness: Duration::from_millis(1500),
+            timeout: Duration::from_millis(800),
+            objective: Duration::from_millis(100),
+            priority: 1,
+        };
+        (SmolStr::from(*name), Rc::new(route))
+    };
+    Configuration {
+        version,
+        routes: databases.iter().map(route).collect(),
+        services: HashMap::from([(
+            "svc".into(),
+            Service {
+                connections: 16,
+                sync: 1,
+            },
+        )]),
+        idle: Some(Duration::from_secs(3)),
+    }
+}
+
+pub const DATABASES: [(&str, Consistency); 3] = [
+    ("strong", Consistency::Strong),
+    ("bounded", Consistency::Bounded),
+    ("own", Consistency::ReadYourWrites),
+];
+
+/// A node that knows all servers of the world.
+pub fn node(name: &str, world: &World) -> Rc<Gateway<FakeDialer>> {
+    seeded_node(name, world, 1)
+}
+
+/// A node whose random choices come from the seed.
+pub fn seeded_node(name: &str, world: &World, seed: u64) -> Rc<Gateway<FakeDialer>> {
+    let dialer = FakeDialer(world.clone());
+    let gateway = Gateway::new(name.into(), "z".into(), dialer, seed);
+    gateway.configure(configuration(1, &DATABASES), "test");
+    for index in 0..3 {
+        let role = world.borrow()[index].role;
+        gateway.discover(instance(index, role));
+    }
+    gateway.set_discovered();
+    gateway
+}
+
+/// Sends a text as a caller's statement; the command is taken from its first words.
+pub async fn ask(session: &mut Session<FakeDialer>, text: &str) -> Answer {
+    use siskinhook_gateway::{Command, Shape};
+    let words: Vec<&str> = text.split(' ').collect();
+    let command = match words[0] {
+        "BEGIN" => Command::Begin {
+            read_only: words.len() > 1,
+        },
+        "COMMIT" => Command::Commit,
+        "ROLLBACK" => Command::Rollback,
+        "READ" => Command::Read,
+        "WRITE" => Command::Write,
+        "SET" => Command::Set {
+            name: words[1].into(),
+            value: words[2].into(),
+        },
+        "PREPARE" => Command::Prepare {
+            name: words[1].into(),
+            shape: Shape {
+                writes: words[2] == "WRITE",
+                text: words[3].into(),
+            },
+        },
+        "EXECUTE" => Command::Execute {
+            name: words[1].into(),
+            arguments: words[2..].join(" ").into(),
+        },
+        word => panic!("{word} is no command of the tests"),
+    };
+    let query = Query {
+        id: "q".into(),
+        text: text.into(),
+        command: Some(command),
+    };
+    session.handle(&query, Arrival::now()).await
+}
+
+/// A table with a clock of its own, shared by nodes.
+#[derive(Clone, Default)]
+pub struct Table {
+    rows: Arc<Mutex<BTreeMap<SmolStr, Row>>>,
+}
+
+thread_local! {
+    /// Start of the table's clock.
+    static START: Instant = Instant::now();
+}
+
+pub fn clock() -> u64 {
+    START.with(|start| u64::try_from(start.elapsed().as_millis()).unwrap()) + 100_000
+}
+
+impl Platform for Table {
+    async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        Ok(self.rows.lock().unwrap().get(key).cloned())
+    }
+
+    async fn get_at(&self, key: &str) -> Result<(Option<Row>, Option<u64>), PlatformError> {
+        let now = clock();
+        Ok((self.get(key).await?, Some(now)))
+    }
+
+    async fn list(&self, _: &str, _: &str, _: usize) -> Result<Vec<Row>, PlatformError> {
+        Ok(Vec::new())
+    }
+
+    async fn commit(&self, batch: Batch) -> Result<CommitOutcome, PlatformError> {
+        let mut rows = self.rows.lock().unwrap();
+        if let Some(conflict) = batch.conflict(&rows) {
+            return Ok(conflict);
+        }
+        for write in batch.writes {
+            let version = rows.get(&write.key).map_or(1, |row| row.version + 1);
+            let value = write.value.expect("no row is removed");
+            let key = write.key.clone();
+            rows.insert(
+                write.key,
+                Row {
+                    key,
+                    version,
+                    value,
+                },
+            );
+        }
+        Ok(CommitOutcome::Applied)
+    }
+
+    async fn put_object(&self, _: &str, _: Bytes) -> Result<(), PlatformError> {
+        Err(PlatformError::NotDone("no objects".into()))
+    }
+
+    async fn get_object(&self, _: &str) -> Result<Option<Bytes>, PlatformError> {
+        Ok(None)
+    }
+
+    async fn vms(&self) -> Result<Vec<VmRecord>, PlatformError> {
+        Ok(Vec::new())
+    }
+}
+
+/// An order as it arrived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    pub at: u64,
+    pub holder: NodeId,
+    pub server: ServerId,
+    pub token: u64,
+}
+
+/// Carries orders out in the world.
+#[derive(Clone)]
+pub struct FakeOrders {
+    pub world: World,
+    pub seen: Rc<RefCell<Vec<Order>>>,
+    /// Orders that get no answer and are not carried out.
+    pub unanswered: Rc<Cell<u32>>,
+}
+
+impl FakeOrders {
+    pub fn new(world: &World) -> Self {
+        Self {
+            world: world.clone(),
+            seen: Rc::default(),
+            unanswered: Rc::default(),
+        }
+    }
+}
+
+impl Orders for FakeOrders {
+    async fn promote(
+        &self,
+        _service: &ServiceId,
+        server: &ServerId,
+        holder: &NodeId,
+        token: u64,
+    ) -> OrderOutcome {
+        let newest = self.seen.borrow().iter().map(|order| order.token).max();
+        self.seen.borrow_mut().push(Order {
+            at: clock(),
+            holder: holder.clone(),
+            server: server.clone(),
+            token,
+        });
+        if newest.is_some_and(|newest| token < newest) {
+            return OrderOutcome::Refused;
+        }
+        if self.unanswered.get() > 0 {
+            self.unanswered.set(self.unanswered.get() - 1);
+            return OrderOutcome::Unanswered;
+        }
+        let index: usize = server[1..].parse().unwrap();
+        let mut world = self.world.borrow_mut();
+        let term = world.iter().map(|server| server.term).max().unwrap() + 1;
+        for server in world.iter_mut() {
+            if server.reachable {
+                server.role = Role::Replica;
+                server.term = term;
+            }
+            server.held = 0;
+        }
+        world[index].role = Role::Primary;
+        OrderOutcome::Accepted
+    }
+}
