--- a/crates/siskinhook-gateway/src/attempt.rs
+++ b/crates/siskinhook-gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     hash::{DefaultHasher, Hash, Hasher},
 };
 
@@ -70,6 +71,18 @@
     Deadline(bool),
 }
 
+impl fmt::Display for AttemptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(error) => write!(f, "not sent: {error}"),
+            Self::Unfit(code) => write!(f, "not sent: the server answered {code:?}"),
+            Self::Lost(error) => write!(f, "sent, no answer: {error}"),
+            Self::Deadline(false) => f.write_str("not sent: no answer to the preparation in time"),
+            Self::Deadline(true) => f.write_str("sent, no answer in time"),
+        }
+    }
+}
+
 /// Sets up a connection for a statement and waits until the gate is passed.
 pub async fn prepare<D: Dialer>(
     group: &Group<D>,
--- a/crates/siskinhook-gateway/src/failover.rs
+++ b/crates/siskinhook-gateway/src/failover.rs
@@ -194,10 +194,11 @@
         if leader.is_draining() {
             return Some("the primary is leaving");
         }
-        if let Some((time, failures)) = leader.failing() {
-            if time >= DEAD_AFTER && failures >= DEAD_FAILURES {
-                return Some("the primary does not answer");
-            }
+        if let Some((time, failures)) = leader.failing()
+            && time >= DEAD_AFTER
+            && failures >= DEAD_FAILURES
+        {
+            return Some("the primary does not answer");
         }
         (self.group.stuck.get() >= STUCK_WRITES).then_some("writes get no answer")
     }
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -25,31 +25,32 @@
 
 /// The servers of a service.
 pub struct Group<D: Dialer> {
+    /// Name of the service.
     pub service: ServiceId,
-    pub targets: RefCell<IndexMap<ServerId, Rc<Target<D>>>>,
-    pub marks: RefCell<Watermarks>,
+    pub(crate) targets: RefCell<IndexMap<ServerId, Rc<Target<D>>>>,
+    pub(crate) marks: RefCell<Watermarks>,
     /// Server held to be the primary.
     leader: RefCell<Option<ServerId>>,
     /// Highest term seen.
-    pub term: Cell<Term>,
-    pub sync: Cell<usize>,
+    pub(crate) term: Cell<Term>,
+    pub(crate) sync: Cell<usize>,
     cap: Cell<usize>,
     /// Writes without an answer since the last one that was answered.
-    pub stuck: Cell<u32>,
+    pub(crate) stuck: Cell<u32>,
     /// Server that was ordered to lead, and until when its denials are expected.
     pending: RefCell<Option<(ServerId, Instant)>>,
     /// Since when no server is known to lead.
     leaderless: Cell<Option<Instant>>,
     /// Wakes the failover controller.
-    pub trouble: Rc<Notify>,
+    pub(crate) trouble: Rc<Notify>,
     /// Wakes statements that wait for a primary.
-    pub changed: Notify,
+    pub(crate) changed: Notify,
     dialer: Rc<D>,
     counters: Rc<Counters>,
 }
 
 impl<D: Dialer> Group<D> {
-    pub fn new(
+    pub(crate) fn new(
         service: ServiceId,
         settings: &Service,
         dialer: Rc<D>,
@@ -73,12 +74,12 @@
         }
     }
 
-    pub fn counters(&self) -> &Counters {
+    pub(crate) fn counters(&self) -> &Counters {
         &self.counters
     }
 
     /// Takes over changed settings of the service.
-    pub fn configure(&self, settings: &Service) {
+    pub(crate) fn configure(&self, settings: &Service) {
         self.sync.set(settings.sync);
         self.cap.set(settings.connections);
         for target in self.targets.borrow().values() {
@@ -87,7 +88,7 @@
     }
 
     /// Adds or updates a server.
-    pub fn upsert(&self, instance: Instance) {
+    pub(crate) fn upsert(&self, instance: Instance) {
         let id = instance.id.clone();
         let known = self.targets.borrow().get(&id).cloned();
         let same = known.filter(|target| {
@@ -130,7 +131,7 @@
     }
 
     /// Removes a server that left.
-    pub fn remove(&self, id: &ServerId) {
+    pub(crate) fn remove(&self, id: &ServerId) {
         let removed = self.targets.borrow_mut().shift_remove(id);
         if let Some(target) = removed {
             target.retire();
@@ -148,16 +149,18 @@
     }
 
     /// Returns the primary as far as it is known.
-    pub fn leader(&self) -> Option<Rc<Target<D>>> {
+    pub(crate) fn leader(&self) -> Option<Rc<Target<D>>> {
         let id = self.leader.borrow().clone()?;
         self.targets.borrow().get(&id).cloned()
     }
 
+    /// Returns the server held to be the primary.
+    #[must_use]
     pub fn leader_id(&self) -> Option<ServerId> {
         self.leader.borrow().clone()
     }
 
-    pub fn set_leader(&self, id: Option<ServerId>, reason: &str) {
+    pub(crate) fn set_leader(&self, id: Option<ServerId>, reason: &str) {
         if *self.leader.borrow() == id {
             return;
         }
@@ -173,14 +176,14 @@
     }
 
     /// Takes in the log position that a server reported.
-    pub fn observed(&self, point: LogPoint) {
+    pub(crate) fn observed(&self, point: LogPoint) {
         if point.term > self.term.get() {
             self.term.set(point.term);
         }
     }
 
     /// Takes in the proof that a server led at a time.
-    pub fn proved(&self, target: &Target<D>, at: BootInstant, point: LogPoint) {
+    pub(crate) fn proved(&self, target: &Target<D>, at: BootInstant, point: LogPoint) {
         self.observed(point);
         if point.term >= self.term.get() {
             let id = target.instance.borrow().id.clone();
@@ -192,14 +195,14 @@
     }
 
     /// Takes in that a server was ordered to lead.
-    pub fn promoted(&self, id: &ServerId) {
+    pub(crate) fn promoted(&self, id: &ServerId) {
         *self.pending.borrow_mut() = Some((id.clone(), Instant::now() + PENDING));
         self.set_leader(Some(id.clone()), "it was ordered to lead");
         self.leaderless.set(None);
     }
 
     /// Whether an order to lead was accepted so lately that it may not be in force yet.
-    pub fn is_order_fresh(&self) -> bool {
+    pub(crate) fn is_order_fresh(&self) -> bool {
         let pending = self.pending.borrow();
         pending
             .as_ref()
@@ -207,7 +210,7 @@
     }
 
     /// Returns for how long no server has been known to lead.
-    pub fn leaderless(&self) -> Duration {
+    pub(crate) fn leaderless(&self) -> Duration {
         self.leaderless
             .get()
             .map_or(Duration::ZERO, |since| since.elapsed())
@@ -215,7 +218,7 @@
 
     /// Takes in that a server that was held to lead does not; the next candidate is the server
     /// whose last denial is the longest ago, one that claims to lead first.
-    pub fn denied(&self, target: &Target<D>) {
+    pub(crate) fn denied(&self, target: &Target<D>) {
         let id = target.instance.borrow().id.clone();
         target.denied.set(Some(Instant::now()));
         if self.leader.borrow().as_ref() != Some(&id) {
@@ -245,7 +248,7 @@
     }
 
     /// Chooses the server that is expected to answer a read first, among those not yet tried.
-    pub fn choose(&self, zone: &Zone, tried: &[ServerId]) -> Option<Rc<Target<D>>> {
+    pub(crate) fn choose(&self, zone: &Zone, tried: &[ServerId]) -> Option<Rc<Target<D>>> {
         let leader = self.leader.borrow().clone();
         let targets = self.targets.borrow();
         let cost = |id: &ServerId, target: &Target<D>| {
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -59,6 +59,15 @@
     last: &'static str,
 }
 
+impl Course {
+    /// Tries the server last from now on.
+    fn skip(&mut self, id: ServerId) {
+        if !self.tried.contains(&id) {
+            self.tried.push(id);
+        }
+    }
+}
+
 type Outcome<D> = (Answer, Option<Leased<D>>);
 
 impl<D: Dialer> Request<'_, D> {
@@ -249,16 +258,15 @@
             .rights
             .own
             .map_or(mark.point, |own| own.max(mark.point));
-        match self.group.choose(&self.gateway.zone, &course.tried) {
-            Some(target) => Some(Plan {
+        if let Some(target) = self.group.choose(&self.gateway.zone, &course.tried) {
+            Some(Plan {
                 target,
                 gate: Gate::None,
                 after: Some(after),
-            }),
-            None => {
-                course.tried.clear();
-                at_leader(Gate::Leads)
-            }
+            })
+        } else {
+            course.tried.clear();
+            at_leader(Gate::Leads)
         }
     }
 
@@ -309,7 +317,7 @@
                 self.group.trouble.notify_one();
                 // Without another server to choose, the next attempt would fail at once as well.
                 let alone = plan.after.is_none() || course.tried.contains(id);
-                self.skip(course, id.clone());
+                course.skip(id.clone());
                 if error == AcquireError::Gone || alone {
                     return Err(self.wait_for_news(course).await);
                 }
@@ -349,7 +357,7 @@
                 self.gateway.counters.lagging.add(1);
                 plan.target.lagged();
                 leased.keep();
-                self.skip(course, id);
+                course.skip(id);
                 None
             }
             AttemptError::Deadline(_) => {
@@ -361,7 +369,7 @@
                 self.blame(&leased, error);
                 course.last = "the connection to the server broke";
                 drop(leased);
-                self.skip(course, id);
+                course.skip(id);
                 self.pause(course, BUSY_PAUSE).await
             }
         }
@@ -396,7 +404,7 @@
                 course.ran = true;
             }
         }
-        self.skip(course, id);
+        course.skip(id);
     }
 
     /// Reacts to a statement without an answer.
@@ -420,12 +428,12 @@
                 Some(self.timed_out(text, course))
             }
             AttemptError::NotSent(_) | AttemptError::Unfit(_) => {
-                self.skip(course, id);
+                course.skip(id);
                 None
             }
             _ if writes => Some(self.unknown("the connection broke before the answer came")),
             _ => {
-                self.skip(course, id);
+                course.skip(id);
                 None
             }
         }
@@ -446,12 +454,6 @@
         Instant::now() + left.mul_f64(FIRST_TRY)
     }
 
-    fn skip(&self, course: &mut Course, id: ServerId) {
-        if !course.tried.contains(&id) {
-            course.tried.push(id);
-        }
-    }
-
     /// Waits for a change of the group. Returns the final answer when the time is over.
     async fn wait_for_news(&self, course: &mut Course) -> Option<Answer> {
         self.group.trouble.notify_one();
@@ -473,7 +475,7 @@
             event!(
                 Event::AttemptFailed,
                 request = self.work.id, server = server.as_str(), term = self.group.term.get();
-                "an attempt failed: {error:?}"
+                "an attempt failed: {error}"
             );
         }
         if matches!(error, AttemptError::Lost(_) | AttemptError::NotSent(_)) {
--- a/crates/siskinhook-gateway/src/target.rs
+++ b/crates/siskinhook-gateway/src/target.rs
@@ -414,12 +414,6 @@
             self.dial_if_needed();
         }
     }
-
-    /// Returns the number of open connections and of statements waiting for one.
-    pub fn load(&self) -> (usize, usize) {
-        let pool = self.pool.borrow();
-        (pool.open, pool.waiters.len())
-    }
 }
 
 fn fail<L>(pool: &mut Pool<L>, error: AcquireError) {
--- a/crates/siskinhook-gateway/tests/failover.rs
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -38,7 +38,7 @@
     fn start(&self, name: &str) -> Rc<Gateway<FakeDialer>> {
         let number = name.bytes().map(u64::from).sum::<u64>();
         let gateway = seeded_node(name, &self.world, self.seed * 1000 + number);
-        let group = gateway.group(&"svc".into()).unwrap();
+        let group = gateway.group(&"svc".into()).expect("the service is known");
         let orders = Rc::new(self.orders.clone());
         spawn_local(watch_group(
             gateway.clone(),
@@ -63,7 +63,7 @@
         for gateway in gateways {
             let gateway = gateway.clone();
             spawn_local(async move {
-                let mut session = Session::open(&gateway, "strong").unwrap();
+                let mut session = Session::open(&gateway, "strong").expect("the route is known");
                 ask(&mut session, "WRITE 1 a").await;
             });
         }
@@ -159,7 +159,7 @@
             .run_until(async {
                 let site = Site::new(seed);
                 let old = site.start("n1");
-                write_for(&[old.clone()], 3).await;
+                write_for(std::slice::from_ref(&old), 3).await;
                 {
                     let mut world = site.world.borrow_mut();
                     world[0].reachable = false;
@@ -168,7 +168,7 @@
                     world[1].position = 50;
                     world[2].term = 2;
                 }
-                write_for(&[old.clone()], 30).await;
+                write_for(std::slice::from_ref(&old), 30).await;
                 assert_eq!(*site.orders.seen.borrow(), []);
                 assert_eq!(site.primaries(), [1]);
                 let mut session = Session::open(&old, "strong").unwrap();
@@ -208,11 +208,11 @@
             .run_until(async {
                 let site = Site::new(seed);
                 let gateway = site.start("n1");
-                write_for(&[gateway.clone()], 3).await;
+                write_for(std::slice::from_ref(&gateway), 3).await;
                 let mut leaving = instance(0, Role::Primary);
                 leaving.draining = true;
                 gateway.discover(leaving);
-                write_for(&[gateway.clone()], 20).await;
+                write_for(std::slice::from_ref(&gateway), 20).await;
                 assert_eq!(site.orders.seen.borrow().len(), 1);
                 assert_ne!(site.primaries(), [0]);
             })
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -123,7 +123,10 @@
 
     fn status(&self, reply: &StepReply) -> Option<GroupStatus> {
         let row = String::from_utf8(reply.rows.first()?.to_vec()).ok()?;
-        let fields: Vec<u64> = row.split(' ').map(|f| f.parse().unwrap()).collect();
+        let fields: Vec<u64> = row
+            .split(' ')
+            .map(|f| f.parse().expect("valid in this model"))
+            .collect();
         Some(GroupStatus {
             role: if fields[0] == 1 {
                 Role::Primary
@@ -147,9 +150,9 @@
         }
         let (after, text) = match text.strip_prefix("AFTER ") {
             Some(rest) => {
-                let (point, text) = rest.split_once(' ').unwrap();
-                let (_, number) = point.split_once('.').unwrap();
-                (number.parse().unwrap(), text)
+                let (point, text) = rest.split_once(' ').expect("valid in this model");
+                let (_, number) = point.split_once('.').expect("valid in this model");
+                (number.parse().expect("valid in this model"), text)
             }
             None => (0, text),
         };
@@ -174,7 +177,7 @@
                 self.prepared.insert(words[1].into(), words[2..].join(" "));
             }
             "PAUSE" | "DEMOTE" => {
-                let term: Term = words[1].parse().unwrap();
+                let term: Term = words[1].parse().expect("valid in this model");
                 if term > server.term && words[0] == "PAUSE" && !leads {
                     server.held = term;
                 }
@@ -189,7 +192,7 @@
                 rows.push(Bytes::from(row));
             }
             _ if !server.errors.is_empty() => {
-                result = Err(server.errors.pop_front().unwrap());
+                result = Err(server.errors.pop_front().expect("valid in this model"));
             }
             verb => {
                 let text = match verb {
@@ -291,7 +294,9 @@
     Instance {
         id: format_smolstr!("s{index}"),
         service: "svc".into(),
-        address: format!("127.0.0.1:{}", index + 1).parse().unwrap(),
+        address: format!("127.0.0.1:{}", index + 1)
+            .parse()
+            .expect("valid in this model"),
         zone: "z".into(),
         draining: false,
         role,
@@ -399,12 +404,18 @@
 }
 
 pub fn clock() -> u64 {
-    START.with(|start| u64::try_from(start.elapsed().as_millis()).unwrap()) + 100_000
+    START.with(|start| u64::try_from(start.elapsed().as_millis()).expect("valid in this model"))
+        + 100_000
 }
 
 impl Platform for Table {
     async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
-        Ok(self.rows.lock().unwrap().get(key).cloned())
+        Ok(self
+            .rows
+            .lock()
+            .expect("valid in this model")
+            .get(key)
+            .cloned())
     }
 
     async fn get_at(&self, key: &str) -> Result<(Option<Row>, Option<u64>), PlatformError> {
@@ -417,7 +428,7 @@
     }
 
     async fn commit(&self, batch: Batch) -> Result<CommitOutcome, PlatformError> {
-        let mut rows = self.rows.lock().unwrap();
+        let mut rows = self.rows.lock().expect("valid in this model");
         if let Some(conflict) = batch.conflict(&rows) {
             return Ok(conflict);
         }
@@ -500,9 +511,14 @@
             self.unanswered.set(self.unanswered.get() - 1);
             return OrderOutcome::Unanswered;
         }
-        let index: usize = server[1..].parse().unwrap();
+        let index: usize = server[1..].parse().expect("valid in this model");
         let mut world = self.world.borrow_mut();
-        let term = world.iter().map(|server| server.term).max().unwrap() + 1;
+        let term = world
+            .iter()
+            .map(|server| server.term)
+            .max()
+            .expect("valid in this model")
+            + 1;
         for server in world.iter_mut() {
             if server.reachable {
                 server.role = Role::Replica;
--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -81,12 +81,12 @@
     NodeReady = 1005, Info, "node_ready",
         "The node has a catalogue and serves callers.",
         "Nothing.";
-    SettingsReloaded = 1007, Info, "settings_reloaded",
-        "The node was told that its settings file changed.",
-        "Nothing.";
     NodeWaiting = 1006, Warn, "node_waiting",
         "The node cannot serve yet; the message says what it waits for.",
         "If it lasts, check the platform and that other nodes can be reached.";
+    SettingsReloaded = 1007, Info, "settings_reloaded",
+        "The node was told that its settings file changed.",
+        "Nothing.";
     NodePaused = 1008, Warn, "node_paused",
         "The node did not run for longer than the suspicion timeout, or others held it dead; it gave up its servers.",
         "Nothing; it takes servers again once it has heard from others. Look for overload or migration of the VM if it repeats.";
@@ -121,6 +121,12 @@
     OutcomeUnknown = 2020, Debug, "outcome_unknown",
         "The outcome of a request that may have run could not be determined in time.",
         "The caller repeats it with the same request id.";
+    EngineDraining = 2030, Info, "engine_draining",
+        "The request path finishes the requests in progress and takes no new ones.",
+        "Nothing.";
+    LinkLost = 2040, Debug, "link_lost",
+        "A link of another node could not be accepted, did not prove the shared secret, or ended with an error.",
+        "Look at the other node, its secret and the network if it repeats.";
     TargetReached = 2101, Info, "target_reached",
         "A server that could not be reached answers again.",
         "Nothing.";
@@ -148,12 +154,6 @@
     FailoverFailed = 2122, Warn, "failover_failed",
         "A step of a failover failed; the message says which, and it is tried again.",
         "Check the store and the servers named when it repeats.";
-    EngineDraining = 2030, Info, "engine_draining",
-        "The request path finishes the requests in progress and takes no new ones.",
-        "Nothing.";
-    LinkLost = 2040, Debug, "link_lost",
-        "A link of another node could not be accepted, did not prove the shared secret, or ended with an error.",
-        "Look at the other node, its secret and the network if it repeats.";
 
     MemberJoined = 3001, Info, "member_joined",
         "A node joined the fleet.",
