Pass statements on to the nodes that hold a server's connections

Change: where the limit is below three connections a node, a few nodes of the server's zone hold its connections, chosen by rendezvous hashing over the nodes' own rows, and pass statements on over the same line protocol. A grant that a waiter no longer takes closes its connection (it was counted as open for good).

--- a/crates/siskinhook-gateway/src/attempt.rs
+++ b/crates/siskinhook-gateway/src/attempt.rs
@@ -160,9 +160,7 @@
         .keys()
         .any(|name| !work.values.contains_key(name));
     if stale || pooled.prepared.len() > PREPARED {
-        pooled.line.push(&Step::Reset);
-        pooled.values.clear();
-        pooled.prepared.clear();
+        clean(pooled);
     }
     for (name, value) in work.values {
         if pooled.values.get(name) != Some(value) {
@@ -182,6 +180,17 @@
     }
 }
 
+/// Queues what takes everything off a connection; returns whether there was anything.
+pub fn clean<L: Line>(pooled: &mut Pooled<L>) -> bool {
+    let set_up = pooled.is_set_up();
+    if set_up {
+        pooled.line.push(&Step::Reset);
+        pooled.values.clear();
+        pooled.prepared.clear();
+    }
+    set_up
+}
+
 /// Returns the name under which a prepared statement is shared by all sessions.
 fn shared_name(shape: &Shape) -> SmolStr {
     let mut hasher = DefaultHasher::new();
@@ -222,7 +231,7 @@
     };
     match timeout_at(deadline, exchange).await {
         Ok(Ok(reply)) => {
-            if let Some(target) = target {
+            if let Some(target) = target.filter(|_| reply.point.is_some()) {
                 target.reached();
                 if reply.result.is_ok() {
                     target.observe(started.elapsed());
--- /dev/null
+++ b/crates/siskinhook-gateway/src/fleet.rs
@@ -0,0 +1,146 @@
+//! The nodes that share a server's connections.
+//!
+//! Where a server accepts too few connections for all nodes, a few nodes hold them and pass the
+//! statements of the others on. The holders of a server are chosen by rendezvous hashing among
+//! the nodes of its zone, so that all nodes agree without talking to each other. Nodes that do
+//! not agree for a moment lose nothing: the server's own limit holds.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use siskinhook_types::{NodeId, ServerId, Zone};
+use tokio::time::Instant;
+
+/// Connections of one holder to one server. Fewer holders use them better, since one queue sees
+/// more of the work.
+const PER_HOLDER: usize = 6;
+/// Connections for each node from which on every node holds its own: a transaction and a
+/// statement at the same time, and one for control.
+const PER_NODE: usize = 3;
+/// Time for which a holder that could not be reached is not tried again.
+const AVOID: Duration = Duration::from_secs(2);
+
+/// A node that passes statements on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Name of the node.
+    pub name: NodeId,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Where it accepts statements of other nodes.
+    pub address: SocketAddr,
+}
+
+/// How a node reaches a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Path {
+    /// Over its own connections.
+    Direct,
+    /// Through one of these nodes, in the order to try.
+    Through(Vec<Peer>),
+}
+
+/// The nodes known at present.
+pub struct Fleet {
+    node: NodeId,
+    peers: RefCell<Vec<Peer>>,
+    avoided: RefCell<HashMap<NodeId, Instant>>,
+    version: Cell<u64>,
+}
+
+impl Fleet {
+    /// Creates a fleet of this node alone.
+    #[must_use]
+    pub fn new(node: NodeId) -> Self {
+        Self {
+            node,
+            peers: RefCell::default(),
+            avoided: RefCell::default(),
+            version: Cell::new(1),
+        }
+    }
+
+    /// Replaces the list of nodes, this one included.
+    pub fn set_peers(&self, peers: Vec<Peer>) {
+        if *self.peers.borrow() != peers {
+            *self.peers.borrow_mut() = peers;
+            self.version.set(self.version.get() + 1);
+        }
+    }
+
+    /// Returns the number of changes of the list of nodes.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    /// Returns the number of known nodes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
+    /// Leaves a node out for a while.
+    pub fn avoid(&self, name: &NodeId) {
+        let until = Instant::now() + AVOID;
+        self.avoided.borrow_mut().insert(name.clone(), until);
+    }
+
+    /// Returns the nodes that hold the connections to a server, in the order of their hashes;
+    /// `None` when all nodes do.
+    fn holders(&self, server: &ServerId, zone: &Zone, cap: usize) -> Option<Vec<Peer>> {
+        let peers = self.peers.borrow();
+        if peers.len() <= 1 || cap >= peers.len() * PER_NODE {
+            return None;
+        }
+        let near = |peer: &&Peer| peer.zone == *zone;
+        let mut ranked: Vec<Peer> = peers.iter().filter(near).cloned().collect();
+        if ranked.is_empty() {
+            ranked.clone_from(&peers);
+        }
+        ranked.sort_by_key(|peer| weight(server, &peer.name));
+        ranked.truncate((cap / PER_HOLDER).max(1));
+        Some(ranked)
+    }
+
+    /// Returns whether this node holds connections to a server that accepts `cap` of them.
+    #[must_use]
+    pub fn is_holder(&self, server: &ServerId, zone: &Zone, cap: usize) -> bool {
+        self.holders(server, zone, cap)
+            .is_none_or(|holders| holders.iter().any(|peer| peer.name == self.node))
+    }
+
+    /// Returns how this node reaches a server that accepts `cap` connections.
+    #[must_use]
+    pub fn path(&self, server: &ServerId, zone: &Zone, cap: usize) -> Path {
+        let Some(mut holders) = self.holders(server, zone, cap) else {
+            return Path::Direct;
+        };
+        if holders.iter().any(|peer| peer.name == self.node) {
+            return Path::Direct;
+        }
+        // Each node prefers another holder, so that their load is even.
+        let start = usize::try_from(weight(server, &self.node) >> 32).unwrap_or_default();
+        let count = holders.len();
+        holders.rotate_left(start % count);
+        let avoided = self.avoided.borrow();
+        let now = Instant::now();
+        holders.retain(|peer| avoided.get(&peer.name).is_none_or(|until| now >= *until));
+        if holders.is_empty() {
+            Path::Direct
+        } else {
+            Path::Through(holders)
+        }
+    }
+}
+
+fn weight(server: &ServerId, node: &NodeId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (server, node).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -16,7 +16,7 @@
     time::{MissedTickBehavior, interval},
 };
 
-use crate::{Configuration, Counters, Dialer, Instance, Route, group::Group};
+use crate::{Configuration, Counters, Dialer, Instance, Route, fleet::Fleet, group::Group};
 
 /// Interval at which idle connections are checked; well below the idle limits.
 const SWEEP: Duration = Duration::from_millis(500);
@@ -33,6 +33,8 @@
     pub counters: Rc<Counters>,
     /// Opens connections.
     pub dialer: Rc<D>,
+    /// The nodes that share the servers' connections.
+    pub fleet: Rc<Fleet>,
     configuration: RefCell<Rc<Configuration>>,
     groups: RefCell<IndexMap<ServiceId, Rc<Group<D>>>>,
     /// Servers of services that the configuration does not name yet.
@@ -47,6 +49,7 @@
 impl<D: Dialer> Gateway<D> {
     /// Creates the gateway of a node. The seed must differ between processes in production.
     pub fn new(node: NodeId, zone: Zone, dialer: D, seed: u64) -> Rc<Self> {
+        let fleet = Rc::new(Fleet::new(node.clone()));
         let mut random = SmallRng::seed_from_u64(seed);
         Rc::new(Self {
             node,
@@ -55,6 +58,7 @@
             zone,
             counters: Rc::default(),
             dialer: Rc::new(dialer),
+            fleet,
             configuration: RefCell::default(),
             groups: RefCell::default(),
             waiting: RefCell::default(),
@@ -102,6 +106,7 @@
                 name.clone(),
                 service,
                 self.dialer.clone(),
+                self.fleet.clone(),
                 self.counters.clone(),
             ));
             self.groups.borrow_mut().insert(name.clone(), group);
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -12,7 +12,8 @@
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
-    BootInstant, Counters, Dialer, Instance, Service, Watermark, Watermarks, target::Target,
+    BootInstant, Counters, Dialer, Instance, Service, Watermark, Watermarks, fleet::Fleet,
+    target::Target,
 };
 
 /// Factor on the expected time of a server in another zone: traffic between zones is metered.
@@ -46,6 +47,7 @@
     /// Wakes statements that wait for a primary.
     pub(crate) changed: Notify,
     dialer: Rc<D>,
+    fleet: Rc<Fleet>,
     counters: Rc<Counters>,
 }
 
@@ -54,6 +56,7 @@
         service: ServiceId,
         settings: &Service,
         dialer: Rc<D>,
+        fleet: Rc<Fleet>,
         counters: Rc<Counters>,
     ) -> Self {
         Self {
@@ -70,6 +73,7 @@
             trouble: Rc::default(),
             changed: Notify::new(),
             dialer,
+            fleet,
             counters,
         }
     }
@@ -113,6 +117,7 @@
                 instance,
                 self.cap.get(),
                 self.dialer.clone(),
+                self.fleet.clone(),
                 self.counters.clone(),
                 self.trouble.clone(),
             );
@@ -148,6 +153,11 @@
         self.trouble.notify_one();
     }
 
+    /// Returns a server.
+    pub(crate) fn target(&self, id: &ServerId) -> Option<Rc<Target<D>>> {
+        self.targets.borrow().get(id).cloned()
+    }
+
     /// Returns the primary as far as it is known.
     pub(crate) fn leader(&self) -> Option<Rc<Target<D>>> {
         let id = self.leader.borrow().clone()?;
--- a/crates/siskinhook-gateway/src/line.rs
+++ b/crates/siskinhook-gateway/src/line.rs
@@ -85,6 +85,8 @@
     Misrouted,
     /// Too many connections; it did not run.
     TooMany,
+    /// The node that holds the server's connections cannot reach it; it did not run.
+    Unreachable,
     /// Any other code.
     Other,
 }
@@ -101,6 +103,7 @@
                 | Self::NoStatement
                 | Self::Misrouted
                 | Self::TooMany
+                | Self::Unreachable
         )
     }
 }
--- /dev/null
+++ b/crates/siskinhook-gateway/src/relay.rs
@@ -0,0 +1,132 @@
+//! Statements of other nodes for a server whose connections this node holds.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use siskinhook_telemetry::{Event, event};
+use siskinhook_types::{ServerId, ServiceId};
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use crate::{
+    Dialer, Gateway, Line, LineError, Step, StepReply, TargetCode, TransactionState, attempt,
+    target::{AcquireError, Leased, Target},
+};
+
+/// Longest wait for a connection. The node that asked knows the statement's deadline; it tries
+/// again within it.
+const WAIT: Duration = Duration::from_millis(400);
+/// Statements of other nodes wait behind control statements only.
+const PRIORITY: u8 = 1;
+
+/// A request that another node passes on, with the id and text for the server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Passed {
+    /// The id.
+    pub id: SmolStr,
+    /// The text, unchanged.
+    pub text: SmolStr,
+}
+
+/// One connection of another node. A server's connection is held from its first request until no
+/// transaction is open and nothing is set up on it.
+pub struct Relay<D: Dialer> {
+    target: Rc<Target<D>>,
+    leased: Option<Leased<D>>,
+    /// Whether session values or prepared statements are in force on the connection.
+    set_up: bool,
+    state: TransactionState,
+}
+
+impl<D: Dialer> Relay<D> {
+    /// Opens a relay to a server; `None` when this node does not hold its connections.
+    pub fn open(gateway: &Gateway<D>, service: &ServiceId, server: &ServerId) -> Option<Self> {
+        let target = gateway.group(service)?.target(server)?;
+        if gateway.is_draining() || !target.is_holder() {
+            event!(
+                Event::RelayRefused, server = server.as_str(), nodes = gateway.fleet.size();
+                "another node asked for a server whose connections this node does not hold"
+            );
+            return None;
+        }
+        Some(Self {
+            target,
+            leased: None,
+            set_up: false,
+            state: TransactionState::Idle,
+        })
+    }
+
+    /// Whether a server's connection is held.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        self.leased.is_some()
+    }
+
+    /// Passes requests on in their order and returns the replies.
+    ///
+    /// # Errors
+    /// The connection to the server broke after a request was sent.
+    pub async fn pass(&mut self, requests: &[Passed]) -> Result<Vec<StepReply>, LineError> {
+        let mut leased = match self.leased.take() {
+            Some(leased) => leased,
+            None => match self.acquire().await {
+                Ok(leased) => leased,
+                Err(code) => return Ok(requests.iter().map(|_| refused(code)).collect()),
+            },
+        };
+        let Some(pooled) = leased.pooled() else {
+            return Err(LineError::Closed("taken".into()));
+        };
+        let old = pooled.line.outstanding();
+        let first = old + usize::from(attempt::clean(pooled));
+        for Passed { id, text } in requests {
+            let (id, text, after) = (id.as_str(), text.as_str(), None);
+            pooled.line.push(&Step::Forward { id, after, text });
+            match text.split(' ').next() {
+                Some("SET" | "PREPARE") => self.set_up = true,
+                Some("RESET") => self.set_up = false,
+                _ => {}
+            }
+        }
+        pooled.line.flush().await?;
+        for _ in 0..first {
+            pooled.line.next().await?;
+        }
+        let mut replies = Vec::with_capacity(requests.len());
+        for _ in requests {
+            replies.push(pooled.line.next().await?);
+        }
+        self.target.reached();
+        self.state = replies.last().map_or(self.state, |reply| reply.state);
+        if self.state == TransactionState::Idle && !self.set_up {
+            leased.keep();
+        } else {
+            self.leased = Some(leased);
+        }
+        Ok(replies)
+    }
+
+    async fn acquire(&self) -> Result<Leased<D>, TargetCode> {
+        let deadline = Instant::now() + WAIT;
+        let values = BTreeMap::new();
+        match self.target.acquire(&values, PRIORITY, deadline).await {
+            Ok(leased) if leased.is_direct() => Ok(leased),
+            Ok(leased) => {
+                leased.keep();
+                Err(TargetCode::Busy)
+            }
+            Err(AcquireError::Deadline) => Err(TargetCode::Busy),
+            Err(AcquireError::Unreachable | AcquireError::Gone) => Err(TargetCode::Unreachable),
+        }
+    }
+}
+
+/// The reply to a request that was not passed on.
+fn refused(code: TargetCode) -> StepReply {
+    StepReply {
+        rows: Vec::new(),
+        result: Err((code, "not passed on".into())),
+        state: TransactionState::Idle,
+        point: None,
+    }
+}
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -352,6 +352,13 @@
                 leased.keep();
                 self.wait_for_news(course).await
             }
+            AttemptError::Unfit(TargetCode::Unreachable) => {
+                course.last = "the server could not be reached";
+                plan.target.unreachable();
+                leased.keep();
+                course.skip(id);
+                self.wait_for_news(course).await
+            }
             AttemptError::Unfit(TargetCode::Lagging) => {
                 course.last = "the server's data is not fresh enough";
                 self.gateway.counters.lagging.add(1);
@@ -395,6 +402,12 @@
                 // A refusal in time leads to the next look; the deadline is checked there.
                 let _ = timeout(NEWS, self.group.changed.notified()).await;
             }
+            TargetCode::Unreachable => {
+                course.last = "the server could not be reached";
+                plan.target.unreachable();
+                // The next look at the group decides; the deadline is checked there.
+                let _ = timeout(NEWS, self.group.changed.notified()).await;
+            }
             TargetCode::Busy => {
                 course.last = "the server is overloaded";
                 sleep(BUSY_PAUSE).await;
@@ -489,7 +502,7 @@
             Ok(signature) => Ok(Some(signature)),
             Err((code, text)) => {
                 let refusal = match code {
-                    TargetCode::Busy => Refusal::Busy,
+                    TargetCode::Busy | TargetCode::Unreachable => Refusal::Busy,
                     TargetCode::Lagging => Refusal::Lagging,
                     TargetCode::ReadOnly => Refusal::ReadOnly,
                     TargetCode::TooMany | TargetCode::Misrouted => Refusal::TooMany,
--- a/crates/siskinhook-gateway/src/target.rs
+++ b/crates/siskinhook-gateway/src/target.rs
@@ -12,10 +12,13 @@
 use tokio::{
     sync::{Notify, oneshot},
     task::spawn_local,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
-use crate::{Counters, Dialer, Instance, Line, LineError, TargetCode};
+use crate::{
+    Counters, Dialer, Instance, Line, LineError, Step, TargetCode,
+    fleet::{Fleet, Path},
+};
 
 /// First pause before another attempt when the server has no connection left for this node.
 /// Other nodes return theirs within a statement's time.
@@ -31,6 +34,12 @@
 const REDIAL: Duration = Duration::from_millis(100);
 /// Time for which a replica that lagged is chosen last; longer than the usual replication lag.
 const LAG_HOLD: Duration = Duration::from_millis(60);
+/// Connections to nodes that hold a server's connections, opened at a time: they take no slot.
+const DIALING_RELAYS: usize = 4;
+/// Such connections are closed after this without use.
+const RELAY_IDLE: Duration = Duration::from_secs(10);
+/// Longest wait for the reply that shows that a server is reached.
+const CONFIRM: Duration = Duration::from_millis(150);
 /// Connections that idle longer than this are closed, but for one.
 const SPARE_IDLE: Duration = Duration::from_millis(400);
 /// Weight of a new measurement in the mean time of a statement.
@@ -45,10 +54,29 @@
     pub values: BTreeMap<SmolStr, SmolStr>,
     /// Names of the statements prepared on it.
     pub prepared: HashSet<SmolStr>,
+    /// Whether it leads to the server itself, not to a node that holds its connections.
+    direct: bool,
     /// When it became idle.
     since: Instant,
 }
 
+impl<L> Pooled<L> {
+    fn new(line: L, direct: bool) -> Self {
+        Self {
+            line,
+            values: BTreeMap::new(),
+            prepared: HashSet::new(),
+            direct,
+            since: Instant::now(),
+        }
+    }
+
+    /// Whether anything was set up on it.
+    pub fn is_set_up(&self) -> bool {
+        !self.values.is_empty() || !self.prepared.is_empty()
+    }
+}
+
 /// Why no connection could be had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AcquireError {
@@ -60,14 +88,14 @@
     Gone,
 }
 
-struct Waiter<L> {
+struct Waiter<D: Dialer> {
     priority: u8,
-    grant: oneshot::Sender<Result<Pooled<L>, AcquireError>>,
+    grant: oneshot::Sender<Result<Leased<D>, AcquireError>>,
 }
 
-struct Pool<L> {
-    idle: Vec<Pooled<L>>,
-    waiters: VecDeque<Waiter<L>>,
+struct Pool<D: Dialer> {
+    idle: Vec<Pooled<D::Line>>,
+    waiters: VecDeque<Waiter<D>>,
     /// Open connections, those being opened included.
     open: usize,
     dialing: usize,
@@ -89,13 +117,16 @@
 /// A server and the node's connections to it.
 pub struct Target<D: Dialer> {
     pub instance: RefCell<Instance>,
-    pool: RefCell<Pool<D::Line>>,
+    pool: RefCell<Pool<D>>,
     health: Cell<Health>,
     lagging: Cell<Option<Instant>>,
     /// Mean time of a statement in milliseconds.
     mean: Cell<f64>,
     gone: Cell<bool>,
+    /// Whether this node holds connections of its own, as of a version of the fleet.
+    holder: Cell<(u64, bool)>,
     dialer: Rc<D>,
+    fleet: Rc<Fleet>,
     counters: Rc<Counters>,
     /// Connections that the server accepts from all nodes together.
     cap: Cell<usize>,
@@ -111,6 +142,7 @@
         instance: Instance,
         cap: usize,
         dialer: Rc<D>,
+        fleet: Rc<Fleet>,
         counters: Rc<Counters>,
         trouble: Rc<Notify>,
     ) -> Rc<Self> {
@@ -128,7 +160,9 @@
             lagging: Cell::default(),
             mean: Cell::new(FIRST_MEAN),
             gone: Cell::new(false),
+            holder: Cell::new((0, true)),
             dialer,
+            fleet,
             counters,
             cap: Cell::new(cap),
             trouble,
@@ -139,6 +173,7 @@
 
     pub fn set_cap(&self, cap: usize) {
         self.cap.set(cap);
+        self.holder.set((u64::MAX, true));
     }
 
     /// Returns the time since the first failure to connect, if there was no success since, and
@@ -224,7 +259,7 @@
         }
         self.dial_if_needed();
         match timeout_at(deadline, granted).await {
-            Ok(Ok(result)) => result.map(|pooled| self.lease(pooled)),
+            Ok(Ok(result)) => result,
             Ok(Err(_)) => Err(AcquireError::Gone),
             Err(_) => Err(AcquireError::Deadline),
         }
@@ -240,12 +275,13 @@
 
     /// Takes an open idle connection, one with the same session values if there is one.
     fn take_idle(&self, values: &BTreeMap<SmolStr, SmolStr>) -> Option<Pooled<D::Line>> {
+        let direct = self.is_holder();
         let mut pool = self.pool.borrow_mut();
         while !pool.idle.is_empty() {
             let last = pool.idle.len() - 1;
             let place = pool.idle.iter().rposition(|p| p.values == *values);
             let mut pooled = pool.idle.swap_remove(place.unwrap_or(last));
-            if pooled.line.is_open() {
+            if (pooled.direct || !direct) && pooled.line.is_open() {
                 return Some(pooled);
             }
             pool.open -= 1;
@@ -253,14 +289,38 @@
         None
     }
 
+    /// Returns how this node reaches the server.
+    fn path(&self) -> Path {
+        let instance = self.instance.borrow();
+        self.fleet
+            .path(&instance.id, &instance.zone, self.cap.get())
+    }
+
+    /// Whether this node holds connections of its own to the server.
+    pub fn is_holder(&self) -> bool {
+        let version = self.fleet.version();
+        let (known, holder) = self.holder.get();
+        if known == version {
+            return holder;
+        }
+        let instance = self.instance.borrow();
+        let holder = self
+            .fleet
+            .is_holder(&instance.id, &instance.zone, self.cap.get());
+        self.holder.set((version, holder));
+        holder
+    }
+
     fn dial_if_needed(&self) {
         let mut pool = self.pool.borrow_mut();
         if pool.capped.is_some_and(|until| Instant::now() >= until) {
             pool.capped = None;
         }
         let capped = pool.capped.is_some() && pool.open > 0;
-        let wanted = pool.waiters.len() > pool.dialing || pool.open == 0;
-        if !wanted || pool.dialing >= DIALING || pool.open >= self.cap.get() || capped {
+        let direct = self.is_holder();
+        let wanted = pool.waiters.len() > pool.dialing || (direct && pool.open == 0);
+        let limit = if direct { DIALING } else { DIALING_RELAYS };
+        if !wanted || pool.dialing >= limit || pool.open >= self.cap.get() || capped {
             return;
         }
         pool.open += 1;
@@ -273,6 +333,27 @@
     }
 
     async fn dial(self: Rc<Self>) {
+        let opened = self.open().await;
+        self.pool.borrow_mut().dialing -= 1;
+        match opened {
+            Ok(pooled) => {
+                if pooled.direct {
+                    self.reached();
+                }
+                self.pool.borrow_mut().refusals = 0;
+                self.give_back(pooled);
+                self.dial_if_needed();
+            }
+            Err(error) => {
+                self.pool.borrow_mut().open -= 1;
+                self.dial_failed(&error).await;
+            }
+        }
+    }
+
+    /// Opens a connection, through a node that holds the server's connections where the fleet
+    /// has such nodes and one of them can be reached.
+    async fn open(&self) -> Result<Pooled<D::Line>, LineError> {
         let (service, id, address) = {
             let instance = self.instance.borrow();
             (
@@ -281,26 +362,23 @@
                 instance.address,
             )
         };
-        self.counters.dials.add(1);
-        let result = self.dialer.dial(&service, &id, address).await;
-        self.pool.borrow_mut().dialing -= 1;
-        match result {
-            Ok(line) => {
-                self.reached();
-                self.pool.borrow_mut().refusals = 0;
-                self.give_back(Pooled {
-                    line,
-                    values: BTreeMap::new(),
-                    prepared: HashSet::new(),
-                    since: Instant::now(),
-                });
-                self.dial_if_needed();
-            }
-            Err(error) => {
-                self.pool.borrow_mut().open -= 1;
-                self.dial_failed(&error).await;
+        if let Path::Through(peers) = self.path() {
+            for peer in peers {
+                match self.dialer.dial(&service, &id, peer.address).await {
+                    Ok(line) => return Ok(Pooled::new(line, false)),
+                    Err(error) => {
+                        event!(
+                            Event::RelayFailed, server = id.as_str(), node = peer.name.as_str();
+                            "no statements go through this node for a while: {error}"
+                        );
+                        self.fleet.avoid(&peer.name);
+                    }
+                }
             }
         }
+        self.counters.dials.add(1);
+        let line = self.dialer.dial(&service, &id, address).await?;
+        Ok(Pooled::new(line, true))
     }
 
     async fn dial_failed(&self, error: &LineError) {
@@ -342,7 +420,38 @@
             pool.dialing += 1;
         }
         if let Some(me) = self.me.upgrade() {
-            me.dial().await;
+            me.clone().dial().await;
+            me.confirm().await;
+        }
+    }
+
+    /// Asks the server for a reply where a connection alone does not show that it is reached.
+    async fn confirm(&self) {
+        if self.health.get().failing.is_none() {
+            return;
+        }
+        let Some(mut pooled) = self.take_idle(&BTreeMap::new()) else {
+            return;
+        };
+        // Without a transaction this is refused, with the end of the server's log.
+        pooled.line.push(&Step::Rollback);
+        let replies = pooled.line.outstanding();
+        let mut leased = self.lease(pooled);
+        let Some(pooled) = leased.pooled() else {
+            return;
+        };
+        let exchange = async {
+            pooled.line.flush().await?;
+            for _ in 1..replies {
+                pooled.line.next().await?;
+            }
+            pooled.line.next().await
+        };
+        if let Ok(Ok(reply)) = timeout(CONFIRM, exchange).await {
+            if reply.point.is_some() {
+                self.reached();
+            }
+            leased.keep();
         }
     }
 
@@ -372,22 +481,22 @@
 
     fn give_back(&self, mut pooled: Pooled<D::Line>) {
         pooled.since = Instant::now();
-        let mut pooled = Some(pooled);
-        let mut pool = self.pool.borrow_mut();
         if self.gone.get() {
-            pool.open -= 1;
+            self.pool.borrow_mut().open -= 1;
             return;
         }
-        while let Some(waiter) = pool.waiters.pop_front() {
-            let Some(conn) = pooled.take() else { break };
-            match waiter.grant.send(Ok(conn)) {
-                Ok(()) => return,
-                Err(Ok(conn)) => pooled = Some(conn),
-                Err(Err(_)) => {}
+        let mut leased = self.lease(pooled);
+        loop {
+            let waiter = self.pool.borrow_mut().waiters.pop_front();
+            let Some(waiter) = waiter else { break };
+            // A waiter that gives up at this moment drops the lease, which closes the connection.
+            match waiter.grant.send(Ok(leased)) {
+                Err(Ok(unused)) => leased = unused,
+                _ => return,
             }
         }
-        if let Some(conn) = pooled {
-            pool.idle.push(conn);
+        if let Some(pooled) = leased.pooled.take() {
+            self.pool.borrow_mut().idle.push(pooled);
         }
     }
 
@@ -398,12 +507,18 @@
 
     /// Closes connections that were idle for long or that the server closed, and keeps one open.
     pub fn sweep(&self) {
+        let direct = self.is_holder();
         let mut pool = self.pool.borrow_mut();
         let before = pool.idle.len();
         let mut kept = 0;
         pool.idle.retain_mut(|pooled| {
-            let fresh = kept == 0 || pooled.since.elapsed() < SPARE_IDLE;
-            let keep = pooled.line.is_open() && fresh;
+            let limit = if pooled.direct {
+                SPARE_IDLE
+            } else {
+                RELAY_IDLE
+            };
+            let fresh = kept == 0 || pooled.since.elapsed() < limit;
+            let keep = pooled.direct == direct && fresh && pooled.line.is_open();
             kept += usize::from(keep);
             keep
         });
@@ -416,7 +531,7 @@
     }
 }
 
-fn fail<L>(pool: &mut Pool<L>, error: AcquireError) {
+fn fail<D: Dialer>(pool: &mut Pool<D>, error: AcquireError) {
     for waiter in pool.waiters.drain(..) {
         // The waiter may have given up; then nobody needs the answer.
         let _ = waiter.grant.send(Err(error));
@@ -441,9 +556,27 @@
         self.target.as_ref()
     }
 
+    /// Whether the connection leads to the server itself.
+    pub fn is_direct(&self) -> bool {
+        self.pooled.as_ref().is_some_and(|pooled| pooled.direct)
+    }
+
     /// Returns the connection to the pool: no transaction is open on it.
     pub fn keep(mut self) {
-        self.reusable = true;
+        let relayed = self.pooled.as_mut().filter(|pooled| !pooled.direct);
+        let Some(pooled) = relayed.filter(|pooled| pooled.is_set_up()) else {
+            self.reusable = true;
+            return;
+        };
+        // The node that passes statements on keeps its connection as long as anything is set up.
+        pooled.line.push(&Step::Reset);
+        pooled.values.clear();
+        pooled.prepared.clear();
+        spawn_local(async move {
+            if let Some(pooled) = self.pooled.as_mut() {
+                self.reusable = pooled.line.flush().await.is_ok();
+            }
+        });
     }
 }
 
--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -145,6 +145,12 @@
     LeaderChanged = 2112, Info, "leader_changed",
         "The node takes another server for the primary of a service.",
         "Nothing.";
+    RelayRefused = 2113, Info, "relay_refused",
+        "Another node passed a statement on for a server whose connections this node does not hold.",
+        "Nothing; the nodes agree again within seconds. If it lasts, compare their lists of nodes.";
+    RelayFailed = 2114, Info, "relay_failed",
+        "The node that holds a server's connections could not be reached; another one is used.",
+        "Look for events 1001 and 1002 of that node.";
     FailoverStarted = 2120, Warn, "failover_started",
         "The node holds the duty to replace a primary; the line states the reason and the fencing token.",
         "Follow the token to events 2121 and 2122.";
