--- a/crates/siskinhook-gateway/src/fleet.rs
+++ b/crates/siskinhook-gateway/src/fleet.rs
@@ -23,7 +23,7 @@
 /// statement at the same time, and one for control.
 const PER_NODE: usize = 3;
 /// Time for which a holder that could not be reached is not tried again.
-const AVOID: Duration = Duration::from_secs(2);
+const AVOID: Duration = Duration::from_secs(4);
 
 /// A node that passes statements on.
 #[derive(Clone, Debug, PartialEq, Eq)]
