--- a/crates/siskinhook-gateway/src/fleet.rs
+++ b/crates/siskinhook-gateway/src/fleet.rs
@@ -21,7 +21,7 @@
 const PER_HOLDER: usize = 6;
 /// Connections for each node from which on every node holds its own: a transaction and a
 /// statement at the same time, and one for control.
-const PER_NODE: usize = 3;
+const PER_NODE: usize = 5;
 /// Time for which a holder that could not be reached is not tried again.
 const AVOID: Duration = Duration::from_secs(4);
 
