Count replicas that left until the primary was heard after them

Change: a replica that left, or the start of the process, counts as missing until the primary proved its position after it; that position is then the least that a successor must hold. The answer of the primary that is replaced is waited for only where it is needed. Ruled out: a late order; the trace shows one order, on a node that had restarted. The new tests fail without the change.

--- a/crates/siskinhook-gateway/src/failover.rs
+++ b/crates/siskinhook-gateway/src/failover.rs
@@ -45,7 +45,7 @@
 /// counted from the last possible act, and calls may be under way.
 const TAKEOVER: Duration = Duration::from_millis(4500);
 /// Longest wait for one server's answer to an order.
-const ORDER_LIMIT: Duration = Duration::from_millis(700);
+const ORDER_LIMIT: Duration = Duration::from_millis(1000);
 /// Pause before a failed step is tried again.
 const RETRY: Duration = Duration::from_millis(150);
 /// Longest such pause.
@@ -339,6 +339,7 @@
         let term = self.group.term.get() + 1;
         let targets: Vec<Rc<Target<D>>> = self.group.targets.borrow().values().cloned().collect();
         let deadline = Instant::now() + ORDER_LIMIT;
+        let count = targets.len();
         let mut asked = Vec::new();
         for target in targets {
             let id = target.instance.borrow().id.clone();
@@ -350,22 +351,26 @@
             });
             asked.push((id, draining, task));
         }
+        // A primary that does not answer would cost the whole limit; mostly its word is not needed.
+        asked.sort_by_key(|(id, ..)| Some(id) == leader);
+        let departed = self.group.departed();
+        let sync = self.group.sync.get();
         let mut stopped = Vec::new();
-        for (server, draining, task) in asked {
+        let mut chosen = None;
+        for (server, draining, mut task) in asked {
+            if chosen.is_some() {
+                task.abort();
+                stopped.push((server, draining, None));
+                continue;
+            }
             // A task that ended without an answer counts as a server without an answer.
-            stopped.push((server, draining, task.await.ok().flatten()));
+            let answer = (&mut task).await.ok().flatten();
+            stopped.push((server, draining, answer));
+            if stopped.len() + 1 >= count {
+                chosen = choose_successor(&reports(&stopped, leader, count), sync, departed);
+            }
         }
-        let former = former_primary(&stopped, leader);
-        let reports: Vec<Report> = stopped
-            .into_iter()
-            .map(|(server, draining, stopped)| Report {
-                former: Some(&server) == former.as_ref(),
-                server,
-                draining,
-                status: stopped.map(|stopped| stopped.status),
-            })
-            .collect();
-        let chosen = choose_successor(&reports, self.group.sync.get());
+        let reports = reports(&stopped, leader, count);
         for report in &reports {
             let (end, held) = report
                 .status
@@ -374,6 +379,7 @@
                 Event::FailoverOrdered,
                 service = self.group.service.as_str(), server = report.server.as_str(),
                 former = report.former, draining = report.draining, held = held, term = term,
+                departed = departed.missing,
                 chosen = (chosen.as_ref() == Some(&report.server));
                 "the server's log ends at {end:?}"
             );
@@ -468,6 +474,34 @@
     found.map(|(_, server)| server).or_else(|| leader.cloned())
 }
 
+/// Returns what is known of each server. Without the answer of the server held to lead, `count`
+/// servers are still counted.
+fn reports(
+    stopped: &[(ServerId, bool, Option<Stopped>)],
+    leader: Option<&ServerId>,
+    count: usize,
+) -> Vec<Report> {
+    let former = former_primary(stopped, leader);
+    let mut reports: Vec<Report> = stopped
+        .iter()
+        .map(|(server, draining, stopped)| Report {
+            former: Some(server) == former.as_ref(),
+            server: server.clone(),
+            draining: *draining,
+            status: stopped.as_ref().map(|stopped| stopped.status),
+        })
+        .collect();
+    if let Some(leader) = leader.filter(|_| reports.len() < count) {
+        reports.push(Report {
+            former: Some(leader) == former.as_ref(),
+            server: leader.clone(),
+            draining: false,
+            status: None,
+        });
+    }
+    reports
+}
+
 /// Stops one server from receiving or leading, under a term above the newest one that it knows.
 async fn stop_server<D: Dialer>(
     gateway: &Gateway<D>,
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -12,8 +12,8 @@
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
-    BootInstant, Counters, Dialer, Instance, Service, Watermark, Watermarks, fleet::Fleet,
-    target::Target,
+    BootInstant, Counters, Departed, Dialer, Instance, Service, Watermark, Watermarks,
+    departures::Departures, fleet::Fleet, target::Target,
 };
 
 /// Factor on the expected time of a server in another zone: traffic between zones is metered.
@@ -30,10 +30,13 @@
     pub service: ServiceId,
     pub(crate) targets: RefCell<IndexMap<ServerId, Rc<Target<D>>>>,
     pub(crate) marks: RefCell<Watermarks>,
+    departures: RefCell<Departures>,
     /// Server held to be the primary.
     leader: RefCell<Option<ServerId>>,
     /// Highest term seen.
     pub(crate) term: Cell<Term>,
+    /// Highest term in which a server proved that it leads.
+    proved: Cell<Term>,
     pub(crate) sync: Cell<usize>,
     cap: Cell<usize>,
     /// Writes without an answer since the last one that was answered.
@@ -59,12 +62,16 @@
         fleet: Rc<Fleet>,
         counters: Rc<Counters>,
     ) -> Self {
+        let mut departures = Departures::default();
+        departures.add(BootInstant::now());
         Self {
             service,
             targets: RefCell::default(),
             marks: RefCell::default(),
+            departures: RefCell::new(departures),
             leader: RefCell::default(),
             term: Cell::default(),
+            proved: Cell::default(),
             sync: Cell::new(settings.sync),
             cap: Cell::new(settings.connections),
             stuck: Cell::default(),
@@ -146,7 +153,9 @@
                 "the server is gone"
             );
         }
-        if self.leader.borrow().as_ref() == Some(id) {
+        if self.leader.borrow().as_ref() != Some(id) {
+            self.departures.borrow_mut().add(BootInstant::now());
+        } else {
             self.set_leader(None, "it is gone");
             self.leaderless.set(Some(Instant::now()));
         }
@@ -194,6 +203,11 @@
 
     /// Takes in the proof that a server led at a time.
     pub(crate) fn proved(&self, target: &Target<D>, at: BootInstant, point: LogPoint) {
+        let known = self.proved.replace(self.proved.get().max(point.term));
+        // The first proof of this process says nothing about who led before.
+        if known > 0 && point.term > known {
+            self.departures.borrow_mut().clear();
+        }
         self.observed(point);
         if point.term >= self.term.get() {
             let id = target.instance.borrow().id.clone();
@@ -201,7 +215,14 @@
             target.denied.set(None);
             self.set_leader(Some(id), "it opened a transaction that may write");
         }
-        self.marks.borrow_mut().add(Watermark { at, point });
+        let mark = Watermark { at, point };
+        self.marks.borrow_mut().add(mark);
+        self.departures.borrow_mut().proved(mark);
+    }
+
+    /// Returns what replicas that left mean for the choice of a successor.
+    pub(crate) fn departed(&self) -> Departed {
+        self.departures.borrow_mut().at(BootInstant::now())
     }
 
     /// Takes in that a server was ordered to lead.
--- a/crates/siskinhook-gateway/src/successor.rs
+++ b/crates/siskinhook-gateway/src/successor.rs
@@ -17,21 +17,32 @@
     pub status: Option<GroupStatus>,
 }
 
+/// What is left of replicas that are gone, with their logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Departed {
+    /// Replicas that may have received commits which only the former primary holds besides.
+    pub missing: usize,
+    /// A position that covers all commits of the other replicas that are gone.
+    pub floor: Option<LogPoint>,
+}
+
 /// Chooses a server whose log holds every acknowledged commit, or `None` when none is certain to.
 ///
 /// A commit is acknowledged once `sync` replicas received it. When fewer than `sync` replicas
 /// are missing, the reports include one that received it; and no further commit can be
 /// acknowledged, since the reporting replicas receive nothing any more. Otherwise only the former
 /// primary's own log tells how far the acknowledged commits can reach, once it stopped leading.
+/// A replica that left counts as missing: a primary that is cut off together with a leaving
+/// replica goes on acknowledging commits that nobody else holds.
 #[must_use]
-pub fn choose_successor(reports: &[Report], sync: usize) -> Option<ServerId> {
+pub fn choose_successor(reports: &[Report], sync: usize, departed: Departed) -> Option<ServerId> {
     let heard = |report: &&Report| report.status.is_some();
     let end = |report: &Report| report.status.map_or(LogPoint::default(), |s| s.received);
-    let missing = reports
+    let silent = reports
         .iter()
         .filter(|r| !r.former && r.status.is_none())
         .count();
-    let needed = if missing < sync.max(1) {
+    let needed = if silent + departed.missing < sync.max(1) {
         reports
             .iter()
             .filter(|r| !r.former)
@@ -41,6 +52,7 @@
     } else {
         end(reports.iter().filter(|r| r.former).find(heard)?)
     };
+    let needed = needed.max(departed.floor.unwrap_or_default());
     reports
         .iter()
         .filter(heard)
--- a/crates/siskinhook-gateway/src/target.rs
+++ b/crates/siskinhook-gateway/src/target.rs
@@ -572,11 +572,18 @@
         pooled.line.push(&Step::Reset);
         pooled.values.clear();
         pooled.prepared.clear();
-        spawn_local(async move {
-            if let Some(pooled) = self.pooled.as_mut() {
-                self.reusable = pooled.line.flush().await.is_ok();
-            }
-        });
+        spawn_local(self.flush_and_keep());
+    }
+}
+
+impl<D: Dialer> Leased<D> {
+    /// Sends what is queued and returns the connection to the pool if that works.
+    async fn flush_and_keep(mut self) {
+        let Some(pooled) = self.pooled.as_mut() else {
+            return;
+        };
+        let sent = pooled.line.flush().await.is_ok();
+        self.reusable = sent;
     }
 }
 
--- a/crates/siskinhook-gateway/tests/failover.rs
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -166,6 +166,7 @@
                     world[1].role = Role::Primary;
                     world[1].term = 2;
                     world[1].position = 50;
+                    world[1].received = 50;
                     world[2].term = 2;
                 }
                 write_for(std::slice::from_ref(&old), 30).await;
@@ -219,3 +220,31 @@
             .await;
     }
 }
+
+/// Guards against the same loss as the test of departures, over the whole course.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_promoted_after_a_replica_left_behind_a_cut() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                let nodes = [site.start("n1"), site.start("n2")];
+                write_for(&nodes, 3).await;
+                for lost in [0, 1] {
+                    site.world.borrow_mut()[lost].reachable = false;
+                }
+                write_for(&nodes, 20).await;
+                for gateway in &nodes {
+                    gateway.forget(&"s1".into());
+                }
+                write_for(&nodes, 30).await;
+                assert_eq!(*site.orders.seen.borrow(), []);
+                site.world.borrow_mut()[0].reachable = true;
+                write_for(&nodes, 30).await;
+                assert_eq!(site.primaries().len(), 1);
+                let mut session = Session::open(&nodes[0], "strong").expect("the route is known");
+                assert!(ask(&mut session, "WRITE 1 a").await.result.is_ok());
+            })
+            .await;
+    }
+}
