Split failover and connections of the gateway into modules

Mechanical: the duty's row, the stopping of servers and leased connections have files of their own; one function sends a control request.

--- a/crates/siskinhook-gateway/src/attempt.rs
+++ b/crates/siskinhook-gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use crate::{
     BootInstant, Dialer, Line, LineError, Shape, Step, StepReply, TargetCode, TransactionState,
     group::Group,
-    target::{Leased, Pooled},
+    pool::{Leased, Pooled},
 };
 
 /// Statements prepared on one connection before it is reset; bounds the servers' memory.
--- a/crates/siskinhook-gateway/src/failover.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -6,22 +6,21 @@
 //! by any other means than a promotion: until one is carried out no commit can be acknowledged,
 //! so an earlier order that is still under way loses nothing.
 
+mod duty;
+mod stop;
+
 use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use serde::{Deserialize, Serialize};
+use duty::Permit;
 use siskinhook_telemetry::{Event, event};
-use siskinhook_types::{
-    Batch, CommitOutcome, Condition, NodeId, Platform, Role, RowWrite, ServerId, ServiceId, Term,
-};
-use smol_str::{SmolStr, format_smolstr};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use siskinhook_types::{NodeId, Platform, ServerId, ServiceId};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
-    BootInstant, Dialer, Gateway, GroupStatus, Line, Report, Step,
+    BootInstant, Dialer, Gateway,
     attempt::{self, AttemptError, Gate, Work},
-    choose_successor,
     group::Group,
-    target::Target,
+    pool::{FIRST, Target},
 };
 
 /// Time without contact after which a primary is taken for dead, if several attempts to connect
@@ -39,13 +38,6 @@
 const CALM: Duration = Duration::from_secs(2);
 /// Largest random delay before a node takes the duty, so that nodes seldom compete.
 const SPREAD: Duration = Duration::from_millis(80);
-/// A holder acts at most this long after it wrote the duty's row.
-const ACT_WITHIN: Duration = Duration::from_millis(1200);
-/// The duty passes on when its row is this old: two holders may not act within three seconds,
-/// counted from the last possible act, and calls may be under way.
-const TAKEOVER: Duration = Duration::from_millis(4500);
-/// Longest wait for one server's answer to an order.
-const ORDER_LIMIT: Duration = Duration::from_millis(1000);
 /// Longest wait for a sign of life before servers are stopped.
 const REACH_LIMIT: Duration = Duration::from_millis(300);
 /// Pause before a failed step is tried again.
@@ -56,8 +48,6 @@
 const ATTEMPTS: u32 = 6;
 /// Time without any server that leads after which one is promoted.
 const LEADERLESS: Duration = Duration::from_millis(1500);
-/// Priority of control statements: before all callers.
-const FIRST: u8 = 0;
 
 /// What became of an order to lead.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,42 +74,6 @@
     ) -> impl Future<Output = OrderOutcome>;
 }
 
-/// The row that says who replaces a primary.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-struct Duty {
-    holder: SmolStr,
-    /// Which process of the holder: a restarted one knows nothing of orders under way.
-    #[serde(default)]
-    process: u64,
-    token: u64,
-    /// The table service's clock when the row was written, in milliseconds.
-    #[serde(default)]
-    written: u64,
-}
-
-/// The duty's row as read.
-struct Held {
-    version: u64,
-    duty: Duty,
-    /// The table service's clock.
-    now: u64,
-}
-
-impl Held {
-    /// Whether a process may take the duty over: it is its own, or too old for its holder to act.
-    fn is_free_for(&self, process: u64) -> bool {
-        let age = Duration::from_millis(self.now.saturating_sub(self.duty.written));
-        self.duty.token == 0 || self.duty.process == process || age >= TAKEOVER
-    }
-}
-
-/// Permission to act, until its row could pass on.
-#[derive(Clone, Copy)]
-struct Permit {
-    token: u64,
-    until: BootInstant,
-}
-
 /// Watches a group and replaces its primary when needed, until dropped.
 pub async fn watch_group<D: Dialer, P: Platform, O: Orders>(
     gateway: Rc<Gateway<D>>,
@@ -205,10 +159,6 @@
         (self.group.stuck.get() >= STUCK_WRITES).then_some("writes get no answer")
     }
 
-    fn key(&self) -> SmolStr {
-        format_smolstr!("failover/{}", self.group.service)
-    }
-
     /// Takes the duty and replaces the primary.
     async fn replace(&self, reason: &'static str) {
         sleep(self.gateway.jitter(SPREAD)).await;
@@ -292,141 +242,6 @@
         self.pause.set(Instant::now() + self.gateway.jitter(pause));
     }
 
-    /// Becomes the only node that may replace the primary, unless another one holds the duty.
-    async fn take_duty(&self) -> Option<Permit> {
-        let held = self.read_duty().await?;
-        if held.is_free_for(self.gateway.process) {
-            return self.claim(&held, held.duty.token + 1).await;
-        }
-        None
-    }
-
-    async fn read_duty(&self) -> Option<Held> {
-        let (row, now) = match self.platform.get_at(&self.key()).await {
-            Ok(found) => found,
-            Err(error) => {
-                self.failed(&error.to_string());
-                return None;
-            }
-        };
-        let now = now.unwrap_or_default();
-        let Some(row) = row else {
-            let duty = Duty::default();
-            return Some(Held {
-                version: 0,
-                duty,
-                now,
-            });
-        };
-        match serde_json::from_value(row.value) {
-            Ok(duty) => {
-                let version = row.version;
-                Some(Held { version, duty, now })
-            }
-            Err(error) => {
-                self.failed(&format!("the duty's row cannot be read: {error}"));
-                None
-            }
-        }
-    }
-
-    /// Writes the duty's row if it is unchanged.
-    async fn claim(&self, held: &Held, token: u64) -> Option<Permit> {
-        let until = BootInstant::now().after(ACT_WITHIN);
-        let duty = Duty {
-            holder: self.gateway.node.clone(),
-            process: self.gateway.process,
-            token,
-            written: held.now,
-        };
-        let value = serde_json::to_value(&duty).ok()?;
-        let key = self.key();
-        let batch = Batch {
-            conditions: vec![Condition {
-                key: key.clone(),
-                version: held.version,
-            }],
-            writes: vec![RowWrite {
-                key,
-                value: Some(value),
-            }],
-        };
-        match self.platform.commit(batch).await {
-            Ok(CommitOutcome::Applied) => Some(Permit { token, until }),
-            Ok(CommitOutcome::Conflict { .. }) => None,
-            Err(error) => {
-                // After a lost answer the row may be ours: the next attempt reads it and takes a
-                // higher token.
-                self.failed(&error.to_string());
-                None
-            }
-        }
-    }
-
-    /// Takes a higher token while the duty is still held.
-    async fn renew(&self, permit: Permit) -> Option<Permit> {
-        let held = self.read_duty().await?;
-        let own = held.duty.process == self.gateway.process && held.duty.token == permit.token;
-        if !own {
-            return None;
-        }
-        self.claim(&held, permit.token + 1).await
-    }
-
-    /// Stops replicas from receiving and the primary from leading, and chooses a successor from
-    /// their answers.
-    async fn stop_servers(&self, leader: Option<&ServerId>) -> Option<ServerId> {
-        let term = self.group.term.get() + 1;
-        let targets: Vec<Rc<Target<D>>> = self.group.targets.borrow().values().cloned().collect();
-        let deadline = Instant::now() + ORDER_LIMIT;
-        let count = targets.len();
-        let mut asked = Vec::new();
-        for target in targets {
-            let id = target.instance.borrow().id.clone();
-            let draining = target.is_draining();
-            let group = self.group.clone();
-            let gateway = self.gateway.clone();
-            let task = tokio::task::spawn_local(async move {
-                stop_server(&gateway, &group, &target, term, deadline).await
-            });
-            asked.push((id, draining, task));
-        }
-        // A primary that does not answer would cost the whole limit; mostly its word is not needed.
-        asked.sort_by_key(|(id, ..)| Some(id) == leader);
-        let departed = self.group.departed();
-        let sync = self.group.sync.get();
-        let mut stopped = Vec::new();
-        let mut chosen = None;
-        for (server, draining, mut task) in asked {
-            if chosen.is_some() {
-                task.abort();
-                stopped.push((server, draining, None));
-                continue;
-            }
-            // A task that ended without an answer counts as a server without an answer.
-            let answer = (&mut task).await.ok().flatten();
-            stopped.push((server, draining, answer));
-            if stopped.len() + 1 >= count {
-                chosen = choose_successor(&reports(&stopped, leader, count), sync, departed);
-            }
-        }
-        let reports = reports(&stopped, leader, count);
-        for report in &reports {
-            let (end, held) = report
-                .status
-                .map_or((None, 0), |status| (Some(status.received), status.held));
-            event!(
-                Event::FailoverOrdered,
-                service = self.group.service.as_str(), server = report.server.as_str(),
-                former = report.former, draining = report.draining, held = held, term = term,
-                departed = departed.missing,
-                chosen = (chosen.as_ref() == Some(&report.server));
-                "the server's log ends at {end:?}"
-            );
-        }
-        chosen
-    }
-
     /// Orders the server to lead until an order is answered; returns whether it was accepted.
     async fn order(&self, server: &ServerId, first: Permit) -> bool {
         let mut permit = first;
@@ -492,117 +307,3 @@
         }
     }
 }
-
-/// A server that was stopped.
-struct Stopped {
-    status: GroupStatus,
-    /// The term in which it led until then; `None` for a replica.
-    led: Option<Term>,
-}
-
-/// Returns the primary that is replaced: the server that led in the highest term, or the one
-/// held to lead when none of those that answered did.
-fn former_primary(
-    stopped: &[(ServerId, bool, Option<Stopped>)],
-    leader: Option<&ServerId>,
-) -> Option<ServerId> {
-    let led = |(server, _, stopped): &(ServerId, bool, Option<Stopped>)| {
-        let term = stopped.as_ref()?.led?;
-        Some((term, server.clone()))
-    };
-    let found = stopped.iter().filter_map(led).max();
-    found.map(|(_, server)| server).or_else(|| leader.cloned())
-}
-
-/// Returns what is known of each server. Without the answer of the server held to lead, `count`
-/// servers are still counted.
-fn reports(
-    stopped: &[(ServerId, bool, Option<Stopped>)],
-    leader: Option<&ServerId>,
-    count: usize,
-) -> Vec<Report> {
-    let former = former_primary(stopped, leader);
-    let mut reports: Vec<Report> = stopped
-        .iter()
-        .map(|(server, draining, stopped)| Report {
-            former: Some(server) == former.as_ref(),
-            server: server.clone(),
-            draining: *draining,
-            status: stopped.as_ref().map(|stopped| stopped.status),
-        })
-        .collect();
-    if let Some(leader) = leader.filter(|_| reports.len() < count) {
-        reports.push(Report {
-            former: Some(leader) == former.as_ref(),
-            server: leader.clone(),
-            draining: false,
-            status: None,
-        });
-    }
-    reports
-}
-
-/// Stops one server from receiving or leading, under a term above the newest one that it knows.
-async fn stop_server<D: Dialer>(
-    gateway: &Gateway<D>,
-    group: &Group<D>,
-    target: &Target<D>,
-    first: Term,
-    deadline: Instant,
-) -> Option<Stopped> {
-    let mut term = first;
-    let mut led = None;
-    while Instant::now() < deadline {
-        let step = match led {
-            Some(_) => Step::Demote(term),
-            None => Step::Pause(term),
-        };
-        let Some(status) = control(gateway, group, target, &step, deadline).await else {
-            term = term.max(group.term.get() + 1);
-            sleep(PROBE / 4).await;
-            continue;
-        };
-        group.term.set(group.term.get().max(status.term));
-        let newer = term > status.term;
-        match status.role {
-            // A pause has no effect on a primary; neither has a term that is too low.
-            Role::Primary => led = Some(status.term),
-            Role::Replica if led.is_some() || (newer && status.held >= term) => {
-                return Some(Stopped { status, led });
-            }
-            Role::Replica => {}
-        }
-        term = term.max(status.term + 1).max(group.term.get() + 1);
-    }
-    None
-}
-
-/// Sends one control command and returns the state that the server reports.
-async fn control<D: Dialer>(
-    gateway: &Gateway<D>,
-    group: &Group<D>,
-    target: &Target<D>,
-    step: &Step<'_>,
-    deadline: Instant,
-) -> Option<GroupStatus> {
-    let mut leased = target
-        .acquire(&BTreeMap::new(), FIRST, deadline)
-        .await
-        .ok()?;
-    let pooled = leased.pooled()?;
-    pooled.line.push(step);
-    let replies = pooled.line.outstanding();
-    let exchange = async {
-        pooled.line.flush().await?;
-        for _ in 1..replies {
-            pooled.line.next().await?;
-        }
-        pooled.line.next().await
-    };
-    let reply = timeout_at(deadline, exchange).await.ok()?.ok()?;
-    leased.keep();
-    if let Some(point) = reply.point {
-        group.observed(point);
-    }
-    gateway.dialer.status(&reply)
-}
--- /dev/null
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -0,0 +1,172 @@
+//! Stopping the servers of a group before one of them is promoted.
+
+use std::{rc::Rc, time::Duration};
+
+use siskinhook_telemetry::{Event, event};
+use siskinhook_types::{Platform, Role, ServerId, Term};
+use tokio::time::{Instant, sleep};
+
+use super::{Controller, Orders};
+use crate::{
+    Dialer, Gateway, GroupStatus, Report, Step, choose_successor, group::Group, pool::Target,
+};
+
+/// Longest wait for one server's answer to an order.
+const ORDER_LIMIT: Duration = Duration::from_secs(1);
+/// Pause before a server that refused is asked again.
+const TERM_RETRY: Duration = Duration::from_millis(25);
+
+impl<D: Dialer, P: Platform, O: Orders> Controller<D, P, O> {
+    /// Stops replicas from receiving and the primary from leading, and chooses a successor from
+    /// their answers.
+    pub(super) async fn stop_servers(&self, leader: Option<&ServerId>) -> Option<ServerId> {
+        let term = self.group.term.get() + 1;
+        let targets: Vec<Rc<Target<D>>> = self.group.targets.borrow().values().cloned().collect();
+        let deadline = Instant::now() + ORDER_LIMIT;
+        let count = targets.len();
+        let mut asked = Vec::new();
+        for target in targets {
+            let id = target.instance.borrow().id.clone();
+            let draining = target.is_draining();
+            let group = self.group.clone();
+            let gateway = self.gateway.clone();
+            let task = tokio::task::spawn_local(async move {
+                stop_server(&gateway, &group, &target, term, deadline).await
+            });
+            asked.push((id, draining, task));
+        }
+        // A primary that does not answer would cost the whole limit; mostly its word is not needed.
+        asked.sort_by_key(|(id, ..)| Some(id) == leader);
+        let departed = self.group.departed();
+        let sync = self.group.sync.get();
+        let mut stopped = Vec::new();
+        let mut chosen = None;
+        for (server, draining, mut task) in asked {
+            if chosen.is_some() {
+                task.abort();
+                stopped.push((server, draining, None));
+                continue;
+            }
+            // A task that ended without an answer counts as a server without an answer.
+            let answer = (&mut task).await.ok().flatten();
+            stopped.push((server, draining, answer));
+            if stopped.len() + 1 >= count {
+                chosen = choose_successor(&reports(&stopped, leader, count), sync, departed);
+            }
+        }
+        let reports = reports(&stopped, leader, count);
+        for report in &reports {
+            let (end, held) = report
+                .status
+                .map_or((None, 0), |status| (Some(status.received), status.held));
+            event!(
+                Event::FailoverOrdered,
+                service = self.group.service.as_str(), server = report.server.as_str(),
+                former = report.former, draining = report.draining, held = held, term = term,
+                departed = departed.missing,
+                chosen = (chosen.as_ref() == Some(&report.server));
+                "the server's log ends at {end:?}"
+            );
+        }
+        chosen
+    }
+}
+
+/// A server that was stopped.
+struct Stopped {
+    status: GroupStatus,
+    /// The term in which it led until then; `None` for a replica.
+    led: Option<Term>,
+}
+
+/// Returns the primary that is replaced: the server that led in the highest term, or the one
+/// held to lead when none of those that answered did.
+fn former_primary(
+    stopped: &[(ServerId, bool, Option<Stopped>)],
+    leader: Option<&ServerId>,
+) -> Option<ServerId> {
+    let led = |(server, _, stopped): &(ServerId, bool, Option<Stopped>)| {
+        let term = stopped.as_ref()?.led?;
+        Some((term, server.clone()))
+    };
+    let found = stopped.iter().filter_map(led).max();
+    found.map(|(_, server)| server).or_else(|| leader.cloned())
+}
+
+/// Returns what is known of each server. Without the answer of the server held to lead, `count`
+/// servers are still counted.
+fn reports(
+    stopped: &[(ServerId, bool, Option<Stopped>)],
+    leader: Option<&ServerId>,
+    count: usize,
+) -> Vec<Report> {
+    let former = former_primary(stopped, leader);
+    let mut reports: Vec<Report> = stopped
+        .iter()
+        .map(|(server, draining, stopped)| Report {
+            former: Some(server) == former.as_ref(),
+            server: server.clone(),
+            draining: *draining,
+            status: stopped.as_ref().map(|stopped| stopped.status),
+        })
+        .collect();
+    if let Some(leader) = leader.filter(|_| reports.len() < count) {
+        reports.push(Report {
+            former: Some(leader) == former.as_ref(),
+            server: leader.clone(),
+            draining: false,
+            status: None,
+        });
+    }
+    reports
+}
+
+/// Stops one server from receiving or leading, under a term above the newest one that it knows.
+async fn stop_server<D: Dialer>(
+    gateway: &Gateway<D>,
+    group: &Group<D>,
+    target: &Target<D>,
+    first: Term,
+    deadline: Instant,
+) -> Option<Stopped> {
+    let mut term = first;
+    let mut led = None;
+    while Instant::now() < deadline {
+        let step = match led {
+            Some(_) => Step::Demote(term),
+            None => Step::Pause(term),
+        };
+        let Some(status) = control(gateway, group, target, &step, deadline).await else {
+            term = term.max(group.term.get() + 1);
+            sleep(TERM_RETRY).await;
+            continue;
+        };
+        group.term.set(group.term.get().max(status.term));
+        let newer = term > status.term;
+        match status.role {
+            // A pause has no effect on a primary; neither has a term that is too low.
+            Role::Primary => led = Some(status.term),
+            Role::Replica if led.is_some() || (newer && status.held >= term) => {
+                return Some(Stopped { status, led });
+            }
+            Role::Replica => {}
+        }
+        term = term.max(status.term + 1).max(group.term.get() + 1);
+    }
+    None
+}
+
+/// Sends one control command and returns the state that the server reports.
+async fn control<D: Dialer>(
+    gateway: &Gateway<D>,
+    group: &Group<D>,
+    target: &Target<D>,
+    step: &Step<'_>,
+    deadline: Instant,
+) -> Option<GroupStatus> {
+    let reply = target.ask(step, deadline).await?;
+    if let Some(point) = reply.point {
+        group.observed(point);
+    }
+    gateway.dialer.status(&reply)
+}
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     BootInstant, Counters, Departed, Dialer, Instance, Service, Watermark, Watermarks,
-    departures::Departures, fleet::Fleet, target::Target,
+    departures::Departures, fleet::Fleet, pool::Target,
 };
 
 /// Factor on the expected time of a server in another zone: traffic between zones is metered.
@@ -153,11 +153,12 @@
                 "the server is gone"
             );
         }
-        if self.leader.borrow().as_ref() != Some(id) {
-            self.departures.borrow_mut().add(BootInstant::now());
-        } else {
+        let led = self.leader.borrow().as_ref() == Some(id);
+        if led {
             self.set_leader(None, "it is gone");
             self.leaderless.set(Some(Instant::now()));
+        } else {
+            self.departures.borrow_mut().add(BootInstant::now());
         }
         self.trouble.notify_one();
     }
--- a/crates/siskinhook-gateway/src/lib.rs
+++ b/crates/siskinhook-gateway/src/lib.rs
@@ -16,12 +16,12 @@
 mod group;
 mod line;
 mod model;
+mod pool;
 mod relay;
 mod request;
 mod session;
 mod statement;
 mod successor;
-mod target;
 
 pub use anchors::{Watermark, Watermarks};
 pub use clock::BootInstant;
--- /dev/null
+++ b/crates/siskinhook-gateway/src/pool/leased.rs
@@ -0,0 +1,103 @@
+//! Connections to a server, idle and in use.
+
+use std::{
+    collections::{BTreeMap, HashSet},
+    rc::Rc,
+};
+
+use smol_str::SmolStr;
+use tokio::{task::spawn_local, time::Instant};
+
+use super::Target;
+use crate::{Dialer, Line, Step};
+
+/// A connection with what was set up on it.
+pub struct Pooled<L> {
+    pub line: L,
+    /// Session values in force on the connection.
+    pub values: BTreeMap<SmolStr, SmolStr>,
+    /// Names of the statements prepared on it.
+    pub prepared: HashSet<SmolStr>,
+    /// Whether it leads to the server itself, not to a node that holds its connections.
+    pub(super) direct: bool,
+    /// When it became idle.
+    pub(super) since: Instant,
+}
+
+impl<L> Pooled<L> {
+    pub(super) fn new(line: L, direct: bool) -> Self {
+        Self {
+            line,
+            values: BTreeMap::new(),
+            prepared: HashSet::new(),
+            direct,
+            since: Instant::now(),
+        }
+    }
+
+    /// Whether anything was set up on it.
+    pub fn is_set_up(&self) -> bool {
+        !self.values.is_empty() || !self.prepared.is_empty()
+    }
+}
+
+/// A connection in use. Dropping it closes the connection unless `keep` was called.
+pub struct Leased<D: Dialer> {
+    pub(super) target: Option<Rc<Target<D>>>,
+    pub(super) pooled: Option<Pooled<D::Line>>,
+    pub(super) reusable: bool,
+}
+
+impl<D: Dialer> Leased<D> {
+    /// Returns the connection.
+    pub fn pooled(&mut self) -> Option<&mut Pooled<D::Line>> {
+        self.pooled.as_mut()
+    }
+
+    /// Returns the server.
+    pub fn target(&self) -> Option<&Rc<Target<D>>> {
+        self.target.as_ref()
+    }
+
+    /// Whether the connection leads to the server itself.
+    pub fn is_direct(&self) -> bool {
+        self.pooled.as_ref().is_some_and(|pooled| pooled.direct)
+    }
+
+    /// Returns the connection to the pool: no transaction is open on it.
+    pub fn keep(mut self) {
+        let relayed = self.pooled.as_mut().filter(|pooled| !pooled.direct);
+        let Some(pooled) = relayed.filter(|pooled| pooled.is_set_up()) else {
+            self.reusable = true;
+            return;
+        };
+        // The node that passes statements on keeps its connection as long as anything is set up.
+        pooled.line.push(&Step::Reset);
+        pooled.values.clear();
+        pooled.prepared.clear();
+        spawn_local(self.flush_and_keep());
+    }
+
+    /// Sends what is queued and returns the connection to the pool if that works.
+    async fn flush_and_keep(mut self) {
+        let Some(pooled) = self.pooled.as_mut() else {
+            return;
+        };
+        let sent = pooled.line.flush().await.is_ok();
+        self.reusable = sent;
+    }
+}
+
+impl<D: Dialer> Drop for Leased<D> {
+    fn drop(&mut self) {
+        let (Some(target), Some(pooled)) = (self.target.take(), self.pooled.take()) else {
+            return;
+        };
+        if self.reusable {
+            target.give_back(pooled);
+        } else {
+            drop(pooled);
+            target.closed();
+        }
+    }
+}
--- a/crates/siskinhook-gateway/src/target.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -1,12 +1,15 @@
 //! One server with the node's connections to it.
 
+mod leased;
+
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     rc::{Rc, Weak},
     time::Duration,
 };
 
+pub use leased::{Leased, Pooled};
 use siskinhook_telemetry::{Event, event};
 use smol_str::SmolStr;
 use tokio::{
@@ -16,7 +19,7 @@
 };
 
 use crate::{
-    Counters, Dialer, Instance, Line, LineError, Step, TargetCode,
+    Counters, Dialer, Instance, Line, LineError, Step, StepReply, TargetCode,
     fleet::{Fleet, Path},
 };
 
@@ -40,6 +43,8 @@
 const RELAY_IDLE: Duration = Duration::from_secs(10);
 /// Longest wait for the reply that shows that a server is reached.
 const CONFIRM: Duration = Duration::from_millis(150);
+/// Priority of control statements: before all callers.
+pub const FIRST: u8 = 0;
 /// Connections that idle longer than this are closed, but for one.
 const SPARE_IDLE: Duration = Duration::from_millis(400);
 /// Weight of a new measurement in the mean time of a statement.
@@ -47,36 +52,6 @@
 /// Assumed time of a statement before one was measured, in milliseconds.
 const FIRST_MEAN: f64 = 8.0;
 
-/// A connection with what was set up on it.
-pub struct Pooled<L> {
-    pub line: L,
-    /// Session values in force on the connection.
-    pub values: BTreeMap<SmolStr, SmolStr>,
-    /// Names of the statements prepared on it.
-    pub prepared: HashSet<SmolStr>,
-    /// Whether it leads to the server itself, not to a node that holds its connections.
-    direct: bool,
-    /// When it became idle.
-    since: Instant,
-}
-
-impl<L> Pooled<L> {
-    fn new(line: L, direct: bool) -> Self {
-        Self {
-            line,
-            values: BTreeMap::new(),
-            prepared: HashSet::new(),
-            direct,
-            since: Instant::now(),
-        }
-    }
-
-    /// Whether anything was set up on it.
-    pub fn is_set_up(&self) -> bool {
-        !self.values.is_empty() || !self.prepared.is_empty()
-    }
-}
-
 /// Why no connection could be had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AcquireError {
@@ -434,14 +409,16 @@
 
     /// Returns whether the server itself answers until the deadline.
     pub async fn replies(&self, deadline: Instant) -> bool {
-        let Ok(mut leased) = self.acquire(&BTreeMap::new(), 0, deadline).await else {
-            return false;
-        };
-        let Some(pooled) = leased.pooled() else {
-            return false;
-        };
         // Without a transaction this is refused, with the end of the server's log.
-        pooled.line.push(&Step::Rollback);
+        let reply = self.ask(&Step::Rollback, deadline).await;
+        reply.is_some_and(|reply| reply.point.is_some())
+    }
+
+    /// Sends one request before those of callers; `None` when there is no reply in time.
+    pub async fn ask(&self, step: &Step<'_>, deadline: Instant) -> Option<StepReply> {
+        let mut leased = self.acquire(&BTreeMap::new(), FIRST, deadline).await.ok()?;
+        let pooled = leased.pooled()?;
+        pooled.line.push(step);
         let replies = pooled.line.outstanding();
         let exchange = async {
             pooled.line.flush().await?;
@@ -450,11 +427,9 @@
             }
             pooled.line.next().await
         };
-        let Ok(Ok(reply)) = timeout_at(deadline, exchange).await else {
-            return false;
-        };
+        let reply = timeout_at(deadline, exchange).await.ok()?.ok()?;
         leased.keep();
-        reply.point.is_some()
+        Some(reply)
     }
 
     /// Records that the server answered.
@@ -481,7 +456,7 @@
         self.trouble.notify_one();
     }
 
-    fn give_back(&self, mut pooled: Pooled<D::Line>) {
+    pub(super) fn give_back(&self, mut pooled: Pooled<D::Line>) {
         pooled.since = Instant::now();
         if self.gone.get() {
             self.pool.borrow_mut().open -= 1;
@@ -502,7 +477,7 @@
         }
     }
 
-    fn closed(&self) {
+    pub(super) fn closed(&self) {
         self.pool.borrow_mut().open -= 1;
         self.dial_if_needed();
     }
@@ -539,66 +514,3 @@
         let _ = waiter.grant.send(Err(error));
     }
 }
-
-/// A connection in use. Dropping it closes the connection unless `keep` was called.
-pub struct Leased<D: Dialer> {
-    target: Option<Rc<Target<D>>>,
-    pooled: Option<Pooled<D::Line>>,
-    reusable: bool,
-}
-
-impl<D: Dialer> Leased<D> {
-    /// Returns the connection.
-    pub fn pooled(&mut self) -> Option<&mut Pooled<D::Line>> {
-        self.pooled.as_mut()
-    }
-
-    /// Returns the server.
-    pub fn target(&self) -> Option<&Rc<Target<D>>> {
-        self.target.as_ref()
-    }
-
-    /// Whether the connection leads to the server itself.
-    pub fn is_direct(&self) -> bool {
-        self.pooled.as_ref().is_some_and(|pooled| pooled.direct)
-    }
-
-    /// Returns the connection to the pool: no transaction is open on it.
-    pub fn keep(mut self) {
-        let relayed = self.pooled.as_mut().filter(|pooled| !pooled.direct);
-        let Some(pooled) = relayed.filter(|pooled| pooled.is_set_up()) else {
-            self.reusable = true;
-            return;
-        };
-        // The node that passes statements on keeps its connection as long as anything is set up.
-        pooled.line.push(&Step::Reset);
-        pooled.values.clear();
-        pooled.prepared.clear();
-        spawn_local(self.flush_and_keep());
-    }
-}
-
-impl<D: Dialer> Leased<D> {
-    /// Sends what is queued and returns the connection to the pool if that works.
-    async fn flush_and_keep(mut self) {
-        let Some(pooled) = self.pooled.as_mut() else {
-            return;
-        };
-        let sent = pooled.line.flush().await.is_ok();
-        self.reusable = sent;
-    }
-}
-
-impl<D: Dialer> Drop for Leased<D> {
-    fn drop(&mut self) {
-        let (Some(target), Some(pooled)) = (self.target.take(), self.pooled.take()) else {
-            return;
-        };
-        if self.reusable {
-            target.give_back(pooled);
-        } else {
-            drop(pooled);
-            target.closed();
-        }
-    }
-}
--- a/crates/siskinhook-gateway/src/relay.rs
+++ b/crates/siskinhook-gateway/src/relay.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Dialer, Gateway, Line, LineError, Step, StepReply, TargetCode, TransactionState, attempt,
-    target::{AcquireError, Leased, Target},
+    pool::{AcquireError, Leased, Target},
 };
 
 /// Longest wait for a connection. The node that asked knows the statement's deadline; it tries
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -11,7 +11,7 @@
     TransactionState,
     attempt::{self, AttemptError, Gate, Work},
     group::Group,
-    target::{AcquireError, Leased, Target},
+    pool::{AcquireError, Leased, Target},
 };
 
 /// Longest wait for news of a primary before the next look; a promotion takes some hundred
--- a/crates/siskinhook-gateway/src/session.rs
+++ b/crates/siskinhook-gateway/src/session.rs
@@ -14,8 +14,8 @@
     TransactionState,
     attempt::{self, Work},
     group::Group,
+    pool::Leased,
     request::{Request, Rights},
-    target::Leased,
 };
 
 /// When a statement arrived, on both clocks.
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -87,6 +87,25 @@
     broken: Cell<bool>,
 }
 
+impl Server {
+    /// Carries out a control command and returns the row with the state after it.
+    fn control(&mut self, verb: &str, term: &str) -> Bytes {
+        let term: Term = term.parse().expect("a term");
+        let leads = self.role == Role::Primary;
+        if term > self.term && verb == "PAUSE" && !leads {
+            self.held = term;
+        }
+        if term > self.term && verb == "DEMOTE" {
+            self.role = Role::Replica;
+        }
+        let leads = u64::from(self.role == Role::Primary);
+        Bytes::from(format!(
+            "{leads} {} {} {}",
+            self.term, self.received, self.held
+        ))
+    }
+}
+
 impl Drop for FakeLine {
     fn drop(&mut self) {
         self.world.borrow_mut()[self.index].open -= 1;
@@ -182,19 +201,7 @@
                 self.prepared.insert(words[1].into(), words[2..].join(" "));
             }
             "PAUSE" | "DEMOTE" => {
-                let term: Term = words[1].parse().expect("valid in this model");
-                if term > server.term && words[0] == "PAUSE" && !leads {
-                    server.held = term;
-                }
-                if term > server.term && words[0] == "DEMOTE" {
-                    server.role = Role::Replica;
-                }
-                let leads = u64::from(server.role == Role::Primary);
-                let row = format!(
-                    "{leads} {} {} {}",
-                    server.term, server.received, server.held
-                );
-                rows.push(Bytes::from(row));
+                rows.push(server.control(words[0], words[1]));
             }
             _ if !server.errors.is_empty() => {
                 result = Err(server.errors.pop_front().expect("valid in this model"));
