--- a/crates/siskinhook-gateway/src/fleet.rs
+++ b/crates/siskinhook-gateway/src/fleet.rs
@@ -48,20 +48,25 @@
 /// The nodes known at present.
 pub struct Fleet {
     node: NodeId,
+    zone: Zone,
     peers: RefCell<Vec<Peer>>,
     avoided: RefCell<HashMap<NodeId, Instant>>,
     version: Cell<u64>,
+    /// Last contact to a server or node of another zone.
+    contact: Cell<Instant>,
 }
 
 impl Fleet {
     /// Creates a fleet of this node alone.
     #[must_use]
-    pub fn new(node: NodeId) -> Self {
+    pub fn new(node: NodeId, zone: Zone) -> Self {
         Self {
             node,
+            zone,
             peers: RefCell::default(),
             avoided: RefCell::default(),
             version: Cell::new(1),
+            contact: Cell::new(Instant::now()),
         }
     }
 
@@ -85,6 +90,36 @@
         self.peers.borrow().len()
     }
 
+    /// Returns the last contact to another zone; the start of the process before the first one.
+    #[must_use]
+    pub fn contact(&self) -> Instant {
+        self.contact.get()
+    }
+
+    /// Records contact to another zone.
+    pub fn set_contact(&self) {
+        self.contact.set(Instant::now());
+    }
+
+    /// Records that a server or node of this zone answered.
+    pub fn heard(&self, zone: &Zone) {
+        if *zone != self.zone {
+            self.set_contact();
+        }
+    }
+
+    /// Returns some nodes of other zones; another `turn` gives others.
+    #[must_use]
+    pub fn peers_elsewhere(&self, turn: usize, count: usize) -> Vec<Peer> {
+        let peers = self.peers.borrow();
+        let elsewhere: Vec<&Peer> = peers.iter().filter(|peer| peer.zone != self.zone).collect();
+        // A stride spreads the choice over the zones, since the list is sorted by name.
+        let stride = (elsewhere.len() / count.max(1)).max(1);
+        let chosen = elsewhere.iter().cycle().skip(turn).step_by(stride);
+        let count = count.min(elsewhere.len());
+        chosen.take(count).map(|peer| (*peer).clone()).collect()
+    }
+
     /// Leaves a node out for a while.
     pub fn avoid(&self, name: &NodeId) {
         let until = Instant::now() + AVOID;
--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{NodeId, ServerId, ServiceId, Zone};
 use tokio::{
-    sync::Notify,
+    sync::{Notify, watch},
     time::{MissedTickBehavior, interval},
 };
 
@@ -43,13 +43,15 @@
     pub configured: Notify,
     draining: Cell<bool>,
     discovered: Cell<bool>,
+    /// Whether the node is cut off from the other zones.
+    cut: watch::Sender<bool>,
     random: RefCell<SmallRng>,
 }
 
 impl<D: Dialer> Gateway<D> {
     /// Creates the gateway of a node. The seed must differ between processes in production.
     pub fn new(node: NodeId, zone: Zone, dialer: D, seed: u64) -> Rc<Self> {
-        let fleet = Rc::new(Fleet::new(node.clone()));
+        let fleet = Rc::new(Fleet::new(node.clone(), zone.clone()));
         let mut random = SmallRng::seed_from_u64(seed);
         Rc::new(Self {
             node,
@@ -65,6 +67,7 @@
             configured: Notify::new(),
             draining: Cell::default(),
             discovered: Cell::default(),
+            cut: watch::Sender::new(false),
         })
     }
 
@@ -172,9 +175,37 @@
         self.configured.notify_waiters();
     }
 
-    /// Whether callers can be served: configuration and servers are known.
+    /// Whether callers can be served: configuration and servers are known, and no other zone
+    /// would serve them better.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.is_informed()
+        !self.draining.get() && self.is_informed() && !self.is_aside()
+    }
+
+    /// Records whether the node is cut off from the other zones; returns whether that changed.
+    pub(crate) fn set_cut_off(&self, cut: bool) -> bool {
+        self.cut
+            .send_if_modified(|known| std::mem::replace(known, cut) != cut)
+    }
+
+    /// Whether the node is cut off from the other zones.
+    pub fn is_cut_off(&self) -> bool {
+        *self.cut.borrow()
+    }
+
+    /// Tells when the node is cut off from the other zones, and when it is no more.
+    pub fn isolation(&self) -> watch::Receiver<bool> {
+        self.cut.subscribe()
+    }
+
+    /// Whether callers are better served by other zones: the node is cut off, and most groups
+    /// are led elsewhere.
+    pub fn is_aside(&self) -> bool {
+        if !self.is_cut_off() {
+            return false;
+        }
+        let groups = self.groups();
+        let near = groups.iter().filter(|group| group.leads_in(&self.zone));
+        near.count() * 2 < groups.len()
     }
 
     /// Whether configuration and servers are known.
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -174,6 +174,13 @@
         self.targets.borrow().get(&id).cloned()
     }
 
+    /// Whether the primary is in this zone and can be reached.
+    pub(crate) fn leads_in(&self, zone: &Zone) -> bool {
+        self.leader().is_some_and(|leader| {
+            leader.failing().is_none() && leader.instance.borrow().zone == *zone
+        })
+    }
+
     /// Returns the server held to be the primary.
     #[must_use]
     pub fn leader_id(&self) -> Option<ServerId> {
--- a/crates/siskinhook-gateway/src/line.rs
+++ b/crates/siskinhook-gateway/src/line.rs
@@ -198,6 +198,9 @@
         address: SocketAddr,
     ) -> impl Future<Output = Result<Self::Line, LineError>>;
 
+    /// Returns whether a node answers at an address.
+    fn reaches(&self, address: SocketAddr) -> impl Future<Output = bool>;
+
     /// Reads the answer to a status command.
     fn status(&self, reply: &StepReply) -> Option<GroupStatus>;
 }
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -434,6 +434,7 @@
 
     /// Records that the server answered.
     pub fn reached(&self) {
+        self.fleet.heard(&self.instance.borrow().zone);
         let mut health = self.health.get();
         if health.failing.take().is_some() {
             health.failures = 0;
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -470,6 +470,10 @@
     /// Waits for a change of the group. Returns the final answer when the time is over.
     async fn wait_for_news(&self, course: &mut Course) -> Option<Answer> {
         self.group.trouble.notify_one();
+        // No news of other zones arrives here; another zone may serve the caller in time.
+        if self.gateway.is_cut_off() && !self.group.leads_in(&self.gateway.zone) {
+            return Some(self.give_up(course));
+        }
         let until = self.deadline.min(Instant::now() + NEWS);
         // Without news the next look is due anyway.
         let _ = timeout_at(until, self.group.changed.notified()).await;
--- /dev/null
+++ b/crates/siskinhook-gateway/tests/isolation.rs
@@ -0,0 +1,103 @@
+//! Nodes that are cut off from the other availability zones, on tokio's paused clock.
+
+mod support;
+
+use std::{rc::Rc, time::Duration};
+
+use assert_matches::assert_matches;
+use siskinhook_gateway::{Gateway, Instance, Peer, Refusal, Session, watch_isolation};
+use support::{FakeDialer, World, ask, instance, node, world};
+use tokio::{
+    task::{LocalSet, spawn_local},
+    time::{Instant, sleep},
+};
+
+/// A node in zone `z`. The first server, the primary, is in `zone`, the others elsewhere. A node
+/// of another zone answers when the third server of the world is reachable.
+fn start(world: &World, zone: &str) -> Rc<Gateway<FakeDialer>> {
+    let gateway = node("n1", world);
+    for index in 0..3 {
+        let role = world.borrow()[index].role;
+        let zone = if index == 0 { zone } else { "y" };
+        gateway.forget(&instance(index, role).id);
+        gateway.discover(Instance {
+            zone: zone.into(),
+            ..instance(index, role)
+        });
+    }
+    let peer = |name: &str, zone: &str, port| Peer {
+        name: name.into(),
+        zone: zone.into(),
+        address: ([127, 0, 0, 1], port).into(),
+    };
+    gateway
+        .fleet
+        .set_peers(vec![peer("n1", "z", 1), peer("n2", "y", 3)]);
+    spawn_local(watch_isolation(gateway.clone()));
+    gateway
+}
+
+fn reach(world: &World, servers: &[usize], reachable: bool) {
+    for server in servers {
+        world.borrow_mut()[*server].reachable = reachable;
+    }
+}
+
+/// Guards against callers that stay with a zone that cannot serve them: the node stays in the
+/// rotation, or holds statements although no answer can come.
+#[tokio::test(start_paused = true)]
+async fn cut_off_node_leaves_the_rotation_until_contact_is_back() {
+    let test = async {
+        let world = world();
+        let gateway = start(&world, "y");
+        sleep(Duration::from_secs(2)).await;
+        assert!(gateway.is_ready(), "idle, with contact");
+        reach(&world, &[0, 1, 2], false);
+        sleep(Duration::from_millis(1500)).await;
+        assert!(!gateway.is_ready());
+        let mut session = Session::open(&gateway, "strong").expect("the route is known");
+        let started = Instant::now();
+        let answer = ask(&mut session, "WRITE 1 a").await;
+        assert_matches!(answer.result, Err((Refusal::Busy, _)));
+        assert!(started.elapsed() < Duration::from_millis(100));
+        reach(&world, &[0, 1, 2], true);
+        sleep(Duration::from_secs(1)).await;
+        assert!(gateway.is_ready());
+        let answer = ask(&mut session, "WRITE 1 a").await;
+        assert!(answer.result.is_ok(), "{answer:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against nodes that all leave the rotation because servers are lost.
+#[tokio::test(start_paused = true)]
+async fn lost_servers_are_no_isolation() {
+    let test = async {
+        let world = world();
+        let gateway = start(&world, "y");
+        reach(&world, &[0, 1], false);
+        let mut session = Session::open(&gateway, "strong").expect("the route is known");
+        for _ in 0..5 {
+            ask(&mut session, "WRITE 1 a").await;
+            assert!(gateway.is_ready());
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a zone that leaves the rotation although it leads the databases itself.
+#[tokio::test(start_paused = true)]
+async fn cut_off_node_serves_what_is_led_in_its_zone() {
+    let test = async {
+        let world = world();
+        let gateway = start(&world, "z");
+        reach(&world, &[1, 2], false);
+        sleep(Duration::from_secs(2)).await;
+        assert!(gateway.is_cut_off());
+        assert!(gateway.is_ready());
+        let mut session = Session::open(&gateway, "strong").expect("the route is known");
+        let answer = ask(&mut session, "WRITE 1 a").await;
+        assert!(answer.result.is_ok(), "{answer:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -144,6 +144,12 @@
         })
     }
 
+    async fn reaches(&self, address: SocketAddr) -> bool {
+        sleep(STEP).await;
+        let index = usize::from(address.port()) - 1;
+        self.0.borrow()[index].reachable
+    }
+
     fn status(&self, reply: &StepReply) -> Option<GroupStatus> {
         let row = String::from_utf8(reply.rows.first()?.to_vec()).ok()?;
         let fields: Vec<u64> = row
--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -177,10 +177,10 @@
         "A suspected node answered again.",
         "Look at its load and network if it repeats.";
     CutOff = 3006, Error, "cut_off",
-        "This node sees less than half of the other nodes alive.",
+        "This node sees less than half of the other nodes alive; on the users' platform, it reaches no other zone.",
         "Look at the network of the zone. The zone serves what it can by itself.";
     Reconnected = 3007, Info, "reconnected",
-        "This node sees at least half of the other nodes alive again.",
+        "This node sees at least half of the other nodes alive again; on the users' platform, it reaches another zone again.",
         "Nothing.";
     CatalogueApplied = 3020, Info, "catalogue_applied",
         "A revision of the catalogue is in force on this node.",
