Repeat statements of open transactions after a refusal for load; fewer holders

A refusal inside a transaction rolled it back although a trace showed 364 of 364 transactions still open after it. 30 holders of a server that accepts 185 connections each open their own after a restart.

Change: the connection is kept, the statement is repeated on it while the transaction is open, the pause grows from 8 to 100 ms, and a server has at most ten holders.

--- a/crates/siskinhook-gateway/src/attempt.rs
+++ b/crates/siskinhook-gateway/src/attempt.rs
@@ -63,7 +63,8 @@
 pub enum AttemptError {
     /// The statement was not sent; the connection broke.
     NotSent(LineError),
-    /// The statement was not sent; the server refused the preparation with a code.
+    /// The statement was not sent; the server refused the preparation with a code. The connection
+    /// is as it was before.
     Unfit(TargetCode),
     /// The statement was sent and the connection broke.
     Lost(LineError),
@@ -97,6 +98,7 @@
     };
     let old = pooled.line.outstanding();
     set_up(pooled, work);
+    let changed = pooled.line.outstanding() > old;
     let asked = BootInstant::now();
     match gate {
         Gate::None => {}
@@ -135,6 +137,11 @@
         Err(_) => return Err(AttemptError::Deadline(false)),
     };
     if let Some(code) = refused {
+        // Values or statements that the server refused are not in force, unlike recorded.
+        if changed && code == TargetCode::Busy {
+            let reason = "the server refused to set the connection up".into();
+            return Err(AttemptError::NotSent(LineError::Closed(reason)));
+        }
         return Err(AttemptError::Unfit(code));
     }
     let proof = matches!(
--- a/crates/siskinhook-gateway/src/fleet.rs
+++ b/crates/siskinhook-gateway/src/fleet.rs
@@ -19,6 +19,9 @@
 /// Connections of one holder to one server. Fewer holders use them better, since one queue sees
 /// more of the work.
 const PER_HOLDER: usize = 6;
+/// Most holders of one server: each one more opens connections of its own after a restart, and
+/// sees less of the queue.
+const HOLDERS: usize = 10;
 /// Connections for each node from which on every node holds its own: a transaction and a
 /// statement at the same time, and one for control.
 const PER_NODE: usize = 5;
@@ -139,7 +142,7 @@
             ranked.clone_from(&peers);
         }
         ranked.sort_by_key(|peer| weight(server, &peer.name));
-        ranked.truncate((cap / PER_HOLDER).max(1));
+        ranked.truncate((cap / PER_HOLDER).clamp(1, HOLDERS));
         Some(ranked)
     }
 
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -4,7 +4,7 @@
 
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{LogPoint, ServerId};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::{
     Answer, BootInstant, Consistency, Dialer, Gateway, Refusal, Route, StepReply, TargetCode,
@@ -17,8 +17,11 @@
 /// Longest wait for news of a primary before the next look; a promotion takes some hundred
 /// milliseconds.
 const NEWS: Duration = Duration::from_millis(40);
-/// Pause after a server refused because of load; a few statements' time.
-const BUSY_PAUSE: Duration = Duration::from_millis(15);
+/// First pause after a server refused because of load; a few statements' time. It grows with
+/// each attempt, so that an overloaded server is not asked more often the longer it takes.
+const BUSY_PAUSE: Duration = Duration::from_millis(8);
+/// Longest such pause.
+const BUSY_PAUSE_LIMIT: Duration = Duration::from_millis(100);
 /// Share of the statement's time after which a read is tried on another server.
 const FIRST_TRY: f64 = 0.4;
 
@@ -182,7 +185,7 @@
     /// Runs a further statement of a transaction.
     pub async fn inside(self, mut leased: Leased<D>) -> Outcome<D> {
         let result = match self.prepare(&mut leased, Gate::None, self.deadline).await {
-            Ok(()) => attempt::run(&mut leased, &self.work, None, self.deadline).await,
+            Ok(()) => self.run_open(&mut leased, None, self.deadline).await,
             Err(error) => Err(error),
         };
         match result {
@@ -201,7 +204,7 @@
     /// Commits a transaction.
     pub async fn commit(self, mut leased: Leased<D>) -> Outcome<D> {
         let asked = BootInstant::now();
-        let error = match attempt::run(&mut leased, &self.work, None, self.deadline).await {
+        let error = match self.run_open(&mut leased, None, self.deadline).await {
             Ok(reply) => {
                 if let (Ok(_), Some(point), Some(target), true) = (
                     &reply.result,
@@ -286,7 +289,7 @@
             return Err(self.unprepared(plan, leased, &error, course, id).await);
         }
         let limit = self.attempt_limit(course);
-        match attempt::run(&mut leased, &self.work, plan.after, limit).await {
+        match self.run_open(&mut leased, plan.after, limit).await {
             Ok(reply) => {
                 self.learn(plan, &reply, course, id).await;
                 Ok((reply, leased))
@@ -335,6 +338,27 @@
         attempt::prepare(self.group, leased, &self.work, gate, deadline).await
     }
 
+    /// Runs the statement. In a transaction that stays open, a refusal because of load is no
+    /// reason to roll back: the statement is repeated on the same connection.
+    async fn run_open(
+        &self,
+        leased: &mut Leased<D>,
+        after: Option<LogPoint>,
+        limit: Instant,
+    ) -> Result<StepReply, AttemptError> {
+        let mut refusals = 0;
+        loop {
+            let reply = attempt::run(leased, &self.work, after, limit).await?;
+            let busy = matches!(&reply.result, Err((TargetCode::Busy, _)));
+            refusals += 1;
+            let retry = Instant::now() + self.busy_pause(refusals);
+            if !busy || reply.state != TransactionState::Open || retry >= limit {
+                return Ok(reply);
+            }
+            sleep_until(retry).await;
+        }
+    }
+
     /// Reacts to a connection that could not be set up; the statement was not sent.
     async fn unprepared(
         &self,
@@ -367,6 +391,13 @@
                 course.skip(id);
                 None
             }
+            AttemptError::Unfit(TargetCode::Busy) => {
+                course.last = "the server is overloaded";
+                // A new connection would occupy a slot of the server for longer than the statement.
+                leased.keep();
+                course.skip(id);
+                self.pause(course, self.busy_pause(course.attempts)).await
+            }
             AttemptError::Deadline(_) => {
                 self.blame(&leased, error);
                 course.last = "the server did not answer in time";
@@ -377,7 +408,7 @@
                 course.last = "the connection to the server broke";
                 drop(leased);
                 course.skip(id);
-                self.pause(course, BUSY_PAUSE).await
+                self.pause(course, self.busy_pause(course.attempts)).await
             }
         }
     }
@@ -410,7 +441,7 @@
             }
             TargetCode::Busy => {
                 course.last = "the server is overloaded";
-                sleep(BUSY_PAUSE).await;
+                sleep(self.busy_pause(course.attempts)).await;
             }
             _ => {
                 course.last = "the server failed";
@@ -480,6 +511,12 @@
         (Instant::now() >= self.deadline).then(|| self.give_up(course))
     }
 
+    /// Returns the pause after a refusal because of load.
+    fn busy_pause(&self, refusals: u32) -> Duration {
+        let pause = BUSY_PAUSE.saturating_mul(1 << refusals.min(6));
+        self.gateway.jitter(pause.min(BUSY_PAUSE_LIMIT))
+    }
+
     async fn pause(&self, course: &mut Course, pause: Duration) -> Option<Answer> {
         sleep(pause).await;
         (Instant::now() >= self.deadline).then(|| self.give_up(course))
@@ -517,7 +554,7 @@
                 event!(
                     Event::StatementRefused,
                     request = self.work.id, database = self.route.database.as_str(),
-                    answer:? = refusal, waited = self.waited();
+                    answer:? = refusal, state:? = reply.state, waited = self.waited();
                     "the server's error goes to the caller: {text}"
                 );
                 Err((refusal, text))
--- a/crates/siskinhook-gateway/tests/sessions.rs
+++ b/crates/siskinhook-gateway/tests/sessions.rs
@@ -43,6 +43,45 @@
     .await;
 }
 
+/// Guards against connections that are closed because an overloaded server refuses a transaction:
+/// opening another one occupies a slot of it.
+#[tokio::test(start_paused = true)]
+async fn connection_outlives_a_refusal_because_of_load() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        assert!(ask(&mut session, "READ 1").await.result.is_ok());
+        let dials = world.borrow()[0].dials;
+        world.borrow_mut()[0].busy_begins = 3;
+        assert!(ask(&mut session, "READ 1").await.result.is_ok());
+        assert_eq!(world.borrow()[0].dials, dials);
+    })
+    .await;
+}
+
+/// Guards against a transaction that is rolled back because one statement was refused for load,
+/// and against a statement repeated outside its transaction.
+#[tokio::test(start_paused = true)]
+async fn statement_of_an_open_transaction_is_repeated_after_a_refusal_because_of_load() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        ask(&mut session, "BEGIN").await;
+        assert!(ask(&mut session, "READ 1").await.result.is_ok());
+        for text in ["WRITE 1 a", "COMMIT"] {
+            world.borrow_mut()[0].errors.push_back(TargetCode::Busy);
+            assert!(ask(&mut session, text).await.result.is_ok());
+        }
+        let world = world.borrow();
+        let ran: Vec<&str> = world[0].ran.iter().map(|(text, _)| text.as_str()).collect();
+        assert_eq!(ran, ["READ 1", "WRITE 1 a", "COMMIT"]);
+        assert_eq!(world[0].dials, 1, "on the same connection");
+    })
+    .await;
+}
+
 /// Guards against a stale read at a primary that was replaced while this node could not know.
 #[tokio::test(start_paused = true)]
 async fn strong_read_never_runs_on_a_replaced_primary() {
