--- a/crates/siskinhook-gateway/src/fleet.rs
+++ b/crates/siskinhook-gateway/src/fleet.rs
@@ -28,6 +28,9 @@
 /// Time for which a holder that could not be reached is not tried again.
 const AVOID: Duration = Duration::from_secs(4);
 
+/// Time for which a node is not asked for a server that it could not reach.
+const BLOCKED: Duration = Duration::from_secs(3);
+
 /// A node that passes statements on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -54,6 +57,8 @@
     zone: Zone,
     peers: RefCell<Vec<Peer>>,
     avoided: RefCell<HashMap<NodeId, Instant>>,
+    /// Until when a node, this one included, counts as without a way to a server.
+    blocked: RefCell<HashMap<(ServerId, NodeId), Instant>>,
     version: Cell<u64>,
     /// Last contact to a server or node of another zone.
     contact: Cell<Instant>,
@@ -68,6 +73,7 @@
             zone,
             peers: RefCell::default(),
             avoided: RefCell::default(),
+            blocked: RefCell::default(),
             version: Cell::new(1),
             contact: Cell::new(Instant::now()),
         }
@@ -129,6 +135,32 @@
         self.avoided.borrow_mut().insert(name.clone(), until);
     }
 
+    /// Records that a node, this one included, does not reach a server.
+    pub fn block(&self, server: &ServerId, node: &NodeId) {
+        let now = Instant::now();
+        let mut blocked = self.blocked.borrow_mut();
+        blocked.retain(|_, until| now < *until);
+        blocked.insert((server.clone(), node.clone()), now + BLOCKED);
+    }
+
+    /// Whether a node, this one included, lately did not reach a server.
+    fn is_blocked(&self, server: &ServerId, node: &NodeId) -> bool {
+        let blocked = self.blocked.borrow();
+        let until = blocked.get(&(server.clone(), node.clone()));
+        until.is_some_and(|until| Instant::now() < *until)
+    }
+
+    /// Whether this node lately did not reach a server by itself.
+    #[must_use]
+    pub fn is_own_way_blocked(&self, server: &ServerId) -> bool {
+        self.is_blocked(server, &self.node)
+    }
+
+    /// Records that this node does not reach a server by itself.
+    pub fn block_own_way(&self, server: &ServerId) {
+        self.block(server, &self.node);
+    }
+
     /// Returns the nodes that hold the connections to a server, in the order of their hashes;
     /// `None` when all nodes do.
     fn holders(&self, server: &ServerId, zone: &Zone, cap: usize) -> Option<Vec<Peer>> {
@@ -159,7 +191,7 @@
         let Some(mut holders) = self.holders(server, zone, cap) else {
             return Path::Direct;
         };
-        if holders.iter().any(|peer| peer.name == self.node) {
+        if holders.iter().any(|peer| peer.name == self.node) && !self.is_own_way_blocked(server) {
             return Path::Direct;
         }
         // Each node prefers another holder, so that their load is even.
@@ -168,7 +200,10 @@
         holders.rotate_left(start % count);
         let avoided = self.avoided.borrow();
         let now = Instant::now();
-        holders.retain(|peer| avoided.get(&peer.name).is_none_or(|until| now >= *until));
+        holders.retain(|peer| {
+            let avoided = avoided.get(&peer.name).is_some_and(|until| now < *until);
+            peer.name != self.node && !avoided && !self.is_blocked(server, &peer.name)
+        });
         if holders.is_empty() {
             Path::Direct
         } else {
--- a/crates/siskinhook-gateway/src/pool/leased.rs
+++ b/crates/siskinhook-gateway/src/pool/leased.rs
@@ -5,6 +5,7 @@
     rc::Rc,
 };
 
+use siskinhook_types::NodeId;
 use smol_str::SmolStr;
 use tokio::{task::spawn_local, time::Instant};
 
@@ -18,19 +19,19 @@
     pub values: BTreeMap<SmolStr, SmolStr>,
     /// Names of the statements prepared on it.
     pub prepared: HashSet<SmolStr>,
-    /// Whether it leads to the server itself, not to a node that holds its connections.
-    pub(super) direct: bool,
+    /// The node that passes statements on; `None` when it leads to the server itself.
+    pub(super) via: Option<NodeId>,
     /// When it became idle.
     pub(super) since: Instant,
 }
 
 impl<L> Pooled<L> {
-    pub(super) fn new(line: L, direct: bool) -> Self {
+    pub(super) fn new(line: L, via: Option<NodeId>) -> Self {
         Self {
             line,
             values: BTreeMap::new(),
             prepared: HashSet::new(),
-            direct,
+            via,
             since: Instant::now(),
         }
     }
@@ -61,12 +62,24 @@
 
     /// Whether the connection leads to the server itself.
     pub fn is_direct(&self) -> bool {
-        self.pooled.as_ref().is_some_and(|pooled| pooled.direct)
+        self.pooled
+            .as_ref()
+            .is_some_and(|pooled| pooled.via.is_none())
+    }
+
+    /// Closes the connection because the node that passes statements on does not reach the
+    /// server. Returns whether there is another way to try.
+    pub fn block(self) -> bool {
+        let via = self.pooled.as_ref().and_then(|pooled| pooled.via.as_ref());
+        match (&self.target, via) {
+            (Some(target), Some(node)) => target.block(node),
+            _ => false,
+        }
     }
 
     /// Returns the connection to the pool: no transaction is open on it.
     pub fn keep(mut self) {
-        let relayed = self.pooled.as_mut().filter(|pooled| !pooled.direct);
+        let relayed = self.pooled.as_mut().filter(|pooled| pooled.via.is_some());
         let Some(pooled) = relayed.filter(|pooled| pooled.is_set_up()) else {
             self.reusable = true;
             return;
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -11,6 +11,7 @@
 
 pub use leased::{Leased, Pooled};
 use siskinhook_telemetry::{Event, event};
+use siskinhook_types::NodeId;
 use smol_str::SmolStr;
 use tokio::{
     sync::{Notify, oneshot},
@@ -250,13 +251,13 @@
 
     /// Takes an open idle connection, one with the same session values if there is one.
     fn take_idle(&self, values: &BTreeMap<SmolStr, SmolStr>) -> Option<Pooled<D::Line>> {
-        let direct = self.is_holder();
+        let own = self.uses_own_way();
         let mut pool = self.pool.borrow_mut();
         while !pool.idle.is_empty() {
             let last = pool.idle.len() - 1;
             let place = pool.idle.iter().rposition(|p| p.values == *values);
             let mut pooled = pool.idle.swap_remove(place.unwrap_or(last));
-            if (pooled.direct || !direct) && pooled.line.is_open() {
+            if (pooled.via.is_none() || !own) && pooled.line.is_open() {
                 return Some(pooled);
             }
             pool.open -= 1;
@@ -286,15 +287,38 @@
         holder
     }
 
+    /// Whether this node connects to the server itself: it holds connections, and lately it
+    /// reached the server.
+    fn uses_own_way(&self) -> bool {
+        self.is_holder() && !self.fleet.is_own_way_blocked(&self.instance.borrow().id)
+    }
+
+    /// Records that another node does not reach the server; returns whether there is another way.
+    fn block(&self, node: &NodeId) -> bool {
+        {
+            let mut pool = self.pool.borrow_mut();
+            let before = pool.idle.len();
+            pool.idle.retain(|pooled| pooled.via.as_ref() != Some(node));
+            pool.open -= before - pool.idle.len();
+        }
+        let id = self.instance.borrow().id.clone();
+        event!(
+            Event::RelayFailed, server = id.as_str(), node = node.as_str();
+            "this node does not reach the server; another way is sought"
+        );
+        self.fleet.block(&id, node);
+        self.uses_own_way() || matches!(self.path(), Path::Through(_))
+    }
+
     fn dial_if_needed(&self) {
         let mut pool = self.pool.borrow_mut();
         if pool.capped.is_some_and(|until| Instant::now() >= until) {
             pool.capped = None;
         }
         let capped = pool.capped.is_some() && pool.open > 0;
-        let direct = self.is_holder();
-        let wanted = pool.waiters.len() > pool.dialing || (direct && pool.open == 0);
-        let limit = if direct { DIALING } else { DIALING_RELAYS };
+        let own = self.uses_own_way();
+        let wanted = pool.waiters.len() > pool.dialing || (own && pool.open == 0);
+        let limit = if own { DIALING } else { DIALING_RELAYS };
         if !wanted || pool.dialing >= limit || pool.open >= self.cap.get() || capped {
             return;
         }
@@ -312,7 +336,7 @@
         self.pool.borrow_mut().dialing -= 1;
         match opened {
             Ok(pooled) => {
-                if pooled.direct {
+                if pooled.via.is_none() {
                     self.reached();
                 }
                 self.pool.borrow_mut().refusals = 0;
@@ -340,7 +364,7 @@
         if let Path::Through(peers) = self.path() {
             for peer in peers {
                 match self.dialer.dial(&service, &id, peer.address).await {
-                    Ok(line) => return Ok(Pooled::new(line, false)),
+                    Ok(line) => return Ok(Pooled::new(line, Some(peer.name))),
                     Err(error) => {
                         event!(
                             Event::RelayFailed, server = id.as_str(), node = peer.name.as_str();
@@ -353,7 +377,7 @@
         }
         self.counters.dials.add(1);
         let line = self.dialer.dial(&service, &id, address).await?;
-        Ok(Pooled::new(line, true))
+        Ok(Pooled::new(line, None))
     }
 
     async fn dial_failed(&self, error: &LineError) {
@@ -374,7 +398,14 @@
             }
             LineError::Refused(TargetCode::Misrouted) => self.retire(),
             _ => {
+                if self.is_holder() {
+                    self.fleet.block_own_way(&id);
+                }
                 self.unreachable();
+                if matches!(self.path(), Path::Through(_)) {
+                    self.dial_if_needed();
+                    return;
+                }
                 let mut pool = self.pool.borrow_mut();
                 if pool.open == pool.dialing {
                     fail(&mut pool, AcquireError::Unreachable);
@@ -428,6 +459,10 @@
             pooled.line.next().await
         };
         let reply = timeout_at(deadline, exchange).await.ok()?.ok()?;
+        if matches!(reply.result, Err((TargetCode::Unreachable, _))) {
+            leased.block();
+            return None;
+        }
         leased.keep();
         Some(reply)
     }
@@ -485,18 +520,15 @@
 
     /// Closes connections that were idle for long or that the server closed, and keeps one open.
     pub fn sweep(&self) {
-        let direct = self.is_holder();
+        let own = self.uses_own_way();
         let mut pool = self.pool.borrow_mut();
         let before = pool.idle.len();
         let mut kept = 0;
         pool.idle.retain_mut(|pooled| {
-            let limit = if pooled.direct {
-                SPARE_IDLE
-            } else {
-                RELAY_IDLE
-            };
+            let direct = pooled.via.is_none();
+            let limit = if direct { SPARE_IDLE } else { RELAY_IDLE };
             let fresh = kept == 0 || pooled.since.elapsed() < limit;
-            let keep = pooled.direct == direct && fresh && pooled.line.is_open();
+            let keep = direct == own && fresh && pooled.line.is_open();
             kept += usize::from(keep);
             keep
         });
--- a/crates/siskinhook-gateway/src/relay.rs
+++ b/crates/siskinhook-gateway/src/relay.rs
@@ -113,7 +113,7 @@
             Ok(leased) if leased.is_direct() => Ok(leased),
             Ok(leased) => {
                 leased.keep();
-                Err(TargetCode::Busy)
+                Err(TargetCode::Unreachable)
             }
             Err(AcquireError::Deadline) => Err(TargetCode::Busy),
             Err(AcquireError::Unreachable | AcquireError::Gone) => Err(TargetCode::Unreachable),
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -290,6 +290,9 @@
         }
         let limit = self.attempt_limit(course);
         match self.run_open(&mut leased, plan.after, limit).await {
+            Ok(reply) if matches!(reply.result, Err((TargetCode::Unreachable, _))) => {
+                Err(self.blocked(plan, leased, course, id).await)
+            }
             Ok(reply) => {
                 self.learn(plan, &reply, course, id).await;
                 Ok((reply, leased))
@@ -377,11 +380,7 @@
                 self.wait_for_news(course).await
             }
             AttemptError::Unfit(TargetCode::Unreachable) => {
-                course.last = "the server could not be reached";
-                plan.target.unreachable();
-                leased.keep();
-                course.skip(id);
-                self.wait_for_news(course).await
+                self.blocked(plan, leased, course, id).await
             }
             AttemptError::Unfit(TargetCode::Lagging) => {
                 course.last = "the server's data is not fresh enough";
@@ -413,6 +412,24 @@
         }
     }
 
+    /// Reacts to a node that passes statements on and does not reach the server: the next attempt
+    /// goes through another node, if there is one.
+    async fn blocked(
+        &self,
+        plan: &Plan<D>,
+        leased: Leased<D>,
+        course: &mut Course,
+        id: ServerId,
+    ) -> Option<Answer> {
+        course.last = "the server could not be reached";
+        if leased.block() {
+            return None;
+        }
+        plan.target.unreachable();
+        course.skip(id);
+        self.wait_for_news(course).await
+    }
+
     /// Learns from a server's answer before it is judged.
     async fn learn(&self, plan: &Plan<D>, reply: &StepReply, course: &mut Course, id: ServerId) {
         if let Some(point) = reply.point {
@@ -433,12 +450,6 @@
                 // A refusal in time leads to the next look; the deadline is checked there.
                 let _ = timeout(NEWS, self.group.changed.notified()).await;
             }
-            TargetCode::Unreachable => {
-                course.last = "the server could not be reached";
-                plan.target.unreachable();
-                // The next look at the group decides; the deadline is checked there.
-                let _ = timeout(NEWS, self.group.changed.notified()).await;
-            }
             TargetCode::Busy => {
                 course.last = "the server is overloaded";
                 sleep(self.busy_pause(course.attempts)).await;
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -37,6 +37,8 @@
     pub received: u64,
     pub held: Term,
     pub reachable: bool,
+    /// Whether statements get no answer although connections stay open.
+    pub mute: bool,
     /// Transactions that are refused because of load when they are opened.
     pub busy_begins: u32,
     /// Codes that the next statements get instead of being run.
@@ -62,6 +64,7 @@
         received: 10,
         held: 0,
         reachable: true,
+        mute: false,
         busy_begins: 0,
         errors: VecDeque::new(),
         lose_answer: false,
@@ -319,6 +322,9 @@
 
     async fn next(&mut self) -> Result<StepReply, LineError> {
         sleep(STEP).await;
+        if self.world.borrow()[self.index].mute {
+            std::future::pending::<()>().await;
+        }
         let text = self.queue.pop_front().expect("a request is outstanding");
         self.handle(&text)
     }
@@ -398,7 +404,7 @@
 }
 
 /// Sends a text as a caller's statement; the command is taken from its first words.
-pub async fn ask(session: &mut Session<FakeDialer>, text: &str) -> Answer {
+pub async fn ask<D: Dialer>(session: &mut Session<D>, text: &str) -> Answer {
     use siskinhook_gateway::{Command, Shape};
     let words: Vec<&str> = text.split(' ').collect();
     let command = match words[0] {
