Keep a randomized soak of the real program; end statements at once when cut off

A node cut off from the other nodes only could have left the rotation although it reached the servers.

Change: servers are asked for a sign of life beside the nodes, a statement that waits for another zone ends when the cut is found, and two holders are tried before the server itself. tests/soak runs nodes as processes between a store, servers and proxies of its own, with seeded faults that overlap, and checks what callers and servers see.

Ruled out: stale reads in the first runs of the soak were faults of the soak (commits undone when the lag grew; own writes counted across sessions), ports of nodes could be taken by outgoing connections.

--- a/crates/siskinhook-gateway/src/isolation.rs
+++ b/crates/siskinhook-gateway/src/isolation.rs
@@ -9,17 +9,19 @@
 use siskinhook_telemetry::{Event, event};
 use tokio::{
     task::spawn_local,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout_at},
 };
 
-use crate::{Dialer, Gateway};
+use crate::{Dialer, Gateway, pool::Target};
 
 /// Time without contact to another zone after which it is sought. Statements bring contact many
 /// times a second on a node in use.
 const SILENCE: Duration = Duration::from_millis(600);
-/// Nodes of other zones that are asked for a sign of life at a time; several, since some may be
-/// down.
+/// Nodes of other zones, and servers, that are asked for a sign of life at a time; several, since
+/// some may be down.
 const ASKED: usize = 4;
+/// Longest wait for a sign of life; many times the delay between zones.
+const ANSWER: Duration = Duration::from_millis(300);
 /// Interval of further attempts while there is no contact.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -43,42 +45,41 @@
     }
 }
 
-/// Seeks contact to another zone and returns whether there is none.
+/// Seeks contact to another zone, to nodes and to servers, and returns whether there is none.
 async fn is_cut_off<D: Dialer>(gateway: &Rc<Gateway<D>>, turn: usize) -> bool {
-    let peers = gateway.fleet.peers_elsewhere(turn, ASKED);
-    if peers.is_empty() {
-        return are_servers_silent(gateway);
+    let deadline = Instant::now() + ANSWER;
+    let mut asked = Vec::new();
+    for peer in gateway.fleet.peers_elsewhere(turn, ASKED) {
+        let dialer = gateway.dialer.clone();
+        asked.push(spawn_local(async move {
+            let reached = timeout_at(deadline, dialer.reaches(peer.address)).await;
+            reached.unwrap_or(false)
+        }));
     }
-    let asked: Vec<_> = peers
-        .into_iter()
-        .map(|peer| {
-            let dialer = gateway.dialer.clone();
-            spawn_local(async move { dialer.reaches(peer.address).await })
-        })
-        .collect();
+    for target in servers_elsewhere(gateway, turn) {
+        asked.push(spawn_local(async move { target.replies(deadline).await }));
+    }
+    let nobody = asked.is_empty();
     let mut reached = false;
     for task in asked {
-        // A task that ended without an answer counts as a node without an answer.
+        // A task that ended without an answer counts as silence.
         reached |= task.await.unwrap_or(false);
     }
-    !reached
+    !reached && !nobody
 }
 
-/// Whether there are servers in other zones and none of them answers.
-fn are_servers_silent<D: Dialer>(gateway: &Gateway<D>) -> bool {
-    let mut silent = false;
+/// Returns some servers of other zones; another `turn` gives others.
+fn servers_elsewhere<D: Dialer>(gateway: &Gateway<D>, turn: usize) -> Vec<Rc<Target<D>>> {
+    let mut found = Vec::new();
     for group in gateway.groups() {
         for target in group.targets.borrow().values() {
-            if target.instance.borrow().zone == gateway.zone {
-                continue;
-            }
-            if target.failing().is_none() {
-                return false;
+            if target.instance.borrow().zone != gateway.zone {
+                found.push(target.clone());
             }
-            silent = true;
         }
     }
-    silent
+    let count = found.len().min(ASKED);
+    found.into_iter().cycle().skip(turn).take(count).collect()
 }
 
 fn update<D: Dialer>(gateway: &Gateway<D>, cut: bool) {
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -40,6 +40,9 @@
 const LAG_HOLD: Duration = Duration::from_millis(60);
 /// Connections to nodes that hold a server's connections, opened at a time: they take no slot.
 const DIALING_RELAYS: usize = 4;
+/// Nodes that are tried before the server itself. The holders of a server are in its zone: when
+/// the zone is cut off, each one more would delay the replacement of the primary.
+const RELAYS_TRIED: usize = 2;
 /// Such connections are closed after this without use.
 const RELAY_IDLE: Duration = Duration::from_secs(10);
 /// Longest wait for the reply that shows that a server is reached.
@@ -362,7 +365,7 @@
             )
         };
         if let Path::Through(peers) = self.path() {
-            for peer in peers {
+            for peer in peers.into_iter().take(RELAYS_TRIED) {
                 match self.dialer.dial(&service, &id, peer.address).await {
                     Ok(line) => return Ok(Pooled::new(line, Some(peer.name))),
                     Err(error) => {
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -310,8 +310,20 @@
         let priority = self.route.priority;
         let acquired = plan
             .target
-            .acquire(self.work.values, priority, self.deadline)
-            .await;
+            .acquire(self.work.values, priority, self.deadline);
+        let acquired = tokio::select! {
+            biased;
+            () = self.cut_off_from(&plan.target) => {
+                course.last = "this node is cut off from the zone of the server";
+                // A read may find a server in this zone.
+                if plan.after.is_some() && !course.tried.contains(id) {
+                    course.skip(id.clone());
+                    return Err(None);
+                }
+                return Err(Some(self.give_up(course)));
+            }
+            acquired = acquired => acquired,
+        };
         match acquired {
             Ok(leased) => Ok(leased),
             Err(AcquireError::Deadline) => {
@@ -332,6 +344,14 @@
         }
     }
 
+    /// Waits until this node is cut off from the zone of a server.
+    async fn cut_off_from(&self, target: &Target<D>) {
+        let near = target.instance.borrow().zone == self.gateway.zone;
+        if near || self.gateway.isolation().wait_for(|cut| *cut).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     async fn prepare(
         &self,
         leased: &mut Leased<D>,
--- a/crates/siskinhook-gateway/tests/isolation.rs
+++ b/crates/siskinhook-gateway/tests/isolation.rs
@@ -85,6 +85,48 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a node that leaves the rotation because it reaches no other node, although it
+/// reaches the servers.
+#[tokio::test(start_paused = true)]
+async fn servers_in_reach_are_contact() {
+    let test = async {
+        let world = world();
+        let gateway = start(&world, "y");
+        reach(&world, &[1, 2], false);
+        for _ in 0..10 {
+            sleep(Duration::from_millis(500)).await;
+            assert!(gateway.is_ready());
+        }
+        let mut session = Session::open(&gateway, "strong").expect("the route is known");
+        let answer = ask(&mut session, "WRITE 1 a").await;
+        assert!(answer.result.is_ok(), "{answer:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a statement that is held to its deadline although its node has found out that
+/// it is cut off.
+#[tokio::test(start_paused = true)]
+async fn waiting_statement_ends_when_the_node_is_found_cut_off() {
+    let test = async {
+        let world = world();
+        let gateway = start(&world, "y");
+        sleep(Duration::from_secs(1)).await;
+        reach(&world, &[0, 1, 2], false);
+        sleep(Duration::from_millis(100)).await;
+        let mut session = Session::open(&gateway, "strong").expect("the route is known");
+        let started = Instant::now();
+        let answer = ask(&mut session, "READ 1").await;
+        assert_matches!(answer.result, Err((Refusal::Busy, _)));
+        assert!(gateway.is_cut_off(), "the answer came when this was found");
+        assert!(
+            started.elapsed() < Duration::from_millis(780),
+            "not at the deadline"
+        );
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against a zone that leaves the rotation although it leads the databases itself.
 #[tokio::test(start_paused = true)]
 async fn cut_off_node_serves_what_is_led_in_its_zone() {
--- /dev/null
+++ b/tests/soak/store.rs
@@ -0,0 +1,370 @@
+//! The platform's store and the service that takes orders, each node on a port of its own, so
+//! that faults can hit single nodes.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use rand::Rng;
+use serde_json::{Value, json};
+use tokio::{
+    net::TcpListener,
+    sync::Notify,
+    time::{sleep, timeout},
+};
+
+use crate::servers::Servers;
+
+/// Changes kept for feeds.
+const HISTORY: usize = 500;
+
+/// How the store treats one node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StoreFault {
+    None,
+    /// Answers 503.
+    Busy,
+    /// Gives no answers.
+    Silent,
+    /// Carries out a share of the writes and orders and does not answer them.
+    Lossy(f64),
+    /// Carries out a share of the orders late, without an answer.
+    Late(f64),
+    /// Answers late.
+    Slow(Duration),
+}
+
+struct Row {
+    value: String,
+    version: u64,
+}
+
+#[derive(Default)]
+struct Tables {
+    rows: BTreeMap<(String, String), Row>,
+    version: u64,
+    /// Changed rows, oldest first.
+    changes: Vec<(u64, String, String)>,
+    /// Newest version that feeds cannot continue from.
+    forgotten: u64,
+}
+
+/// The store of one run.
+pub struct Store {
+    tables: Mutex<Tables>,
+    faults: Mutex<Vec<StoreFault>>,
+    /// For each node, the addresses under which it reaches the servers.
+    ways: Mutex<Vec<HashMap<String, SocketAddr>>>,
+    changed: Notify,
+    started: Instant,
+}
+
+type Answer = Response<Full<Bytes>>;
+
+fn answer(status: StatusCode, body: &Value) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(body.to_string())));
+    *answer.status_mut() = status;
+    answer
+}
+
+fn parameters(query: &str) -> HashMap<String, String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(name, value)| (name.into(), value.into()))
+        .collect()
+}
+
+impl Store {
+    pub fn new(nodes: usize) -> Arc<Self> {
+        Arc::new(Self {
+            tables: Mutex::default(),
+            faults: Mutex::new(vec![StoreFault::None; nodes]),
+            ways: Mutex::new(vec![HashMap::new(); nodes]),
+            changed: Notify::new(),
+            started: Instant::now(),
+        })
+    }
+
+    fn tables(&self) -> MutexGuard<'_, Tables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes or removes a row as the operator and the servers do.
+    pub fn put(&self, table: &str, key: &str, value: Option<String>) {
+        self.tables().put(table, key, value);
+        self.changed.notify_waiters();
+    }
+
+    /// Drops the history that feeds continue from.
+    pub fn forget(&self) {
+        let mut tables = self.tables();
+        tables.changes.clear();
+        tables.forgotten = tables.version;
+        drop(tables);
+        self.changed.notify_waiters();
+    }
+
+    pub fn set_fault(&self, node: usize, fault: StoreFault) {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)[node] = fault;
+    }
+
+    fn fault(&self, node: usize) -> StoreFault {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)[node]
+    }
+
+    pub fn set_way(&self, node: usize, server: &str, address: SocketAddr) {
+        let mut ways = self.ways.lock().unwrap_or_else(PoisonError::into_inner);
+        ways[node].insert(server.into(), address);
+    }
+
+    /// Serves a node; returns the address.
+    pub async fn listen(self: &Arc<Self>, node: usize, servers: Arc<Servers>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("a bound port");
+        let store = self.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (store, servers) = (store.clone(), servers.clone());
+                tokio::spawn(async move {
+                    let service = service_fn(|request| {
+                        let (store, servers) = (store.clone(), servers.clone());
+                        async move { Ok::<_, Infallible>(store.take(node, &servers, request).await) }
+                    });
+                    // A node that goes away needs no answer.
+                    let _ = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        address
+    }
+
+    async fn take(
+        &self,
+        node: usize,
+        servers: &Arc<Servers>,
+        request: Request<Incoming>,
+    ) -> Answer {
+        let path = request.uri().path().to_string();
+        let query = parameters(request.uri().query().unwrap_or_default());
+        let header = |name: &str| {
+            let value = request.headers().get(name);
+            value
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default()
+                .to_string()
+        };
+        let (holder, token) = (header("Lease-Holder"), header("Fencing-Token"));
+        let body = match request.into_body().collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(_) => return answer(StatusCode::BAD_REQUEST, &Value::Null),
+        };
+        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let writes = path == "/rows-tx" || path == "/promote";
+        match self.fault(node) {
+            StoreFault::Busy => return answer(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
+            StoreFault::Silent => std::future::pending().await,
+            StoreFault::Slow(time) => sleep(time).await,
+            _ => {}
+        }
+        let result = match path.as_str() {
+            "/rows-get" => self.rows(node, &query),
+            "/rows-feed" => self.feed(node, &query).await,
+            "/rows-tx" => self.transact(&body),
+            "/promote" => self.promote(node, servers, &body, &holder, &token).await,
+            _ => answer(StatusCode::NOT_FOUND, &Value::Null),
+        };
+        match self.fault(node) {
+            StoreFault::Silent => std::future::pending().await,
+            StoreFault::Lossy(share) if writes && rand::rng().random_bool(share) => {
+                std::future::pending().await
+            }
+            _ => result,
+        }
+    }
+
+    async fn promote(
+        &self,
+        node: usize,
+        servers: &Arc<Servers>,
+        body: &Value,
+        holder: &str,
+        token: &str,
+    ) -> Answer {
+        let text = |name: &str| body[name].as_str().unwrap_or_default().to_string();
+        let (service, id) = (text("service"), text("id"));
+        let token = token.parse().unwrap_or_default();
+        if let StoreFault::Late(share) = self.fault(node)
+            && rand::rng().random_bool(share)
+        {
+            let (servers, holder) = (servers.clone(), holder.to_string());
+            let delay = rand::rng().random_range(1000..4000);
+            tokio::spawn(async move {
+                sleep(Duration::from_millis(delay)).await;
+                servers.promote(&service, &id, &holder, token);
+            });
+            return std::future::pending().await;
+        }
+        let status = servers.promote(&service, &id, holder, token);
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
+        answer(status, &Value::Null)
+    }
+
+    fn rows(&self, node: usize, query: &HashMap<String, String>) -> Answer {
+        let parameter = |name: &str| query.get(name).cloned().unwrap_or_default();
+        let (table, from) = (parameter("table"), parameter("from"));
+        let limit = parameter("limit").parse().unwrap_or(500);
+        let tables = self.tables();
+        let first = (table.clone(), from);
+        let mut rows = Vec::new();
+        let mut has_more = false;
+        for ((_, key), row) in tables
+            .rows
+            .range(first..)
+            .take_while(|((t, _), _)| *t == table)
+        {
+            if rows.len() >= limit {
+                has_more = true;
+                break;
+            }
+            rows.push(self.encode(node, &table, key, Some(row), row.version));
+        }
+        let body = json!({
+            "rows": rows, "row_version": tables.version, "has_more": has_more,
+            "now_ms": self.now(),
+        });
+        answer(StatusCode::OK, &body)
+    }
+
+    fn now(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX) + 1_000_000
+    }
+
+    fn encode(
+        &self,
+        node: usize,
+        table: &str,
+        key: &str,
+        row: Option<&Row>,
+        version: u64,
+    ) -> Value {
+        let Some(row) = row else {
+            return json!({"table": table, "part": "", "key": key, "row_version": version, "tombstone": true});
+        };
+        let mut value = row.value.clone();
+        if table == "servers" {
+            let ways = self.ways.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut record: Value = serde_json::from_str(&value).unwrap_or_default();
+            if let Some(way) = ways[node].get(key) {
+                record["addr"] = json!(way);
+            }
+            value = record.to_string();
+        }
+        let value = BASE64_STANDARD.encode(value);
+        json!({"table": table, "part": "", "key": key, "value": value, "row_version": version})
+    }
+
+    async fn feed(&self, node: usize, query: &HashMap<String, String>) -> Answer {
+        let parameter = |name: &str| query.get(name).cloned().unwrap_or_default();
+        let table = parameter("table");
+        let after: u64 = parameter("after").parse().unwrap_or_default();
+        let wait = Duration::from_millis(parameter("wait_ms").parse().unwrap_or_default());
+        let deadline = Instant::now() + wait;
+        loop {
+            let news = self.changed.notified();
+            {
+                let tables = self.tables();
+                if after < tables.forgotten {
+                    return answer(StatusCode::GONE, &Value::Null);
+                }
+                let changed = tables.changed_since(&table, after);
+                let left = deadline.saturating_duration_since(Instant::now());
+                if !changed.is_empty() || left.is_zero() {
+                    let encode = |(key, version): (&String, u64)| {
+                        let row = tables.rows.get(&(table.clone(), key.clone()));
+                        self.encode(node, &table, key, row, version)
+                    };
+                    let rows: Vec<Value> = changed.into_iter().map(encode).collect();
+                    let version = tables.version;
+                    let body = json!({"rows": rows, "row_version": version, "now_ms": self.now()});
+                    return answer(StatusCode::OK, &body);
+                }
+            }
+            // Without news the deadline is checked again.
+            let _ = timeout(deadline.saturating_duration_since(Instant::now()), news).await;
+        }
+    }
+
+    fn transact(&self, body: &Value) -> Answer {
+        let entries = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let text = |entry: &Value, name: &str| entry[name].as_str().unwrap_or_default().to_string();
+        let mut tables = self.tables();
+        let mut current = Vec::new();
+        let mut conflict = false;
+        for entry in entries("expected") {
+            let (table, key) = (text(&entry, "table"), text(&entry, "key"));
+            let row = tables.rows.get(&(table.clone(), key.clone()));
+            let version = row.map_or(0, |row| row.version);
+            conflict |= entry["row_version"].as_u64() != Some(version);
+            if row.is_some() {
+                current.push(self.encode(0, &table, &key, row, version));
+            }
+        }
+        if conflict {
+            return answer(StatusCode::PRECONDITION_FAILED, &json!({"rows": current}));
+        }
+        for entry in entries("set_keys") {
+            let bytes = BASE64_STANDARD
+                .decode(text(&entry, "value"))
+                .unwrap_or_default();
+            let value = String::from_utf8_lossy(&bytes).into_owned();
+            tables.put(&text(&entry, "table"), &text(&entry, "key"), Some(value));
+        }
+        for entry in entries("remove") {
+            tables.put(&text(&entry, "table"), &text(&entry, "key"), None);
+        }
+        let version = tables.version;
+        drop(tables);
+        self.changed.notify_waiters();
+        answer(StatusCode::OK, &json!({"row_version": version}))
+    }
+}
+
+impl Tables {
+    fn put(&mut self, table: &str, key: &str, value: Option<String>) {
+        self.version += 1;
+        let version = self.version;
+        let place = (table.to_string(), key.to_string());
+        match value {
+            Some(value) => {
+                self.rows.insert(place, Row { value, version });
+            }
+            None => {
+                self.rows.remove(&place);
+            }
+        }
+        self.changes.push((version, table.into(), key.into()));
+        if self.changes.len() > HISTORY {
+            self.forgotten = self.changes.remove(0).0;
+        }
+    }
+
+    /// Returns the keys of a table that changed after a version, each with its last change.
+    fn changed_since(&self, table: &str, after: u64) -> BTreeMap<&String, u64> {
+        let changes = self.changes.iter();
+        let later = changes.filter(|(version, t, _)| *version > after && t == table);
+        later.map(|(version, _, key)| (key, *version)).collect()
+    }
+}
