Leave the rotation unless the zone can acknowledge writes by itself

Change: a zone counts as able to serve a group when its primary and as many replicas as a commit needs are in it. A holder logs the statements that it does not pass on.

--- a/crates/siskinhook-gateway/src/anchors.rs
+++ b/crates/siskinhook-gateway/src/anchors.rs
@@ -54,10 +54,4 @@
     pub fn oldest_since(&self, since: BootInstant) -> Option<Watermark> {
         self.kept.iter().find(|mark| mark.at >= since).copied()
     }
-
-    /// Returns the latest proof.
-    #[must_use]
-    pub fn latest(&self) -> Option<Watermark> {
-        self.kept.back().copied()
-    }
 }
--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -197,14 +197,14 @@
         self.cut.subscribe()
     }
 
-    /// Whether callers are better served by other zones: the node is cut off, and most groups
-    /// are led elsewhere.
+    /// Whether callers are better served by other zones: the node is cut off, and its zone cannot
+    /// serve most groups by itself.
     pub fn is_aside(&self) -> bool {
         if !self.is_cut_off() {
             return false;
         }
         let groups = self.groups();
-        let near = groups.iter().filter(|group| group.leads_in(&self.zone));
+        let near = groups.iter().filter(|group| group.is_whole_in(&self.zone));
         near.count() * 2 < groups.len()
     }
 
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -181,6 +181,15 @@
         })
     }
 
+    /// Whether this zone by itself can acknowledge writes: the primary and as many replicas as a
+    /// commit needs are in it. Otherwise the other zones replace the primary.
+    pub(crate) fn is_whole_in(&self, zone: &Zone) -> bool {
+        let targets = self.targets.borrow();
+        let usable =
+            |target: &&Rc<Target<D>>| target.is_usable() && target.instance.borrow().zone == *zone;
+        self.leads_in(zone) && targets.values().filter(usable).count() > self.sync.get()
+    }
+
     /// Returns the server held to be the primary.
     #[must_use]
     pub fn leader_id(&self) -> Option<ServerId> {
--- a/crates/siskinhook-gateway/src/isolation.rs
+++ b/crates/siskinhook-gateway/src/isolation.rs
@@ -1,8 +1,8 @@
 //! Whether this node is cut off from the other availability zones.
 //!
-//! A node that is cut off together with its zone can serve what runs in the zone. Callers whose
-//! databases are led elsewhere are better served by other zones, so such a node leaves the load
-//! balancer's rotation. A lost server is no evidence: other nodes have to be out of reach too.
+//! A node that is cut off together with its zone can serve what runs in the zone. Where most
+//! groups have too few servers in the zone to acknowledge writes, the other zones go on without
+//! them and serve callers better, so such a node leaves the load balancer's rotation. A lost server is no evidence: other nodes have to be out of reach too.
 
 use std::{rc::Rc, time::Duration};
 
@@ -92,11 +92,13 @@
         Event::Reconnected
     };
     let groups = gateway.groups();
-    let near = groups.iter().filter(|group| group.leads_in(&gateway.zone));
+    let near = groups
+        .iter()
+        .filter(|group| group.is_whole_in(&gateway.zone));
     event!(
         event,
         node = gateway.node.as_str(), zone = gateway.zone.as_str(), groups = groups.len(),
-        led_here = near.count(), nodes = gateway.fleet.size(), ready = gateway.is_ready();
+        whole_here = near.count(), nodes = gateway.fleet.size(), ready = gateway.is_ready();
         "contact to the other availability zones changed"
     );
 }
--- a/crates/siskinhook-gateway/src/line.rs
+++ b/crates/siskinhook-gateway/src/line.rs
@@ -58,8 +58,6 @@
         /// Arguments as the caller sent them.
         arguments: &'a str,
     },
-    /// Asks for the state of the server.
-    Status,
     /// Stops a replica from receiving, under a term that is about to begin.
     Pause(Term),
     /// Makes a primary of a lower term a replica.
--- a/crates/siskinhook-gateway/src/relay.rs
+++ b/crates/siskinhook-gateway/src/relay.rs
@@ -71,7 +71,10 @@
             Some(leased) => leased,
             None => match self.acquire().await {
                 Ok(leased) => leased,
-                Err(code) => return Ok(requests.iter().map(|_| refused(code)).collect()),
+                Err(code) => {
+                    self.log_refusal(requests, code);
+                    return Ok(requests.iter().map(|_| refused(code)).collect());
+                }
             },
         };
         let Some(pooled) = leased.pooled() else {
@@ -106,6 +109,16 @@
         Ok(replies)
     }
 
+    fn log_refusal(&self, requests: &[Passed], code: TargetCode) {
+        let server = self.target.instance.borrow().id.clone();
+        event!(
+            Event::AttemptFailed,
+            request = requests.last().map_or("", |passed| passed.id.as_str()),
+            server = server.as_str(), code:? = code;
+            "a statement of another node is not passed on: no connection to the server in time"
+        );
+    }
+
     async fn acquire(&self) -> Result<Leased<D>, TargetCode> {
         let deadline = Instant::now() + WAIT;
         let values = BTreeMap::new();
--- a/crates/siskinhook-gateway/tests/isolation.rs
+++ b/crates/siskinhook-gateway/tests/isolation.rs
@@ -12,13 +12,13 @@
     time::{Instant, sleep},
 };
 
-/// A node in zone `z`. The first server, the primary, is in `zone`, the others elsewhere. A node
-/// of another zone answers when the third server of the world is reachable.
-fn start(world: &World, zone: &str) -> Rc<Gateway<FakeDialer>> {
+/// A node in zone `z`. The first servers, the primary among them, are in zone `z`, the others
+/// elsewhere. A node of another zone answers when the third server of the world is reachable.
+fn start(world: &World, near: usize) -> Rc<Gateway<FakeDialer>> {
     let gateway = node("n1", world);
     for index in 0..3 {
         let role = world.borrow()[index].role;
-        let zone = if index == 0 { zone } else { "y" };
+        let zone = if index < near { "z" } else { "y" };
         gateway.forget(&instance(index, role).id);
         gateway.discover(Instance {
             zone: zone.into(),
@@ -49,7 +49,7 @@
 async fn cut_off_node_leaves_the_rotation_until_contact_is_back() {
     let test = async {
         let world = world();
-        let gateway = start(&world, "y");
+        let gateway = start(&world, 0);
         sleep(Duration::from_secs(2)).await;
         assert!(gateway.is_ready(), "idle, with contact");
         reach(&world, &[0, 1, 2], false);
@@ -74,7 +74,7 @@
 async fn lost_servers_are_no_isolation() {
     let test = async {
         let world = world();
-        let gateway = start(&world, "y");
+        let gateway = start(&world, 0);
         reach(&world, &[0, 1], false);
         let mut session = Session::open(&gateway, "strong").expect("the route is known");
         for _ in 0..5 {
@@ -91,7 +91,7 @@
 async fn servers_in_reach_are_contact() {
     let test = async {
         let world = world();
-        let gateway = start(&world, "y");
+        let gateway = start(&world, 0);
         reach(&world, &[1, 2], false);
         for _ in 0..10 {
             sleep(Duration::from_millis(500)).await;
@@ -110,7 +110,7 @@
 async fn waiting_statement_ends_when_the_node_is_found_cut_off() {
     let test = async {
         let world = world();
-        let gateway = start(&world, "y");
+        let gateway = start(&world, 0);
         sleep(Duration::from_secs(1)).await;
         reach(&world, &[0, 1, 2], false);
         sleep(Duration::from_millis(100)).await;
@@ -127,14 +127,20 @@
     LocalSet::new().run_until(test).await;
 }
 
-/// Guards against a zone that leaves the rotation although it leads the databases itself.
+/// Guards against a zone that leaves the rotation although it serves the databases by itself, and
+/// against one that stays with a primary whose writes no replica receives: the other zones
+/// replace it.
 #[tokio::test(start_paused = true)]
-async fn cut_off_node_serves_what_is_led_in_its_zone() {
+async fn cut_off_node_serves_what_its_zone_holds() {
     let test = async {
+        let alone = world();
+        let lonely = start(&alone, 1);
+        reach(&alone, &[1, 2], false);
         let world = world();
-        let gateway = start(&world, "z");
-        reach(&world, &[1, 2], false);
+        let gateway = start(&world, 2);
+        reach(&world, &[2], false);
         sleep(Duration::from_secs(2)).await;
+        assert!(lonely.is_cut_off() && !lonely.is_ready());
         assert!(gateway.is_cut_off());
         assert!(gateway.is_ready());
         let mut session = Session::open(&gateway, "strong").expect("the route is known");
--- a/crates/siskinhook-gateway/tests/successor.rs
+++ b/crates/siskinhook-gateway/tests/successor.rs
@@ -127,7 +127,8 @@
         Some(mark(500, 2, 90))
     );
     marks.add(mark(600, 1, 101));
-    assert_eq!(marks.latest(), Some(mark(500, 2, 90)));
+    let since = BootInstant::at(Duration::from_millis(550));
+    assert_eq!(marks.oldest_since(since), None);
 }
 
 /// Guards against the loss of commits that a primary acknowledged together with a leaving replica
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -310,7 +310,6 @@
             } => {
                 format!("{}EXECUTE {name} {arguments}", prefix(*after))
             }
-            Step::Status => "STATUS".into(),
             Step::Pause(term) => format!("PAUSE {term}"),
             Step::Demote(term) => format!("DEMOTE {term}"),
         });
