Move queued reads off a replica that is marked as leaving

Cause: the entry node looks at the mark only when it chooses a server. Reads that already waited in the owner's queue stayed there and started on the leaving replica one after another, 3.7 to 8.3 s after the mark.

Change: the owner learns of the mark and refuses queued and new reads on a leaving replica as not run, so the entry node sends them to another server. A leaving primary serves reads until it is replaced.

The test queued_reads_move_off_a_leaving_replica fails without the change.

--- a/crates/siskinhook-engine/src/controller.rs
+++ b/crates/siskinhook-engine/src/controller.rs
@@ -135,7 +135,9 @@
         let Some(group) = groups.get(&route.database) else {
             continue;
         };
-        if !owners.contains_key(name) {
+        if let Some(owner) = owners.get(name) {
+            owner.set_leaving(server.leaving);
+        } else {
             owners.insert(
                 name.clone(),
                 Owner::start(core, server, &route.limits, group),
--- a/crates/siskinhook-engine/src/owner/execute.rs
+++ b/crates/siskinhook-engine/src/owner/execute.rs
@@ -38,7 +38,7 @@
             owner.ensure_fresh(&self.core, &request).await?;
         }
         let queued_at = now();
-        let slot = owner.acquire_slot(&request, false).await?;
+        let slot = owner.acquire_read_slot(&request).await?;
         if request.kind == Kind::Read {
             // The maximum age that the caller stated is measured from the start of execution, so
             // the time spent in the queue does not count against it.
--- a/crates/siskinhook-engine/src/owner/mod.rs
+++ b/crates/siskinhook-engine/src/owner/mod.rs
@@ -11,7 +11,7 @@
 mod transaction;
 mod worker;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use siskinhook_types::{
     Failure, FailureKind, Limits, Request, Server, ServerId, Targets, sqlstate,
@@ -30,6 +30,9 @@
 /// the owner and of the other nodes that monitor the group, and one for confirmations of writes.
 pub const RESERVED_CONNECTIONS: u32 = 4;
 
+/// Interval at which a read that waits at a leaving primary checks whether it was replaced.
+const LEAVING_PRIMARY_CHECK: Duration = Duration::from_millis(100);
+
 /// A server that this node owns.
 pub struct Owner<T: Targets> {
     pub server: Server,
@@ -44,6 +47,8 @@
     /// Held by the request that currently waits for the server to catch up.
     catch_up: tokio::sync::Mutex<()>,
     retired: watch::Sender<bool>,
+    /// Whether the catalogue marks the server as leaving.
+    leaving: watch::Sender<bool>,
     stop: CancellationToken,
     _guard: DropGuard,
 }
@@ -81,6 +86,7 @@
             transaction_permits: Arc::new(Semaphore::new(transaction_limit)),
             catch_up: tokio::sync::Mutex::default(),
             retired: watch::Sender::new(false),
+            leaving: watch::Sender::new(server.leaving),
             _guard: stop.clone().drop_guard(),
             stop: stop.clone(),
         });
@@ -129,6 +135,37 @@
         }
     }
 
+    /// Updates whether the catalogue marks the server as leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.leaving
+            .send_if_modified(|known| std::mem::replace(known, leaving) != leaving);
+    }
+
+    /// Acquires a slot for a read. Fails with `Unavailable` once the server is a leaving replica,
+    /// also while the read waits in the queue: another server has to run it. A leaving primary
+    /// serves reads until another server replaces it.
+    pub async fn acquire_read_slot(&self, request: &Request) -> Result<Slot, Failure> {
+        let mut leaving = self.leaving.subscribe();
+        let left = async {
+            while leaving.wait_for(|leaving| *leaving).await.is_ok() {
+                if !self.group.is_primary(&self.server.name) {
+                    return;
+                }
+                tokio::time::sleep(LEAVING_PRIMARY_CHECK).await;
+            }
+            std::future::pending().await
+        };
+        tokio::select! {
+            biased;
+            () = left => Err(Failure::not_run(
+                FailureKind::Unavailable,
+                sqlstate::UNAVAILABLE,
+                format!("server {} is leaving; retry", self.server.name),
+            )),
+            slot = self.acquire_slot(request, false) => slot,
+        }
+    }
+
     /// Returns whether the owner was retired.
     pub fn is_retired(&self) -> bool {
         *self.retired.borrow()
