Require a replica's confirmation for reads on a primary

Cause: where the platform does not check fencing tokens, it does not demote a replaced primary.

The pure module leadership.rs collects the primary's claims and their confirmations: an acknowledged commit, a replica's log that has passed a claim, or its answer to STATUS, one for all reads that arrived before it was sent. Watermarks and strong reads use proved claims only. A server that claims an older term is demoted at once. Platforms that check tokens ask nothing more than before.

Ruled out: a read permit for a time, which delays each promotion by that time; the promoter's row in the store, which a cut-off zone cannot read.

--- a/crates/siskinhook-engine/src/owner/mod.rs
+++ b/crates/siskinhook-engine/src/owner/mod.rs
@@ -153,7 +153,7 @@
                 }
                 tokio::time::sleep(LEAVING_PRIMARY_CHECK).await;
             }
-            std::future::pending().await
+            std::future::pending::<()>().await;
         };
         tokio::select! {
             biased;
--- a/crates/siskinhook-gateway/src/attempt.rs
+++ b/crates/siskinhook-gateway/src/attempt.rs
@@ -6,7 +6,7 @@
     hash::{DefaultHasher, Hash, Hasher},
 };
 
-use siskinhook_types::LogPoint;
+use siskinhook_types::{LogPoint, Term};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::{Instant, timeout_at};
 
@@ -59,6 +59,20 @@
     },
 }
 
+impl Check {
+    /// Whether a server that passes the check claims to be the primary.
+    pub const fn claims_primary(self) -> bool {
+        matches!(
+            self,
+            Self::IsPrimary
+                | Self::Begin {
+                    read_only: false,
+                    ..
+                }
+        )
+    }
+}
+
 /// Why an attempt failed.
 #[derive(Debug)]
 pub enum AttemptError {
@@ -69,6 +83,8 @@
     Rejected(TargetCode),
     /// The statement was sent and the connection broke.
     Lost(ConnectionError),
+    /// The statement was not sent: the server claims to lead this term, but no replica confirms it.
+    Unconfirmed(Term),
     /// The deadline passed; `true` if the statement had been sent.
     Deadline(bool),
 }
@@ -79,20 +95,24 @@
             Self::NotSent(error) => write!(f, "not sent: {error}"),
             Self::Rejected(code) => write!(f, "not sent: the server answered {code:?}"),
             Self::Lost(error) => write!(f, "sent, no answer: {error}"),
+            Self::Unconfirmed(_) => {
+                f.write_str("not sent: no replica confirms that the server leads")
+            }
             Self::Deadline(false) => f.write_str("not sent: no reply to the set-up in time"),
             Self::Deadline(true) => f.write_str("sent, no answer in time"),
         }
     }
 }
 
-/// Sets the statement's session state on a connection and runs the check.
+/// Sets the statement's session state on a connection and runs the check. Returns the end of the
+/// server's log if the server claims to be the primary.
 pub async fn prepare<D: Dialer>(
     group: &Group<D>,
     leased: &mut Leased<D>,
     statement: &Statement<'_>,
     check: Check,
     deadline: Instant,
-) -> Result<(), AttemptError> {
+) -> Result<Option<LogPoint>, AttemptError> {
     let target = leased.target().cloned();
     let Some(entry) = leased.pooled() else {
         return Err(AttemptError::NotSent(ConnectionError::Closed(
@@ -115,7 +135,7 @@
     }
     let replies = entry.conn.outstanding();
     if replies == 0 {
-        return Ok(());
+        return Ok(None);
     }
     let exchange = async {
         entry.conn.flush().await?;
@@ -147,20 +167,13 @@
         }
         return Err(AttemptError::Rejected(code));
     }
-    let proves_primary = matches!(
-        check,
-        Check::IsPrimary
-            | Check::Begin {
-                read_only: false,
-                ..
-            }
-    );
-    if let (true, Some(target), Some(point)) = (proves_primary, target, point) {
+    if let (true, Some(target), Some(point)) = (check.claims_primary(), target, point) {
         group.counters().primary_checks.add(1);
         target.record_success();
         group.record_primary(&target, sent_at, point);
+        return Ok(Some(point));
     }
-    Ok(())
+    Ok(None)
 }
 
 /// Queues the requests that set the session's values and the prepared statement on the connection.
--- /dev/null
+++ b/crates/siskinhook-gateway/src/confirmation.rs
@@ -0,0 +1,116 @@
+//! Confirmation by a replica that the group's primary was not replaced.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use siskinhook_telemetry::{Event, event};
+use siskinhook_types::{Role, Term};
+use tokio::{
+    sync::Mutex,
+    time::{Instant, timeout_at},
+};
+
+use crate::{BootInstant, Dialer, ServerOp, group::Group, pool::Target};
+
+/// Time limit of the question to one replica; many times the network latency between zones.
+const REPLICA_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Coalesces the questions of concurrent statements: one answer serves all that arrived before its
+/// question was sent.
+#[derive(Debug, Default)]
+pub struct Confirmation {
+    lock: Mutex<()>,
+    /// When the last question that no replica answered with a confirmation was sent.
+    failed: Cell<Option<BootInstant>>,
+}
+
+impl<D: Dialer> Group<D> {
+    /// Whether a replica of `term` confirmed the primary at or after `since`. Always true if the
+    /// platform demotes a replaced primary.
+    pub(crate) fn is_confirmed(&self, term: Term, since: BootInstant) -> bool {
+        self.leadership.as_ref().is_none_or(|leadership| {
+            let at = leadership.borrow().confirmation(term);
+            at.is_some_and(|at| at >= since)
+        })
+    }
+
+    /// Asks the replicas for a confirmation that is not older than `since`, unless there is one.
+    pub(crate) async fn confirm_leader(&self, since: BootInstant, deadline: Instant) {
+        let called_at = BootInstant::now();
+        // A statement that reaches its deadline here fails on the check that follows.
+        let Ok(_guard) = timeout_at(deadline, self.confirmation.lock.lock()).await else {
+            return;
+        };
+        let shares_failure = self
+            .confirmation
+            .failed
+            .get()
+            .is_some_and(|at| at >= called_at);
+        if shares_failure || self.is_confirmed(self.term.get(), since) {
+            return;
+        }
+        let sent_at = BootInstant::now();
+        for replica in self.confirming_replicas() {
+            let limit = deadline.min(Instant::now() + REPLICA_TIMEOUT);
+            if self.ask_replica(&replica, limit).await {
+                return;
+            }
+        }
+        self.confirmation.failed.set(Some(sent_at));
+    }
+
+    /// Returns the reachable servers other than the primary, the fastest first.
+    fn confirming_replicas(&self) -> Vec<Rc<Target<D>>> {
+        let leader = self.leader_id();
+        let targets = self.targets.borrow();
+        let mut replicas: Vec<Rc<Target<D>>> = targets
+            .iter()
+            .filter(|(id, target)| Some(*id) != leader.as_ref() && target.outage().is_none())
+            .map(|(_, target)| target.clone())
+            .collect();
+        replicas.sort_by(|a, b| a.expected_latency().total_cmp(&b.expected_latency()));
+        replicas
+    }
+
+    /// Asks one replica for its status. Returns whether it confirms the primary of its term.
+    async fn ask_replica(&self, replica: &Target<D>, limit: Instant) -> bool {
+        let sent_at = BootInstant::now();
+        let reply = replica.send_control(&ServerOp::Status, limit).await;
+        self.counters().confirmations.add(1);
+        let Some(status) = reply.and_then(|reply| self.dialer.status(&reply)) else {
+            return false;
+        };
+        let known = self.term.get();
+        self.term.set(known.max(status.term));
+        let confirms =
+            status.role == Role::Replica && status.paused_term == 0 && status.term >= known;
+        if confirms {
+            self.record_confirmation(status.term, sent_at);
+        } else if status.role == Role::Primary && status.term > known {
+            let id = replica.instance.borrow().id.clone();
+            self.set_leader(Some(id), "it leads a newer term");
+        }
+        confirms
+    }
+
+    /// Demotes a server that claims to lead although a newer term has begun, so that callers need
+    /// not wait until it notices by itself.
+    pub(crate) fn check_superseded(&self, target: &Rc<Target<D>>, claimed: Term) {
+        let term = self.term.get();
+        if claimed >= term {
+            return;
+        }
+        let server = target.instance.borrow().id.clone();
+        event!(
+            Event::PrimarySuperseded,
+            service = self.service.as_str(), server = server.as_str(), claimed = claimed, term = term;
+            "the server claims to lead an older term; demoting it"
+        );
+        self.record_denial(target);
+        let target = target.clone();
+        tokio::task::spawn_local(async move {
+            let limit = Instant::now() + REPLICA_TIMEOUT;
+            // The next statement that meets the server repeats a demotion without an answer.
+            let _ = target.send_control(&ServerOp::Demote(term), limit).await;
+        });
+    }
+}
--- a/crates/siskinhook-gateway/src/connection.rs
+++ b/crates/siskinhook-gateway/src/connection.rs
@@ -58,6 +58,8 @@
         /// Arguments as the caller sent them.
         arguments: &'a str,
     },
+    /// Asks for the replication status.
+    Status,
     /// Stops a replica from receiving the log, in preparation for the given term.
     Pause(Term),
     /// Demotes a primary of a lower term to a replica.
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -309,7 +309,7 @@
         };
         let statement = Statement::empty(&values);
         match attempt::prepare(&group, &mut leased, &statement, Check::IsPrimary, deadline).await {
-            Ok(()) => {
+            Ok(_) => {
                 leased.return_to_pool();
                 return;
             }
--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -21,6 +21,14 @@
 /// Interval at which idle connections are checked; shorter than their idle timeouts.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Settings of a gateway.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// Whether a replaced primary may go on believing that it leads, because the platform does not
+    /// demote it. Reads on a primary then need the confirmation of a replica.
+    pub confirm_leader: bool,
+}
+
 /// The gateway of one node. It runs on a single thread.
 pub struct Gateway<D: Dialer> {
     /// Name of the node.
@@ -29,6 +37,7 @@
     pub process: u64,
     /// Availability zone of the node.
     pub zone: Zone,
+    settings: GatewaySettings,
     /// Counters of the node.
     pub counters: Rc<Counters>,
     /// Opens connections to servers.
@@ -51,7 +60,13 @@
 impl<D: Dialer> Gateway<D> {
     /// Creates the gateway of a node. In production the seed must differ between processes, since
     /// the process id and all jitter derive from it.
-    pub fn new(node: NodeId, zone: Zone, dialer: D, seed: u64) -> Rc<Self> {
+    pub fn new(
+        node: NodeId,
+        zone: Zone,
+        dialer: D,
+        seed: u64,
+        settings: GatewaySettings,
+    ) -> Rc<Self> {
         let fleet = Rc::new(Fleet::new(node.clone(), zone.clone()));
         let mut random = SmallRng::seed_from_u64(seed);
         Rc::new(Self {
@@ -59,6 +74,7 @@
             process: random.random(),
             random: RefCell::new(random),
             zone,
+            settings,
             counters: Rc::default(),
             dialer: Rc::new(dialer),
             fleet,
@@ -108,6 +124,7 @@
             let group = Rc::new(Group::new(
                 name.clone(),
                 service,
+                self.settings,
                 self.dialer.clone(),
                 self.fleet.clone(),
                 self.counters.clone(),
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -13,8 +13,9 @@
 use tokio::{sync::Notify, time::Instant};
 
 use crate::{
-    BootInstant, Counters, Departed, Dialer, Instance, Service, Watermark, Watermarks,
-    departures::Departures, fleet::Fleet, pool::Target,
+    BootInstant, Counters, Departed, Dialer, GatewaySettings, Instance, Leadership, Service,
+    Watermark, Watermarks, confirmation::Confirmation, departures::Departures, fleet::Fleet,
+    pool::Target,
 };
 
 /// Cost factor for a server in another zone, since traffic between zones is charged.
@@ -32,6 +33,9 @@
     pub(crate) targets: RefCell<IndexMap<ServerId, Rc<Target<D>>>>,
     pub(crate) watermarks: RefCell<Watermarks>,
     departures: RefCell<Departures>,
+    /// Claims of the primary; `None` if a replaced primary knows at once that it was replaced.
+    pub(crate) leadership: Option<RefCell<Leadership>>,
+    pub(crate) confirmation: Confirmation,
     /// Server that this node regards as the primary.
     leader: RefCell<Option<ServerId>>,
     /// Highest term that any server reported.
@@ -51,7 +55,7 @@
     pub(crate) failover_wakeup: Rc<Notify>,
     /// Wakes statements that wait for a primary.
     pub(crate) topology_changed: Notify,
-    dialer: Rc<D>,
+    pub(crate) dialer: Rc<D>,
     fleet: Rc<Fleet>,
     counters: Rc<Counters>,
 }
@@ -60,6 +64,7 @@
     pub(crate) fn new(
         service: ServiceId,
         settings: &Service,
+        gateway: GatewaySettings,
         dialer: Rc<D>,
         fleet: Rc<Fleet>,
         counters: Rc<Counters>,
@@ -71,6 +76,8 @@
             targets: RefCell::default(),
             watermarks: RefCell::default(),
             departures: RefCell::new(departures),
+            leadership: gateway.confirm_leader.then(RefCell::default),
+            confirmation: Confirmation::default(),
             leader: RefCell::default(),
             term: Cell::default(),
             proved_term: Cell::default(),
@@ -242,9 +249,48 @@
             target.last_denial.set(None);
             self.set_leader(Some(id), "it opened a transaction that may write");
         }
-        let watermark = Watermark { at, point };
-        self.watermarks.borrow_mut().add(watermark);
-        self.departures.borrow_mut().record_watermark(watermark);
+        let claim = Watermark { at, point };
+        let proved = match &self.leadership {
+            Some(leadership) => {
+                let server = target.instance.borrow().id.clone();
+                leadership.borrow_mut().claim(&server, claim)
+            }
+            None => Some(claim),
+        };
+        self.add_watermarks(proved);
+    }
+
+    /// Records that the primary acknowledged a commit that was sent at `at`, with the end of its
+    /// log. A replica received the commit, so it confirms that the server led.
+    pub(crate) fn record_commit(&self, target: &Target<D>, at: BootInstant, point: LogPoint) {
+        if self.sync_replicas.get() > 0 {
+            self.record_confirmation(point.term, at);
+        }
+        self.record_primary(target, at, point);
+    }
+
+    /// Records that a replica of `term` was not paused at `at`.
+    pub(crate) fn record_confirmation(&self, term: Term, at: BootInstant) {
+        if let Some(leadership) = &self.leadership {
+            let proved = leadership.borrow_mut().confirm(term, at);
+            self.add_watermarks(proved);
+        }
+    }
+
+    /// Records the end of the log of the server that ran a statement.
+    pub(crate) fn record_log_end(&self, target: &Target<D>, point: LogPoint) {
+        if let Some(leadership) = &self.leadership {
+            let server = target.instance.borrow().id.clone();
+            let proved = leadership.borrow_mut().observe(&server, point);
+            self.add_watermarks(proved);
+        }
+    }
+
+    fn add_watermarks(&self, watermarks: impl IntoIterator<Item = Watermark>) {
+        for watermark in watermarks {
+            self.watermarks.borrow_mut().add(watermark);
+            self.departures.borrow_mut().record_watermark(watermark);
+        }
     }
 
     /// Returns the departed replicas that the choice of a successor must take into account.
--- a/crates/siskinhook-gateway/src/lib.rs
+++ b/crates/siskinhook-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod clock;
+mod confirmation;
 mod connection;
 mod counters;
 mod departures;
@@ -15,6 +16,7 @@
 mod gateway;
 mod group;
 mod isolation;
+mod leadership;
 mod model;
 mod pool;
 mod relay;
@@ -32,9 +34,10 @@
 pub use departures::Departures;
 pub use failover::{OrderOutcome, Orders, watch_group};
 pub use fleet::{Fleet, Path, Peer};
-pub use gateway::Gateway;
+pub use gateway::{Gateway, GatewaySettings};
 pub use group::Group;
 pub use isolation::watch_isolation;
+pub use leadership::Leadership;
 pub use model::{Configuration, Consistency, Instance, Route, Service};
 pub use relay::{Relay, RelayedRequest};
 pub use session::{Arrival, Session};
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -123,7 +123,7 @@
                         result => {
                             if let (Ok(_), Some(point)) = (result, reply.point) {
                                 self.group.unanswered_writes.set(0);
-                                self.group.record_primary(&plan.target, sent_at, point);
+                                self.group.record_commit(&plan.target, sent_at, point);
                             }
                             return (self.answer(reply), None);
                         }
@@ -215,7 +215,7 @@
                     self.statement.writes,
                 ) {
                     self.group.unanswered_writes.set(0);
-                    self.group.record_primary(target, sent_at, point);
+                    self.group.record_commit(target, sent_at, point);
                 }
                 let may_have_committed = matches!(&reply.result, Err((code, _)) if !code.not_run());
                 if may_have_committed && !self.statement.writes {
@@ -255,8 +255,7 @@
         if self.route.consistency == Consistency::Strong {
             return at_primary(Check::IsPrimary);
         }
-        let since = self.bounds.started_at.minus(self.route.staleness);
-        let Some(watermark) = self.group.watermarks.borrow().oldest_since(since) else {
+        let Some(watermark) = self.group.watermarks.borrow().oldest_since(self.since()) else {
             return at_primary(Check::IsPrimary);
         };
         let after = self
@@ -370,7 +369,27 @@
         check: Check,
         deadline: Instant,
     ) -> Result<(), AttemptError> {
-        attempt::prepare(self.group, leased, &self.statement, check, deadline).await
+        let prepared = attempt::prepare(self.group, leased, &self.statement, check, deadline);
+        if !check.claims_primary() || self.group.leadership.is_none() {
+            prepared.await?;
+            return Ok(());
+        }
+        let since = self.since();
+        let (claim, ()) = tokio::join!(prepared, self.group.confirm_leader(since, deadline));
+        match claim? {
+            Some(point) if !self.group.is_confirmed(point.term, since) => {
+                Err(AttemptError::Unconfirmed(point.term))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the time of the oldest data that the statement may read.
+    fn since(&self) -> BootInstant {
+        match self.route.consistency {
+            Consistency::Strong => self.bounds.started_at,
+            _ => self.bounds.started_at.minus(self.route.staleness),
+        }
     }
 
     /// Runs the statement. If the server refuses it because of load and the transaction stays open,
@@ -430,6 +449,21 @@
                 self.delay_attempt(history, self.busy_delay(history.attempts))
                     .await
             }
+            AttemptError::Unconfirmed(term) => {
+                self.report_failure(&leased, error);
+                history.last_failure = "no replica confirms that the server leads";
+                let state = match plan.check {
+                    Check::Begin { .. } => TransactionState::Open,
+                    _ => TransactionState::Idle,
+                };
+                attempt::release(leased, state).await;
+                self.group.check_superseded(&plan.target, *term);
+                // Only another zone can tell whether the primary was replaced.
+                if self.gateway.is_cut_off() {
+                    return Some(self.give_up(history));
+                }
+                self.wait_for_change(history).await
+            }
             AttemptError::Deadline(_) => {
                 self.report_failure(&leased, error);
                 history.last_failure = "the server did not answer in time";
@@ -474,6 +508,7 @@
     ) {
         if let Some(point) = reply.point {
             self.group.record_position(point);
+            self.group.record_log_end(&plan.target, point);
         }
         let Err((code, _)) = &reply.result else {
             return;
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -13,8 +13,8 @@
 use bytes::Bytes;
 use siskinhook_gateway::{
     Answer, Arrival, Configuration, Connection, ConnectionError, Consistency, Dialer, Gateway,
-    Instance, OrderOutcome, Orders, Query, ReplicationStatus, Route, ServerOp, ServerReply,
-    Service, Session, TargetCode, TransactionState,
+    GatewaySettings, Instance, OrderOutcome, Orders, Query, ReplicationStatus, Route, ServerOp,
+    ServerReply, Service, Session, TargetCode, TransactionState,
 };
 use siskinhook_types::{
     Batch, CommitOutcome, LogPoint, NodeId, Platform, PlatformError, Role, Row, ServerId,
@@ -216,6 +216,7 @@
             "PREPARE" => {
                 self.prepared.insert(words[1].into(), words[2..].join(" "));
             }
+            "STATUS" => rows.push(server.control("STATUS", "0")),
             "PAUSE" | "DEMOTE" => {
                 rows.push(server.control(words[0], words[1]));
             }
@@ -310,6 +311,7 @@
             } => {
                 format!("{}EXECUTE {name} {arguments}", after_prefix(*after))
             }
+            ServerOp::Status => "STATUS".into(),
             ServerOp::Pause(term) => format!("PAUSE {term}"),
             ServerOp::Demote(term) => format!("DEMOTE {term}"),
         });
@@ -391,8 +393,17 @@
 
 /// Creates a node whose random choices derive from `seed`.
 pub fn seeded_node(name: &str, world: &World, seed: u64) -> Rc<Gateway<FakeDialer>> {
+    node_with(name, world, seed, GatewaySettings::default())
+}
+
+pub fn node_with(
+    name: &str,
+    world: &World,
+    seed: u64,
+    settings: GatewaySettings,
+) -> Rc<Gateway<FakeDialer>> {
     let dialer = FakeDialer(world.clone());
-    let gateway = Gateway::new(name.into(), "z".into(), dialer, seed);
+    let gateway = Gateway::new(name.into(), "z".into(), dialer, seed, settings);
     gateway.configure(configuration(1, &DATABASES), "test");
     for index in 0..3 {
         let role = world.borrow()[index].role;
--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -162,6 +162,9 @@
     FailoverFailed = 2122, Warn, "failover_failed",
         "A step of a failover failed; the message says which, and it is tried again.",
         "Check the store and the servers named when it repeats.";
+    PrimarySuperseded = 2123, Info, "primary_superseded",
+        "A server claims to lead a term that is over; the node demotes it.",
+        "Nothing.";
 
     MemberJoined = 3001, Info, "member_joined",
         "A node joined the fleet.",
