Confirm a primary by status answers and commits only

The log of a new primary ends in the old term until its first commit. Its claim at 1.74 was taken as confirmed by the log of the replaced primary, which went on to 1.175 without acknowledging anything, and bounded reads then ran there.

Change: a longer log of another server no longer confirms a claim. A server is only left as superseded once it was demoted, so a new primary is not taken for the old one.

--- a/crates/siskinhook-gateway/src/confirmation.rs
+++ b/crates/siskinhook-gateway/src/confirmation.rs
@@ -93,24 +93,30 @@
     }
 
     /// Demotes a server that claims to lead although a newer term has begun, so that callers need
-    /// not wait until it notices by itself.
-    pub(crate) fn check_superseded(&self, target: &Rc<Target<D>>, claimed: Term) {
+    /// not wait until it notices by itself. `claimed` is the term in which its log ends. A new
+    /// primary whose log still ends in an older term is not affected by the demotion.
+    pub(crate) fn check_superseded(self: &Rc<Self>, target: &Rc<Target<D>>, claimed: Term) {
         let term = self.term.get();
         if claimed >= term {
             return;
         }
-        let server = target.instance.borrow().id.clone();
-        event!(
-            Event::PrimarySuperseded,
-            service = self.service.as_str(), server = server.as_str(), claimed = claimed, term = term;
-            "the server claims to lead an older term; demoting it"
-        );
-        self.record_denial(target);
-        let target = target.clone();
+        let (group, target) = (self.clone(), target.clone());
         tokio::task::spawn_local(async move {
             let limit = Instant::now() + REPLICA_TIMEOUT;
             // The next statement that meets the server repeats a demotion without an answer.
-            let _ = target.send_control(&ServerOp::Demote(term), limit).await;
+            let reply = target.send_control(&ServerOp::Demote(term), limit).await;
+            let status = reply.and_then(|reply| group.dialer.status(&reply));
+            if status.is_none_or(|status| status.role == Role::Primary) {
+                return;
+            }
+            let server = target.instance.borrow().id.clone();
+            event!(
+                Event::PrimarySuperseded,
+                service = group.service.as_str(), server = server.as_str(),
+                claimed = claimed, term = term;
+                "the server claimed to lead an older term and was demoted"
+            );
+            group.record_denial(&target);
         });
     }
 }
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -251,10 +251,7 @@
         }
         let claim = Watermark { at, point };
         let proved = match &self.leadership {
-            Some(leadership) => {
-                let server = target.instance.borrow().id.clone();
-                leadership.borrow_mut().claim(&server, claim)
-            }
+            Some(leadership) => leadership.borrow_mut().claim(claim),
             None => Some(claim),
         };
         self.add_watermarks(proved);
@@ -277,15 +274,6 @@
         }
     }
 
-    /// Records the end of the log of the server that ran a statement.
-    pub(crate) fn record_log_end(&self, target: &Target<D>, point: LogPoint) {
-        if let Some(leadership) = &self.leadership {
-            let server = target.instance.borrow().id.clone();
-            let proved = leadership.borrow_mut().observe(&server, point);
-            self.add_watermarks(proved);
-        }
-    }
-
     fn add_watermarks(&self, watermarks: impl IntoIterator<Item = Watermark>) {
         for watermark in watermarks {
             self.watermarks.borrow_mut().add(watermark);
--- a/crates/siskinhook-gateway/src/leadership.rs
+++ b/crates/siskinhook-gateway/src/leadership.rs
@@ -7,7 +7,7 @@
 
 use std::collections::VecDeque;
 
-use siskinhook_types::{LogPoint, ServerId, Term};
+use siskinhook_types::Term;
 
 use crate::{BootInstant, Watermark};
 
@@ -19,16 +19,16 @@
 pub struct Leadership {
     /// Term of the latest confirmation, and the time at which the replica was not paused yet.
     confirmed: Option<(Term, BootInstant)>,
-    /// Server that made the claims.
-    claimant: Option<ServerId>,
     /// Claims later than the confirmation, oldest first, all of one term.
     claims: VecDeque<Watermark>,
 }
 
 impl Leadership {
-    /// Records that a server claimed to lead at `claim.at`, with the end of its log. Returns the
+    /// Records that a server claimed to lead at `claim.at`, with the end of its log. The log of a
+    /// new primary ends in an older term until its first commit, so another server's log that goes
+    /// further does not confirm the claim: it may belong to the replaced primary. Returns the
     /// watermark that the claim proves together with the latest confirmation.
-    pub fn claim(&mut self, server: &ServerId, claim: Watermark) -> Option<Watermark> {
+    pub fn claim(&mut self, claim: Watermark) -> Option<Watermark> {
         if self
             .claims
             .back()
@@ -36,7 +36,6 @@
         {
             return None;
         }
-        self.claimant = Some(server.clone());
         self.claims
             .retain(|known| known.point.term == claim.point.term);
         let confirmed = self.confirmation(claim.point.term);
@@ -65,24 +64,6 @@
         self.claims.drain(..count).collect()
     }
 
-    /// Records the end of a server's log, which counts for a replica only. A commit later than a claim was received after that
-    /// claim, so the replica was not paused before. Returns the claims that this proves.
-    pub fn observe(&mut self, server: &ServerId, point: LogPoint) -> Vec<Watermark> {
-        if self.claimant.as_ref() == Some(server) {
-            return Vec::new();
-        }
-        let is_later = |claim: &&Watermark| {
-            claim.point.term == point.term && claim.point.position < point.position
-        };
-        let latest = self
-            .claims
-            .iter()
-            .filter(is_later)
-            .map(|claim| claim.at)
-            .max();
-        latest.map_or_else(Vec::new, |at| self.confirm(point.term, at))
-    }
-
     /// Returns the time of the latest confirmation in `term`.
     #[must_use]
     pub fn confirmation(&self, term: Term) -> Option<BootInstant> {
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -40,7 +40,7 @@
 pub struct Request<'a, D: Dialer> {
     pub gateway: &'a Rc<Gateway<D>>,
     pub route: &'a Route,
-    pub group: &'a Group<D>,
+    pub group: &'a Rc<Group<D>>,
     pub statement: Statement<'a>,
     pub arrived: Instant,
     pub deadline: Instant,
@@ -508,7 +508,6 @@
     ) {
         if let Some(point) = reply.point {
             self.group.record_position(point);
-            self.group.record_log_end(&plan.target, point);
         }
         let Err((code, _)) = &reply.result else {
             return;
--- a/crates/siskinhook-gateway/src/session.rs
+++ b/crates/siskinhook-gateway/src/session.rs
@@ -305,7 +305,7 @@
     fn request<'a>(
         &'a self,
         route: &'a Route,
-        group: &'a Group<D>,
+        group: &'a Rc<Group<D>>,
         statement: Statement<'a>,
         arrival: Arrival,
         started_at: BootInstant,
