Distrust servers just after an outage when confirming a primary

A replica that restarted has lost its pause and knows only the old term, so its answer does not show that no promotion took place.

Change: a server that was unreachable less than 2 s ago neither confirms a primary nor is confirmed.

--- a/crates/siskinhook-gateway/src/confirmation.rs
+++ b/crates/siskinhook-gateway/src/confirmation.rs
@@ -14,6 +14,11 @@
 /// Time limit of the question to one replica; many times the network latency between zones.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time after an outage during which a server's answers prove nothing. A replica that restarted has
+/// lost its pause and knows only the old term until it reaches the new primary; a replaced primary
+/// steps down within a second of reaching it.
+const SETTLING_TIME: Duration = Duration::from_secs(2);
+
 /// Coalesces the questions of concurrent statements: one answer serves all that arrived before its
 /// question was sent.
 #[derive(Debug, Default)]
@@ -49,7 +54,11 @@
             return;
         }
         let sent_at = BootInstant::now();
-        for replica in self.confirming_replicas() {
+        let leader_stable = self
+            .leader()
+            .is_some_and(|leader| leader.is_stable(SETTLING_TIME));
+        let replicas = self.confirming_replicas();
+        for replica in replicas.into_iter().filter(|_| leader_stable) {
             let limit = deadline.min(Instant::now() + REPLICA_TIMEOUT);
             if self.ask_replica(&replica, limit).await {
                 return;
@@ -58,13 +67,13 @@
         self.confirmation.failed.set(Some(sent_at));
     }
 
-    /// Returns the reachable servers other than the primary, the fastest first.
+    /// Returns the servers other than the primary whose answers can be trusted, the fastest first.
     fn confirming_replicas(&self) -> Vec<Rc<Target<D>>> {
         let leader = self.leader_id();
         let targets = self.targets.borrow();
         let mut replicas: Vec<Rc<Target<D>>> = targets
             .iter()
-            .filter(|(id, target)| Some(*id) != leader.as_ref() && target.outage().is_none())
+            .filter(|(id, target)| Some(*id) != leader.as_ref() && target.is_stable(SETTLING_TIME))
             .map(|(_, target)| target.clone())
             .collect();
         replicas.sort_by(|a, b| a.expected_latency().total_cmp(&b.expected_latency()));
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -102,6 +102,8 @@
     pub instance: RefCell<Instance>,
     pool: RefCell<Pool<D>>,
     health: Cell<Health>,
+    /// When the server was reachable again after its last outage.
+    recovered_at: Cell<Option<Instant>>,
     lagging_until: Cell<Option<Instant>>,
     /// Moving average of the statement latency, in milliseconds.
     mean_latency: Cell<f64>,
@@ -140,6 +142,7 @@
                 refusals: 0,
             }),
             health: Cell::default(),
+            recovered_at: Cell::default(),
             lagging_until: Cell::default(),
             mean_latency: Cell::new(INITIAL_LATENCY_MILLIS),
             retired: Cell::new(false),
@@ -168,6 +171,12 @@
             .map(|at| (at.elapsed(), health.failures))
     }
 
+    /// Whether the server is reachable and has been for `duration`.
+    pub fn is_stable(&self, duration: Duration) -> bool {
+        let recovered_at = self.recovered_at.get();
+        self.outage().is_none() && recovered_at.is_none_or(|at| at.elapsed() >= duration)
+    }
+
     pub fn is_draining(&self) -> bool {
         self.instance.borrow().draining
     }
@@ -507,6 +516,7 @@
         let mut health = self.health.get();
         if health.failing_since.take().is_some() {
             health.failures = 0;
+            self.recovered_at.set(Some(Instant::now()));
             let id = self.instance.borrow().id.clone();
             event!(Event::TargetReached, server = id.as_str(); "the server is reachable again");
         }
