--- a/tests/soak/nodes.rs
+++ b/tests/soak/nodes.rs
@@ -43,7 +43,7 @@
         let text = serde_json::json!({
             "node": name, "zone": zone, "callers": caller_address, "readiness": free_address(),
             "metrics": free_address(), "relay": free_address(), "store": store,
-            "orders": store, "grace": 6000,
+            "orders": store, "checks_fence": true, "grace": 6000,
         });
         fs::write(&settings_path, text.to_string()).expect("the directory is writable");
         Self {
