Log and export for how long the store has not answered a feed

The log could not tell a feed that is answered with old versions from one that is not answered at all.

--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    fmt::Write as _,
     rc::Rc,
     time::Duration,
 };
@@ -16,7 +17,9 @@
     time::{MissedTickBehavior, interval},
 };
 
-use crate::{Configuration, Counters, Dialer, Instance, Route, fleet::Fleet, group::Group};
+use crate::{
+    BootInstant, Configuration, Counters, Dialer, Instance, Route, fleet::Fleet, group::Group,
+};
 
 /// Interval at which idle connections are checked; shorter than their idle timeouts.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -54,6 +57,8 @@
     discovered: Cell<bool>,
     /// Whether the node is cut off from the other zones.
     cut_off: watch::Sender<bool>,
+    /// When the platform's store last answered about each table that the node follows.
+    store_answers: RefCell<IndexMap<&'static str, BootInstant>>,
     random: RefCell<SmallRng>,
 }
 
@@ -85,6 +90,7 @@
             draining: Cell::default(),
             discovered: Cell::default(),
             cut_off: watch::Sender::new(false),
+            store_answers: RefCell::default(),
         })
     }
 
@@ -186,6 +192,40 @@
         self.configuration.borrow().routes.get(database).cloned()
     }
 
+    /// Records that the platform's store answered about a table. Returns for how long it had not.
+    pub fn record_store_answer(&self, table: &'static str) -> Duration {
+        let silence = self.store_silence(table);
+        self.store_answers
+            .borrow_mut()
+            .insert(table, BootInstant::now());
+        silence
+    }
+
+    /// Returns for how long the platform's store has not answered about a table, or zero before its
+    /// first answer.
+    pub fn store_silence(&self, table: &str) -> Duration {
+        let answers = self.store_answers.borrow();
+        answers.get(table).map_or(Duration::ZERO, |answered| {
+            BootInstant::now().elapsed_since(*answered)
+        })
+    }
+
+    /// Returns all metrics of the node in the text format of Prometheus.
+    pub fn metrics(&self) -> String {
+        const NAME: &str = "siskinhook_gateway_store_silence_seconds";
+        let mut text = self.counters.text();
+        // Writing to a String cannot fail.
+        let _ = writeln!(
+            text,
+            "# HELP {NAME} Time since the platform's store last answered about a table.\n# TYPE {NAME} gauge"
+        );
+        for table in self.store_answers.borrow().keys() {
+            let seconds = self.store_silence(table).as_secs_f64();
+            let _ = writeln!(text, "{NAME}{{table=\"{table}\"}} {seconds:.3}");
+        }
+        text
+    }
+
     /// Records that the list of servers has been read completely.
     pub fn set_discovered(&self) {
         self.discovered.set(true);
