Bound the time that a feed may go without an answer of the store

Callers saw requests handled by an older configuration, or refused although the route had been added, up to 25 s after the bound.

Cause: a feed waited at the store for up to 25 s. A call that was lost while the store was silent looks like a call without news, so the node went on with what it knew until the wait was over. The retry after a failed call waited in the same way.

The new state machine Feed decides about the calls. After a failure the feed asks without waiting until the store has answered again, so an outage ends for the node within two seconds of its end.

--- /dev/null
+++ b/crates/siskinhook-gateway/src/feed.rs
@@ -0,0 +1,118 @@
+//! Decides which call a node makes next to follow a table of the platform's store (pure).
+//!
+//! A call that waits for changes and is lost cannot be told from one that has nothing to report.
+//! The wait is therefore so short that the node hears from the store within a bound, and after a
+//! failure the node first asks without waiting, until the store has answered again.
+
+use std::time::Duration;
+
+/// Base of the exponential backoff after failed calls.
+const BASE_BACKOFF: Duration = Duration::from_millis(80);
+/// Maximum backoff. Together with a call that gets no answer it is far below every bound of the
+/// platform, so a node hears from the store soon after an outage.
+const MAX_BACKOFF: Duration = Duration::from_millis(1200);
+
+/// Settings of a feed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FeedSettings {
+    /// Maximum time without an answer of a store that works.
+    pub silence_limit: Duration,
+    /// Time after which a call that does not wait for changes has failed.
+    pub call_timeout: Duration,
+}
+
+impl Default for FeedSettings {
+    fn default() -> Self {
+        Self {
+            silence_limit: Duration::from_secs(4),
+            call_timeout: Duration::from_millis(800),
+        }
+    }
+}
+
+/// The next call of a feed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FeedCall {
+    /// Reads the whole table.
+    ReadTable,
+    /// Asks for the changes after a version.
+    ReadChanges {
+        /// Version up to which the node knows the table.
+        after: u64,
+        /// Time that the call may wait at the store for a change.
+        wait: Duration,
+    },
+}
+
+/// How a node follows one table.
+#[derive(Clone, Copy, Debug)]
+pub struct Feed {
+    settings: FeedSettings,
+    /// Version up to which the node knows the table; `None` if it has to read the whole table.
+    version: Option<u64>,
+    /// Consecutive failed calls.
+    failures: u32,
+}
+
+impl Feed {
+    /// Creates a feed that has read nothing yet.
+    #[must_use]
+    pub const fn new(settings: FeedSettings) -> Self {
+        Self {
+            settings,
+            version: None,
+            failures: 0,
+        }
+    }
+
+    /// Returns the next call. `limit` is the time after which the caller needs an answer in any
+    /// case.
+    #[must_use]
+    pub fn next_call(&self, limit: Duration) -> FeedCall {
+        let Some(after) = self.version else {
+            return FeedCall::ReadTable;
+        };
+        let wait = if self.failures > 0 {
+            Duration::ZERO
+        } else {
+            self.max_wait().min(limit)
+        };
+        FeedCall::ReadChanges { after, wait }
+    }
+
+    /// Returns the maximum time to wait at the store. It leaves a call timeout for an answer that
+    /// comes late, and one for the call after a lost one.
+    fn max_wait(&self) -> Duration {
+        self.settings
+            .silence_limit
+            .saturating_sub(self.settings.call_timeout * 2)
+    }
+
+    /// Records an answer that brings the node up to a version. Returns the number of failed calls
+    /// before it.
+    pub fn record_answer(&mut self, version: u64) -> u32 {
+        self.version = Some(version);
+        std::mem::take(&mut self.failures)
+    }
+
+    /// Records that the store answered but no longer keeps the changes since the known version.
+    /// Returns the number of failed calls before it.
+    pub fn record_expiry(&mut self) -> u32 {
+        self.version = None;
+        std::mem::take(&mut self.failures)
+    }
+
+    /// Records a failed call. Returns the number of consecutive failures, and the delay before the
+    /// next call.
+    pub fn record_failure(&mut self) -> (u32, Duration) {
+        self.failures += 1;
+        let doubled = BASE_BACKOFF.saturating_mul(1 << self.failures.min(6));
+        (self.failures, doubled.min(MAX_BACKOFF))
+    }
+
+    /// Returns the version up to which the node knows the table, or 0 if it has to read all of it.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version.unwrap_or_default()
+    }
+}
--- a/crates/siskinhook-gateway/src/lib.rs
+++ b/crates/siskinhook-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod counters;
 mod departures;
 mod failover;
+mod feed;
 mod fleet;
 mod gateway;
 mod group;
@@ -33,6 +34,7 @@
 pub use counters::{Counter, Counters};
 pub use departures::Departures;
 pub use failover::{OrderOutcome, Orders, watch_group};
+pub use feed::{Feed, FeedCall, FeedSettings};
 pub use fleet::{Fleet, Path, Peer};
 pub use gateway::{Gateway, GatewaySettings};
 pub use group::Group;
