--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -253,6 +253,9 @@
     StoreRegained = 5011, Info, "store_regained",
         "The platform's store answers again.",
         "Nothing.";
+    StoreRestored = 5012, Warn, "store_restored",
+        "The platform's store came back from an older copy; what was written since the copy is gone.",
+        "Check who restored it and why.";
     EditAccepted = 6001, Info, "edit_accepted",
         "An edit of the catalogue was accepted.",
         "Nothing.";
