Keep fencing tokens and turns apart across a restored store

Cause: the lease row is the only memory of the token and of the last holder. When the store comes back from an older copy, the row is one that was replaced since, or missing: its token is given out again, and the holder whose row was lost may still act.

Tokens now start above those of all former eras (era times 2^20), a row of a former era may be taken over only when the holders since the copy are too old to act (4.5 s after the first answer of the new era), and a lease is not renewed across a restore.

--- a/crates/siskinhook-gateway/src/failover/lease.rs
+++ b/crates/siskinhook-gateway/src/failover/lease.rs
@@ -17,6 +17,11 @@
 /// calls may be in flight.
 const TAKEOVER_AGE: Duration = Duration::from_millis(4500);
 
+/// Number of tokens per era of the table. The row with the latest token may be lost when the table
+/// comes back from an older copy, so each era has tokens of its own; a group is never failed over a
+/// million times in one.
+const TOKENS_PER_ERA: u64 = 1 << 20;
+
 /// The stored lease row.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct LeaseRecord {
@@ -29,6 +34,9 @@
     /// Time when the row was written, by the table service's clock, in milliseconds.
     #[serde(default)]
     written: u64,
+    /// Era of the table in which the row was written.
+    #[serde(default)]
+    era: u64,
 }
 
 /// The lease row as read, with its version.
@@ -37,14 +45,28 @@
     record: LeaseRecord,
     /// Time of the read by the table service's clock, in milliseconds.
     now: u64,
+    /// Era of the table in which the row was read.
+    era: u64,
+    /// Time since this process first had an answer of this era.
+    era_age: Duration,
 }
 
 impl StoredLease {
     /// Whether a process may acquire the lease: it holds the lease already, or the row is so old
-    /// that its holder no longer acts.
+    /// that its holder no longer acts. A row of a former era says nothing about the holders since
+    /// the copy, whose rows are lost, so they must be old as well.
     fn is_available_to(&self, process: u64) -> bool {
-        let age = Duration::from_millis(self.now.saturating_sub(self.record.written));
-        self.record.token == 0 || self.record.process == process || age >= TAKEOVER_AGE
+        let record = &self.record;
+        let age = Duration::from_millis(self.now.saturating_sub(record.written));
+        let is_last_known = record.era == self.era || self.era_age >= TAKEOVER_AGE;
+        let is_free = record.token == 0 || record.process == process || age >= TAKEOVER_AGE;
+        is_last_known && is_free
+    }
+
+    /// Returns a token above all that were given out before, in this era and in former ones.
+    fn next_token(&self) -> u64 {
+        let floor = self.era.saturating_mul(TOKENS_PER_ERA);
+        self.record.token.max(floor) + 1
     }
 }
 
@@ -52,6 +74,8 @@
 #[derive(Clone, Copy)]
 pub struct Lease {
     pub token: u64,
+    /// Era of the table in which the lease was written.
+    era: u64,
     pub until: BootInstant,
 }
 
@@ -65,37 +89,28 @@
     pub(super) async fn acquire_lease(&self) -> Option<Lease> {
         let stored = self.read_lease().await?;
         if stored.is_available_to(self.gateway.process) {
-            return self.claim(&stored, stored.record.token + 1).await;
+            return self.claim(&stored).await;
         }
         None
     }
 
     async fn read_lease(&self) -> Option<StoredLease> {
-        let (row, now) = match self.platform.get_with_clock(&self.key()).await {
-            Ok(found) => found,
+        let reading = match self.platform.read(&self.key()).await {
+            Ok(reading) => reading,
             Err(error) => {
                 self.log_failure(&error.to_string());
                 return None;
             }
         };
-        let now = now.unwrap_or_default();
-        let Some(row) = row else {
-            let record = LeaseRecord::default();
-            return Some(StoredLease {
-                version: 0,
-                record,
-                now,
-            });
-        };
-        match serde_json::from_value(row.value) {
-            Ok(record) => {
-                let version = row.version;
-                Some(StoredLease {
-                    version,
-                    record,
-                    now,
-                })
-            }
+        let record = reading.row.map(|row| serde_json::from_value(row.value));
+        match record.transpose() {
+            Ok(record) => Some(StoredLease {
+                version: reading.version,
+                record: record.unwrap_or_default(),
+                now: reading.clock.unwrap_or_default(),
+                era: reading.era,
+                era_age: reading.era_age,
+            }),
             Err(error) => {
                 self.log_failure(&format!("cannot decode the failover lease row: {error}"));
                 None
@@ -104,13 +119,15 @@
     }
 
     /// Writes the lease row if it is unchanged since it was read.
-    async fn claim(&self, stored: &StoredLease, token: u64) -> Option<Lease> {
+    async fn claim(&self, stored: &StoredLease) -> Option<Lease> {
+        let (token, era) = (stored.next_token(), stored.era);
         let until = BootInstant::now().plus(LEASE_DURATION);
         let record = LeaseRecord {
             holder: self.gateway.node.clone(),
             process: self.gateway.process,
             token,
             written: stored.now,
+            era,
         };
         let value = serde_json::to_value(&record).ok()?;
         let key = self.key();
@@ -125,7 +142,7 @@
             }],
         };
         match self.platform.commit(batch).await {
-            Ok(CommitOutcome::Applied) => Some(Lease { token, until }),
+            Ok(CommitOutcome::Applied) => Some(Lease { token, era, until }),
             Ok(CommitOutcome::Conflict { .. }) => None,
             Err(error) => {
                 // If only the answer was lost, the row may name this node. The next attempt reads
@@ -139,11 +156,12 @@
     /// Renews the lease under a higher token, if this process still holds it.
     pub(super) async fn renew(&self, lease: Lease) -> Option<Lease> {
         let stored = self.read_lease().await?;
-        let is_holder =
-            stored.record.process == self.gateway.process && stored.record.token == lease.token;
+        let is_holder = stored.record.process == self.gateway.process
+            && stored.record.token == lease.token
+            && stored.era == lease.era;
         if !is_holder {
             return None;
         }
-        self.claim(&stored, lease.token + 1).await
+        self.claim(&stored).await
     }
 }
--- a/crates/siskinhook-gateway/tests/failover.rs
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -128,6 +128,41 @@
     }
 }
 
+/// Guards against a lease row that was lost when the table came back from an older copy: its token
+/// was given out again, and its holder was still acting when the next one began.
+#[tokio::test(start_paused = true)]
+async fn restored_table_does_not_give_out_a_token_or_a_turn_again() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                let nodes = [site.start("n1"), site.start("n2"), site.start("n3")];
+                site.table.restore_empty();
+                sleep(Duration::from_secs(5)).await;
+                for _ in 0..4 {
+                    write_for(&nodes, 5).await;
+                    let primary = site.primaries()[0];
+                    site.world.borrow_mut()[primary].reachable = false;
+                    write_for(&nodes, 10).await;
+                    site.table.restore_empty();
+                    write_for(&nodes, 60).await;
+                    let mut world = site.world.borrow_mut();
+                    world[primary].reachable = true;
+                    world[primary].role = Role::Replica;
+                    world[primary].term = world.iter().map(|server| server.term).max().unwrap();
+                }
+                let seen = site.orders.seen.borrow();
+                assert!(seen.len() >= 4, "{seen:?}");
+                for pair in seen.windows(2) {
+                    let near = pair[1].at - pair[0].at < 3000;
+                    assert!(!near || pair[0].holder == pair[1].holder, "{pair:?}");
+                    assert!(pair[1].token > pair[0].token, "{pair:?}");
+                }
+            })
+            .await;
+    }
+}
+
 /// Guards against the late execution of an order that got no answer: the repeated order has a
 /// higher token, so the late one is refused.
 #[tokio::test(start_paused = true)]
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -17,7 +17,7 @@
     ServerReply, Service, Session, TargetCode, TransactionState,
 };
 use siskinhook_types::{
-    Batch, CommitOutcome, LogPoint, NodeId, Platform, PlatformError, Role, Row, ServerId,
+    Batch, CommitOutcome, LogPoint, NodeId, Platform, PlatformError, Reading, Role, Row, ServerId,
     ServiceId, Term, VmRecord,
 };
 use smol_str::{SmolStr, format_smolstr};
@@ -454,6 +454,18 @@
 #[derive(Clone, Default)]
 pub struct Table {
     rows: Arc<Mutex<BTreeMap<SmolStr, Row>>>,
+    /// Number of the table's history and when it began; `None` if the table was never restored.
+    era: Arc<Mutex<Option<(u64, Instant)>>>,
+}
+
+impl Table {
+    /// Comes back from a copy without any row.
+    pub fn restore_empty(&self) {
+        self.rows.lock().expect("valid in this model").clear();
+        let mut era = self.era.lock().expect("valid in this model");
+        let next = era.map_or(1, |(number, _)| number + 1);
+        *era = Some((next, Instant::now()));
+    }
 }
 
 thread_local! {
@@ -476,9 +488,17 @@
             .cloned())
     }
 
-    async fn get_with_clock(&self, key: &str) -> Result<(Option<Row>, Option<u64>), PlatformError> {
-        let now = clock();
-        Ok((self.get(key).await?, Some(now)))
+    async fn read(&self, key: &str) -> Result<Reading, PlatformError> {
+        let clock = Some(clock());
+        let row = self.get(key).await?;
+        let era = *self.era.lock().expect("valid in this model");
+        Ok(Reading {
+            version: row.as_ref().map_or(0, |row| row.version),
+            row,
+            clock,
+            era: era.map_or(0, |(number, _)| number),
+            era_age: era.map_or(Duration::MAX, |(_, start)| start.elapsed()),
+        })
     }
 
     async fn list(&self, _: &str, _: &str, _: usize) -> Result<Vec<Row>, PlatformError> {
--- a/crates/siskinhook-types/src/lib.rs
+++ b/crates/siskinhook-types/src/lib.rs
@@ -23,7 +23,7 @@
     ServerId, ServiceId, SessionId, Term, Zone,
 };
 pub use platform::{
-    Batch, CommitOutcome, Condition, Platform, PlatformError, Row, RowWrite, VmRecord,
+    Batch, CommitOutcome, Condition, Platform, PlatformError, Reading, Row, RowWrite, VmRecord,
 };
 pub use request::{Class, Kind, Link, Links, Request};
 pub use statement::{Column, Part, Protocol, Statement};
--- a/crates/siskinhook-types/src/platform.rs
+++ b/crates/siskinhook-types/src/platform.rs
@@ -1,6 +1,6 @@
 //! Interface of the platform: table service, object store and list of VMs.
 
-use std::{collections::BTreeMap, fmt, future::Future};
+use std::{collections::BTreeMap, fmt, future::Future, time::Duration};
 
 use bytes::Bytes;
 use serde_json::Value;
@@ -19,6 +19,21 @@
         pub value: Value,
     }
 
+    /// A row as read, or its absence.
+    pub struct Reading {
+        /// The row, if it exists.
+        pub row: Option<Row>,
+        /// Version for a condition that the row, or its absence, is unchanged.
+        pub version: u64,
+        /// Time of the table service's own monotonic clock in milliseconds, if it reports one.
+        pub clock: Option<u64>,
+        /// Number of the table service's history. It rises when the service comes back from an
+        /// older copy and what was written since is gone.
+        pub era: u64,
+        /// Time since this process first had an answer of this era.
+        pub era_age: Duration,
+    }
+
     /// Condition of a batch: the row must have the expected version.
     pub struct Condition {
         /// Key of the row.
@@ -120,16 +135,22 @@
     /// Returns `PlatformError::NotDone` when the call fails.
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<Row>, PlatformError>> + Send;
 
-    /// Reads a row together with the table service's own monotonic clock in milliseconds, or
-    /// `None` when the service reports no clock.
+    /// Reads a row with what a lease needs to know about the table service. By default the service
+    /// has no clock and was never restored.
     ///
     /// # Errors
     /// Returns `PlatformError::NotDone` when the call fails.
-    fn get_with_clock(
-        &self,
-        key: &str,
-    ) -> impl Future<Output = Result<(Option<Row>, Option<u64>), PlatformError>> + Send {
-        async { Ok((self.get(key).await?, None)) }
+    fn read(&self, key: &str) -> impl Future<Output = Result<Reading, PlatformError>> + Send {
+        async {
+            let row = self.get(key).await?;
+            Ok(Reading {
+                version: row.as_ref().map_or(0, |row| row.version),
+                row,
+                clock: None,
+                era: 0,
+                era_age: Duration::MAX,
+            })
+        }
     }
 
     /// Lists rows whose key starts with `prefix` and is greater than `after`, in key order.
