Demote the primary before its replicas are paused

Cause: a new server receives commits, and counts for their acknowledgement, before its entry is read. The failover controller paused the replicas that it knew, chose the longest of their logs, and gave up on the answer of the primary, which went on acknowledging with the new server until the promotion took effect 300 ms later.

The controller now demotes a primary that it reaches before it pauses the replicas (150 ms at most), so that they still receive all that it acknowledges, and a successor must hold the log of the demoted primary. Only a primary that seems cut off from its replicas is left aside as before: the end of its log was not acknowledged.

--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -4,7 +4,10 @@
 
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{Platform, Role, ServerId, Term};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep, timeout},
+};
 
 use super::{Controller, Orders};
 use crate::{
@@ -14,49 +17,58 @@
 
 /// Time limit for pausing or demoting the servers, which happens in parallel.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for demoting the primary before the replicas are paused. It is many times the latency
+/// between zones, and short compared with a promotion.
+const DEMOTION_TIMEOUT: Duration = Duration::from_millis(150);
 /// Delay before a pause or demote request without a usable reply is repeated.
 const CONTROL_RETRY_DELAY: Duration = Duration::from_millis(25);
 
 impl<D: Dialer, P: Platform, O: Orders> Controller<D, P, O> {
-    /// Pauses the replicas, demotes the primary, and chooses a successor from their replies.
-    pub(super) async fn stop_servers(&self, leader: Option<&ServerId>) -> Option<ServerId> {
-        let term = self.group.term.get() + 1;
-        let targets: Vec<Rc<Target<D>>> = self.group.targets.borrow().values().cloned().collect();
+    /// Demotes the primary, pauses the replicas, and chooses a successor from their replies.
+    /// `isolated` tells whether the primary seems to be cut off from its replicas.
+    ///
+    /// The primary comes first, so that the replicas still receive all that it acknowledges. If it
+    /// does not reply, waiting longer would only use up the time limit.
+    pub(super) async fn stop_servers(
+        &self,
+        leader: Option<&ServerId>,
+        isolated: bool,
+    ) -> Option<ServerId> {
         let deadline = Instant::now() + CONTROL_TIMEOUT;
-        let count = targets.len();
-        let mut tasks = Vec::new();
-        for target in targets {
-            let id = target.instance.borrow().id.clone();
-            let draining = target.is_draining();
-            let group = self.group.clone();
-            let gateway = self.gateway.clone();
-            let task = tokio::task::spawn_local(async move {
-                stop_server(&gateway, &group, &target, term, deadline).await
-            });
-            tasks.push((id, draining, task));
+        let targets: Vec<Rc<Target<D>>> = self.group.targets.borrow().values().cloned().collect();
+        let (primary, replicas): (Vec<_>, Vec<_>) = targets
+            .into_iter()
+            .partition(|target| Some(&target.instance.borrow().id) == leader);
+        let mut stopped = Vec::new();
+        let mut pending = Vec::new();
+        for target in primary {
+            let task = self.stop(&target, deadline);
+            let limit = if target.outage().is_none() {
+                DEMOTION_TIMEOUT
+            } else {
+                Duration::ZERO
+            };
+            pending = finish(vec![task], limit, &mut stopped).await;
         }
-        // The primary comes last: if it is unreachable, waiting for it would use up the time limit,
-        // and its reply is mostly not needed.
-        tasks.sort_by_key(|(id, ..)| Some(id) == leader);
+        let tasks = replicas
+            .iter()
+            .map(|target| self.stop(target, deadline))
+            .collect();
+        finish(tasks, CONTROL_TIMEOUT, &mut stopped).await;
+        pending = finish(pending, Duration::ZERO, &mut stopped).await;
         let departed = self.group.departed();
         let sync_replicas = self.group.sync_replicas.get();
-        let mut stopped = Vec::new();
-        let mut chosen = None;
-        for (server, draining, mut task) in tasks {
-            if chosen.is_some() {
-                task.abort();
-                stopped.push((server, draining, None));
-                continue;
-            }
-            // A task that was cancelled or panicked counts as a server that did not reply.
-            let answer = (&mut task).await.ok().flatten();
-            stopped.push((server, draining, answer));
-            if stopped.len() + 1 >= count {
-                chosen =
-                    choose_successor(&reports(&stopped, leader, count), sync_replicas, departed);
-            }
+        let choose =
+            |reports: &[Report]| choose_successor(reports, sync_replicas, departed, isolated);
+        let mut chosen = choose(&reports(&stopped, &pending, leader));
+        if chosen.is_none() {
+            pending = finish(pending, CONTROL_TIMEOUT, &mut stopped).await;
+            chosen = choose(&reports(&stopped, &pending, leader));
+        }
+        let reports = reports(&stopped, &pending, leader);
+        for task in pending {
+            task.reply.abort();
         }
-        let reports = reports(&stopped, leader, count);
         for report in &reports {
             let (end, paused) = report
                 .status
@@ -64,7 +76,7 @@
             event!(
                 Event::FailoverOrdered,
                 service = self.group.service.as_str(), server = report.server.as_str(),
-                former = report.former, draining = report.draining, held = paused, term = term,
+                former = report.former, draining = report.draining, held = paused, term = self.group.term.get(),
                 departed = departed.missing,
                 chosen = (chosen.as_ref() == Some(&report.server));
                 "the server's log ends at {end:?}"
@@ -72,6 +84,61 @@
         }
         chosen
     }
+
+    /// Starts to pause or demote one server.
+    fn stop(&self, target: &Rc<Target<D>>, deadline: Instant) -> StopTask {
+        let term = self.group.term.get() + 1;
+        let (gateway, group) = (self.gateway.clone(), self.group.clone());
+        let server = target.instance.borrow().id.clone();
+        let draining = target.is_draining();
+        let target = target.clone();
+        let reply = tokio::task::spawn_local(async move {
+            stop_server(&gateway, &group, &target, term, deadline).await
+        });
+        StopTask {
+            server,
+            draining,
+            reply,
+        }
+    }
+}
+
+/// A server that is being stopped.
+struct StopTask {
+    server: ServerId,
+    draining: bool,
+    reply: JoinHandle<Option<Stopped>>,
+}
+
+/// Collects the replies of servers that are being stopped, waiting for each for at most `limit`.
+/// Returns those that have not replied.
+async fn finish(
+    tasks: Vec<StopTask>,
+    limit: Duration,
+    stopped: &mut Vec<StopReply>,
+) -> Vec<StopTask> {
+    let mut pending = Vec::new();
+    for mut task in tasks {
+        let Ok(reply) = timeout(limit, &mut task.reply).await else {
+            pending.push(task);
+            continue;
+        };
+        stopped.push(StopReply {
+            server: task.server,
+            draining: task.draining,
+            // A task that was cancelled or panicked counts as a server that did not reply.
+            stopped: reply.ok().flatten(),
+        });
+    }
+    pending
+}
+
+/// The reply of a server that was asked to stop.
+struct StopReply {
+    server: ServerId,
+    draining: bool,
+    /// `None` if the server did not reply.
+    stopped: Option<Stopped>,
 }
 
 /// A server that was stopped.
@@ -83,44 +150,31 @@
 
 /// Returns the primary that is being replaced: of the servers that replied, the one that was the
 /// primary in the highest term, or else the server regarded as the primary.
-fn former_primary(
-    stopped: &[(ServerId, bool, Option<Stopped>)],
-    leader: Option<&ServerId>,
-) -> Option<ServerId> {
-    let was_primary = |(server, _, stopped): &(ServerId, bool, Option<Stopped>)| {
-        let term = stopped.as_ref()?.was_primary?;
-        Some((term, server.clone()))
+fn former_primary(replies: &[StopReply], leader: Option<&ServerId>) -> Option<ServerId> {
+    let was_primary = |reply: &StopReply| {
+        let term = reply.stopped.as_ref()?.was_primary?;
+        Some((term, reply.server.clone()))
     };
-    let found = stopped.iter().filter_map(was_primary).max();
+    let found = replies.iter().filter_map(was_primary).max();
     found.map(|(_, server)| server).or_else(|| leader.cloned())
 }
 
-/// Returns a report of each server. If the server regarded as the primary has not replied yet, it
-/// is still included, up to `count` servers.
-fn reports(
-    stopped: &[(ServerId, bool, Option<Stopped>)],
-    leader: Option<&ServerId>,
-    count: usize,
-) -> Vec<Report> {
-    let former = former_primary(stopped, leader);
-    let mut reports: Vec<Report> = stopped
+/// Returns a report of each server, also of those that have not replied yet.
+fn reports(replies: &[StopReply], pending: &[StopTask], leader: Option<&ServerId>) -> Vec<Report> {
+    let former = former_primary(replies, leader);
+    let report = |server: &ServerId, draining, stopped: Option<&Stopped>| Report {
+        former: Some(server) == former.as_ref(),
+        server: server.clone(),
+        draining,
+        status: stopped.map(|stopped| stopped.status),
+    };
+    let finished = replies
         .iter()
-        .map(|(server, draining, stopped)| Report {
-            former: Some(server) == former.as_ref(),
-            server: server.clone(),
-            draining: *draining,
-            status: stopped.as_ref().map(|stopped| stopped.status),
-        })
-        .collect();
-    if let Some(leader) = leader.filter(|_| reports.len() < count) {
-        reports.push(Report {
-            former: Some(leader) == former.as_ref(),
-            server: leader.clone(),
-            draining: false,
-            status: None,
-        });
-    }
-    reports
+        .map(|reply| report(&reply.server, reply.draining, reply.stopped.as_ref()));
+    let waiting = pending
+        .iter()
+        .map(|task| report(&task.server, task.draining, None));
+    finished.chain(waiting).collect()
 }
 
 /// Pauses or demotes one server under a term higher than any it knows.
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -41,6 +41,8 @@
     pub unresponsive: bool,
     /// Number of `BEGIN` requests that the server will refuse because of load.
     pub busy_begins: u32,
+    /// Number of control requests that the server will refuse because of load.
+    pub busy_controls: u32,
     /// Error codes returned for the next statements instead of running them.
     pub errors: VecDeque<TargetCode>,
     /// Whether to close the connection after the next statement ran, without a reply.
@@ -66,6 +68,7 @@
         reachable: true,
         unresponsive: false,
         busy_begins: 0,
+        busy_controls: 0,
         errors: VecDeque::new(),
         lose_answer: false,
         cap: 16,
@@ -94,6 +97,13 @@
 }
 
 impl Server {
+    /// Whether the next control request is refused because of load.
+    fn is_control_refused(&mut self) -> bool {
+        let refused = self.busy_controls > 0;
+        self.busy_controls = self.busy_controls.saturating_sub(1);
+        refused
+    }
+
     /// Executes a control request and returns a row with the status after it.
     fn control(&mut self, verb: &str, term: &str) -> Bytes {
         let term: Term = term.parse().expect("a term");
@@ -217,6 +227,7 @@
                 self.prepared.insert(words[1].into(), words[2..].join(" "));
             }
             "STATUS" => rows.push(server.control("STATUS", "0")),
+            "PAUSE" | "DEMOTE" if server.is_control_refused() => result = Err(TargetCode::Busy),
             "PAUSE" | "DEMOTE" => {
                 rows.push(server.control(words[0], words[1]));
             }
@@ -556,6 +567,10 @@
     pub seen: Rc<RefCell<Vec<Order>>>,
     /// Number of orders that get no answer and are not executed.
     pub unanswered: Rc<Cell<u32>>,
+    /// Time from an order to its effect.
+    pub delay: Rc<Cell<Duration>>,
+    /// Number of commits that the promoted servers had not received when they were promoted.
+    pub missing: Rc<Cell<u64>>,
 }
 
 impl FakeOrders {
@@ -564,6 +579,8 @@
             world: world.clone(),
             seen: Rc::default(),
             unanswered: Rc::default(),
+            delay: Rc::default(),
+            missing: Rc::default(),
         }
     }
 }
@@ -591,13 +608,29 @@
             return OrderOutcome::Unanswered;
         }
         let index: usize = server[1..].parse().expect("valid in this model");
+        let orders = self.clone();
+        let delay = self.delay.get();
+        if delay.is_zero() {
+            orders.carry_out(index);
+        } else {
+            tokio::task::spawn_local(async move {
+                sleep(delay).await;
+                orders.carry_out(index);
+            });
+        }
+        OrderOutcome::Accepted
+    }
+}
+
+impl FakeOrders {
+    fn carry_out(&self, index: usize) {
         let mut world = self.world.borrow_mut();
-        let term = world
-            .iter()
-            .map(|server| server.term)
-            .max()
-            .expect("valid in this model")
-            + 1;
+        let positions = world.iter().map(|server| server.position);
+        let missing = positions.max().unwrap_or_default();
+        let missing = missing.saturating_sub(world[index].received);
+        self.missing.set(self.missing.get() + missing);
+        let terms = world.iter().map(|server| server.term);
+        let term = terms.max().expect("valid in this model") + 1;
         for server in world.iter_mut() {
             if server.reachable {
                 server.role = Role::Replica;
@@ -607,6 +640,5 @@
         }
         world[index].position = world[index].received;
         world[index].role = Role::Primary;
-        OrderOutcome::Accepted
     }
 }
