Let the replicas' logs decide about the successor again

The order of the steps is what keeps the commits: the primary is demoted before the replicas are paused.

--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -194,8 +194,7 @@
             stuck = self.group.unanswered_writes.get();
             "replacing the primary: {reason}"
         );
-        let isolated = self.group.unanswered_writes.get() >= UNANSWERED_WRITES_LIMIT;
-        let Some(chosen) = self.stop_servers(leader.as_ref(), isolated).await else {
+        let Some(chosen) = self.stop_servers(leader.as_ref()).await else {
             self.log_failure("no server is certain to hold every acknowledged commit");
             sleep(RETRY_DELAY).await;
             return;
--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -25,15 +25,11 @@
 
 impl<D: Dialer, P: Platform, O: Orders> Controller<D, P, O> {
     /// Demotes the primary, pauses the replicas, and chooses a successor from their replies.
-    /// `isolated` tells whether the primary seems to be cut off from its replicas.
     ///
-    /// The primary comes first, so that the replicas still receive all that it acknowledges. If it
-    /// does not reply, waiting longer would only use up the time limit.
-    pub(super) async fn stop_servers(
-        &self,
-        leader: Option<&ServerId>,
-        isolated: bool,
-    ) -> Option<ServerId> {
+    /// The primary comes first, so that the replicas still receive all that it acknowledges: a new
+    /// server receives commits before this node knows it. If the primary does not reply, waiting
+    /// longer would only use up the time limit.
+    pub(super) async fn stop_servers(&self, leader: Option<&ServerId>) -> Option<ServerId> {
         let deadline = Instant::now() + CONTROL_TIMEOUT;
         let targets: Vec<Rc<Target<D>>> = self.group.targets.borrow().values().cloned().collect();
         let (primary, replicas): (Vec<_>, Vec<_>) = targets
@@ -58,8 +54,7 @@
         pending = finish(pending, Duration::ZERO, &mut stopped).await;
         let departed = self.group.departed();
         let sync_replicas = self.group.sync_replicas.get();
-        let choose =
-            |reports: &[Report]| choose_successor(reports, sync_replicas, departed, isolated);
+        let choose = |reports: &[Report]| choose_successor(reports, sync_replicas, departed);
         let mut chosen = choose(&reports(&stopped, &pending, leader));
         if chosen.is_none() {
             pending = finish(pending, CONTROL_TIMEOUT, &mut stopped).await;
--- a/crates/siskinhook-gateway/src/successor.rs
+++ b/crates/siskinhook-gateway/src/successor.rs
@@ -30,14 +30,10 @@
 /// Chooses a server whose log contains every acknowledged commit. Returns `None` if no server is
 /// certain to have them all.
 ///
-/// The log of the former primary, once demoted, holds all acknowledged commits, also those that
-/// only a replica received which this node does not know: a new server receives commits before its
-/// entry is read. If the former primary was `isolated` from its replicas, its log ends with commits
-/// that it could not acknowledge, and the replicas decide.
-///
-/// Without the former primary's log: a commit is acknowledged once `sync_replicas` replicas received
-/// it. When fewer than `sync_replicas` replicas are missing, at least one of the reporting replicas
-/// received it, and no further commit can be acknowledged, because they are paused.
+/// A commit is acknowledged once `sync_replicas` replicas received it. When fewer than
+/// `sync_replicas` replicas are missing, at least one of the reporting replicas received it. No
+/// further commit can be acknowledged, because the reporting replicas are paused. Otherwise only
+/// the log of the former primary, once demoted, bounds the acknowledged commits.
 ///
 /// A departed replica counts as missing: a primary that is cut off together with a leaving replica
 /// keeps acknowledging commits that no other server has.
@@ -46,7 +42,6 @@
     reports: &[Report],
     sync_replicas: usize,
     departed: Departed,
-    isolated: bool,
 ) -> Option<ServerId> {
     let responded = |report: &&Report| report.status.is_some();
     let log_end = |report: &Report| report.status.map_or(LogPoint::default(), |s| s.received);
@@ -54,15 +49,15 @@
         .iter()
         .filter(|r| !r.former && r.status.is_none())
         .count();
-    let former = reports.iter().filter(|r| r.former).find(responded);
-    let enough_replicas = unresponsive + departed.missing < sync_replicas.max(1);
-    let needed = match former {
-        Some(former) if !isolated || !enough_replicas => log_end(former),
-        _ if enough_replicas => {
-            let replicas = reports.iter().filter(|r| !r.former);
-            replicas.filter(responded).map(log_end).max()?
-        }
-        _ => return None,
+    let needed = if unresponsive + departed.missing < sync_replicas.max(1) {
+        reports
+            .iter()
+            .filter(|r| !r.former)
+            .filter(responded)
+            .map(log_end)
+            .max()?
+    } else {
+        log_end(reports.iter().filter(|r| r.former).find(responded)?)
     };
     let needed = needed.max(departed.floor.unwrap_or_default());
     reports
