--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -15,7 +15,7 @@
     pool::Target,
 };
 
-/// Time limit for pausing or demoting the servers, which happens in parallel.
+/// Time limit for pausing or demoting all servers.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time limit for demoting the primary before the replicas are paused. It is many times the latency
 /// between zones, and short compared with a promotion.
@@ -71,8 +71,8 @@
             event!(
                 Event::FailoverOrdered,
                 service = self.group.service.as_str(), server = report.server.as_str(),
-                former = report.former, draining = report.draining, held = paused, term = self.group.term.get(),
-                departed = departed.missing,
+                former = report.former, draining = report.draining, held = paused,
+                term = self.group.term.get(), departed = departed.missing,
                 chosen = (chosen.as_ref() == Some(&report.server));
                 "the server's log ends at {end:?}"
             );
