--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -13,7 +13,7 @@
 
 use lease::Lease;
 use siskinhook_telemetry::{Event, event};
-use siskinhook_types::{NodeId, Platform, ServerId, ServiceId};
+use siskinhook_types::{NodeId, Platform, PlatformError, ServerId, ServiceId};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
@@ -74,17 +74,28 @@
     ) -> impl Future<Output = OrderOutcome>;
 }
 
+/// Reads the list of servers on demand.
+pub trait Discovery: 'static {
+    /// Passes the current entries of all servers to the gateway.
+    ///
+    /// # Errors
+    /// `NotDone` when the entries cannot be read.
+    fn refresh(&self) -> impl Future<Output = Result<(), PlatformError>>;
+}
+
 /// Watches a group and replaces its primary when needed; runs until dropped.
-pub async fn watch_group<D: Dialer, P: Platform, O: Orders>(
+pub async fn watch_group<D: Dialer, P: Platform, S: Discovery, O: Orders>(
     gateway: Rc<Gateway<D>>,
     group: Rc<Group<D>>,
     platform: P,
+    discovery: S,
     orders: Rc<O>,
 ) {
     let controller = Controller {
         gateway,
         group,
         platform,
+        discovery,
         orders,
         failures: Cell::default(),
         retry_at: Cell::new(Instant::now()),
@@ -97,10 +108,11 @@
     }
 }
 
-struct Controller<D: Dialer, P: Platform, O: Orders> {
+struct Controller<D: Dialer, P: Platform, S: Discovery, O: Orders> {
     gateway: Rc<Gateway<D>>,
     group: Rc<Group<D>>,
     platform: P,
+    discovery: S,
     orders: Rc<O>,
     /// Consecutive failures to start a failover.
     failures: Cell<u32>,
@@ -108,7 +120,7 @@
     retry_at: Cell<Instant>,
 }
 
-impl<D: Dialer, P: Platform, O: Orders> Controller<D, P, O> {
+impl<D: Dialer, P: Platform, S: Discovery, O: Orders> Controller<D, P, S, O> {
     /// Waits for a wake-up or the next check, and probes servers that are failing.
     async fn wait(&self) {
         let failing: Vec<Rc<Target<D>>> = self
--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -9,7 +9,7 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::{Controller, Orders};
+use super::{Controller, Discovery, Orders};
 use crate::{
     Dialer, Gateway, ReplicationStatus, Report, ServerOp, choose_successor, group::Group,
     pool::Target,
@@ -23,7 +23,7 @@
 /// Delay before a pause or demote request without a usable reply is repeated.
 const CONTROL_RETRY_DELAY: Duration = Duration::from_millis(25);
 
-impl<D: Dialer, P: Platform, O: Orders> Controller<D, P, O> {
+impl<D: Dialer, P: Platform, S: Discovery, O: Orders> Controller<D, P, S, O> {
     /// Demotes the primary, pauses the replicas, and chooses a successor from their replies.
     ///
     /// The primary comes first, so that the replicas still receive all that it acknowledges: a new
--- a/crates/siskinhook-gateway/src/lib.rs
+++ b/crates/siskinhook-gateway/src/lib.rs
@@ -33,7 +33,7 @@
 };
 pub use counters::{Counter, Counters};
 pub use departures::Departures;
-pub use failover::{OrderOutcome, Orders, watch_group};
+pub use failover::{Discovery, OrderOutcome, Orders, watch_group};
 pub use feed::{Feed, FeedCall, FeedSettings};
 pub use fleet::{Fleet, Path, Peer};
 pub use gateway::{Gateway, GatewaySettings};
--- a/crates/siskinhook-gateway/tests/failover.rs
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use std::{collections::HashSet, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashSet, rc::Rc, time::Duration};
 
-use siskinhook_gateway::{Gateway, Session, watch_group};
+use siskinhook_gateway::{Gateway, GatewaySettings, Instance, Session, watch_group};
 use siskinhook_types::Role;
-use support::{FakeDialer, FakeOrders, Table, World, ask, instance, seeded_node, world};
+use support::{Entries, FakeDialer, FakeOrders, Table, World, ask, instance, node_knowing, world};
 use tokio::{
     task::{LocalSet, spawn_local},
     time::sleep,
@@ -19,6 +19,8 @@
     world: World,
     table: Table,
     orders: FakeOrders,
+    /// Entries that the nodes read before they replace a primary.
+    entries: Rc<RefCell<Vec<Instance>>>,
     seed: u64,
 }
 
@@ -31,20 +33,32 @@
             world,
             table: Table::default(),
             orders,
+            entries: Rc::default(),
             seed,
         }
     }
 
     fn start(&self, name: &str) -> Rc<Gateway<FakeDialer>> {
+        self.start_knowing(name, &[0, 1, 2])
+    }
+
+    /// Starts a node that knows only some servers.
+    fn start_knowing(&self, name: &str, servers: &[usize]) -> Rc<Gateway<FakeDialer>> {
         let number = name.bytes().map(u64::from).sum::<u64>();
-        let gateway = seeded_node(name, &self.world, self.seed * 1000 + number);
+        let seed = self.seed * 1000 + number;
+        let settings = GatewaySettings::default();
+        let gateway = node_knowing(name, &self.world, seed, settings, servers);
         let group = gateway.group(&"svc".into()).expect("the service is known");
-        let orders = Rc::new(self.orders.clone());
+        let entries = Entries {
+            gateway: gateway.clone(),
+            instances: self.entries.clone(),
+        };
         spawn_local(watch_group(
             gateway.clone(),
             group,
             self.table.clone(),
-            orders,
+            entries,
+            Rc::new(self.orders.clone()),
         ));
         gateway
     }
@@ -214,6 +228,38 @@
     }
 }
 
+/// Guards against a node that could not read the list of servers for some time: it replaced a live
+/// primary that had started since, and commits that this one acknowledged meanwhile were lost.
+#[tokio::test(start_paused = true)]
+async fn node_with_an_old_list_of_servers_does_not_replace_a_live_primary() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                site.orders.delay.set(Duration::from_millis(300));
+                let old = site.start_knowing("n1", &[0, 1]);
+                write_for(std::slice::from_ref(&old), 3).await;
+                {
+                    let mut world = site.world.borrow_mut();
+                    world[0].reachable = false;
+                    world[1].term = 2;
+                    world[2].term = 2;
+                    world[2].role = Role::Primary;
+                }
+                let entries = [instance(1, Role::Replica), instance(2, Role::Primary)];
+                site.entries.borrow_mut().extend(entries);
+                let informed = site.start("n2");
+                write_for(&[old.clone(), informed], 40).await;
+                assert_eq!(*site.orders.seen.borrow(), []);
+                assert_eq!(site.orders.missing.get(), 0, "missing commits");
+                assert_eq!(site.primaries(), [2]);
+                let mut session = Session::open(&old, "strong").expect("the route is known");
+                assert!(ask(&mut session, "WRITE 1 a").await.result.is_ok());
+            })
+            .await;
+    }
+}
+
 /// Guards against a promotion without the reply of a replica that may hold the only copy of an
 /// acknowledged commit.
 #[tokio::test(start_paused = true)]
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -12,9 +12,9 @@
 
 use bytes::Bytes;
 use siskinhook_gateway::{
-    Answer, Arrival, Configuration, Connection, ConnectionError, Consistency, Dialer, Gateway,
-    GatewaySettings, Instance, OrderOutcome, Orders, Query, ReplicationStatus, Route, ServerOp,
-    ServerReply, Service, Session, TargetCode, TransactionState,
+    Answer, Arrival, Configuration, Connection, ConnectionError, Consistency, Dialer, Discovery,
+    Gateway, GatewaySettings, Instance, OrderOutcome, Orders, Query, ReplicationStatus, Route,
+    ServerOp, ServerReply, Service, Session, TargetCode, TransactionState,
 };
 use siskinhook_types::{
     Batch, CommitOutcome, LogPoint, NodeId, Platform, PlatformError, Reading, Role, Row, ServerId,
@@ -413,11 +413,22 @@
     world: &World,
     seed: u64,
     settings: GatewaySettings,
+) -> Rc<Gateway<FakeDialer>> {
+    node_knowing(name, world, seed, settings, &[0, 1, 2])
+}
+
+/// Creates a node that knows only some servers of the model.
+pub fn node_knowing(
+    name: &str,
+    world: &World,
+    seed: u64,
+    settings: GatewaySettings,
+    servers: &[usize],
 ) -> Rc<Gateway<FakeDialer>> {
     let dialer = FakeDialer(world.clone());
     let gateway = Gateway::new(name.into(), "z".into(), dialer, seed, settings);
     gateway.configure(configuration(1, &DATABASES), "test");
-    for index in 0..3 {
+    for &index in servers {
         let role = world.borrow()[index].role;
         gateway.discover(instance(index, role));
     }
@@ -551,6 +562,22 @@
     }
 }
 
+/// Entries of servers that a node reads on demand.
+#[derive(Clone)]
+pub struct Entries {
+    pub gateway: Rc<Gateway<FakeDialer>>,
+    pub instances: Rc<RefCell<Vec<Instance>>>,
+}
+
+impl Discovery for Entries {
+    async fn refresh(&self) -> Result<(), PlatformError> {
+        for instance in self.instances.borrow().iter() {
+            self.gateway.discover(instance.clone());
+        }
+        Ok(())
+    }
+}
+
 /// A promotion order as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
