Count the lease from the reading that dates its row

The failover lease row is dated by the store's clock at the reading before the write, and passes to another process 4.5 s later.

The lease now begins when the reading is sent, so slow calls shorten it, and a holder that runs out of time renews it as before. It has no test of its own: the lease runs on the boot clock, which the tests cannot pause.

--- a/crates/siskinhook-gateway/src/failover/lease.rs
+++ b/crates/siskinhook-gateway/src/failover/lease.rs
@@ -10,7 +10,7 @@
 use super::{Controller, Discovery, Orders};
 use crate::{BootInstant, Dialer};
 
-/// Time for which the holder may act after it wrote the lease row.
+/// Time for which the holder may act, counted from the reading before it wrote the lease row.
 const LEASE_DURATION: Duration = Duration::from_millis(1200);
 /// Age of the lease row after which another node may take the lease over. Two holders may not act
 /// within three seconds of each other, counted from the first holder's last possible action, and
@@ -45,6 +45,8 @@
     record: LeaseRecord,
     /// Time of the read by the table service's clock, in milliseconds.
     now: u64,
+    /// When the read was sent, which is not later than `now`.
+    sent_at: BootInstant,
     /// Era of the table in which the row was read.
     era: u64,
     /// Time since this process first had an answer of this era.
@@ -104,6 +106,7 @@
     }
 
     async fn read_lease(&self) -> Option<StoredLease> {
+        let sent_at = BootInstant::now();
         let reading = match self.platform.read(&self.key()).await {
             Ok(reading) => reading,
             Err(error) => {
@@ -117,6 +120,7 @@
                 version: reading.version,
                 record: record.unwrap_or_default(),
                 now: reading.clock.unwrap_or_default(),
+                sent_at,
                 era: reading.era,
                 era_age: reading.era_age,
             }),
@@ -130,7 +134,8 @@
     /// Writes the lease row if it is unchanged since it was read.
     async fn claim(&self, stored: &StoredLease) -> Option<Lease> {
         let (token, era) = (stored.next_token(), stored.era);
-        let until = BootInstant::now().plus(LEASE_DURATION);
+        // The row is dated by the read, so calls that take long shorten the lease.
+        let until = stored.sent_at.plus(LEASE_DURATION);
         let record = LeaseRecord {
             holder: self.gateway.node.clone(),
             process: self.gateway.process,
