Count replicas that do not reply in time when choosing a successor

A replica that is reached but does not carry out the pause within a second, for instance because all its slots are in use, was left out of the reports, as if the group did not have it. The successor was then chosen without it although it may hold the only copy of an acknowledged commit (rule LOST).

Cause: collects the replies with a time limit and dropped the tasks that had not finished. They now count as servers without a reply.

--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -50,7 +50,7 @@
             .iter()
             .map(|target| self.stop(target, deadline))
             .collect();
-        finish(tasks, CONTROL_TIMEOUT, &mut stopped).await;
+        pending.extend(finish(tasks, CONTROL_TIMEOUT, &mut stopped).await);
         pending = finish(pending, Duration::ZERO, &mut stopped).await;
         let departed = self.group.departed();
         let sync_replicas = self.group.sync_replicas.get();
--- a/crates/siskinhook-gateway/tests/failover.rs
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -282,6 +282,28 @@
     }
 }
 
+/// Guards against a promotion without the log of a replica that is reached but refuses to be paused
+/// because of load; it may hold the only copy of an acknowledged commit.
+#[tokio::test(start_paused = true)]
+async fn no_promotion_while_a_replica_refuses_to_be_paused() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                let nodes = [site.start("n1"), site.start("n2")];
+                write_for(&nodes, 3).await;
+                site.world.borrow_mut()[0].reachable = false;
+                site.world.borrow_mut()[1].busy_controls = u32::MAX;
+                write_for(&nodes, 50).await;
+                assert_eq!(*site.orders.seen.borrow(), []);
+                site.world.borrow_mut()[1].busy_controls = 0;
+                write_for(&nodes, 80).await;
+                assert_eq!(site.orders.seen.borrow().len(), 1);
+            })
+            .await;
+    }
+}
+
 /// Guards against a draining primary that is not replaced before it stops.
 #[tokio::test(start_paused = true)]
 async fn leaving_primary_is_replaced() {
