Demote every primary that is reached before replicas are paused

The order of steps that protects the commits holds only for the server that the node regards as the primary. The same happens when the primary is known but has no free slot for the demotion within 150 ms.

Servers whose entry says that they are the primary are now demoted first as well, and a primary that is reached has 600 ms. It serves callers meanwhile, so the wait costs no time without a primary. A primary that is not reached is not waited for, as before.

--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -15,11 +15,11 @@
     pool::Target,
 };
 
-/// Time limit for pausing or demoting all servers.
+/// Time limit for pausing the replicas.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time limit for demoting the primary before the replicas are paused. It is many times the latency
-/// between zones, and short compared with a promotion.
-const DEMOTION_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time limit for demoting a primary that is reached, before the replicas are paused. It serves
+/// callers meanwhile, and under load it refuses requests for many times the latency between zones.
+const DEMOTION_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before a pause or demote request without a usable reply is repeated.
 const CONTROL_RETRY_DELAY: Duration = Duration::from_millis(25);
 
@@ -27,29 +27,23 @@
     /// Demotes the primary, pauses the replicas, and chooses a successor from their replies.
     ///
     /// The primary comes first, so that the replicas still receive all that it acknowledges: a new
-    /// server receives commits before this node knows it. If the primary does not reply, waiting
-    /// longer would only use up the time limit.
+    /// server receives commits before this node knows it. Servers whose entry says that they are
+    /// the primary come first as well, since this node may not know which one leads. Only primaries
+    /// that are not reached are replaced without their reply.
     pub(super) async fn stop_servers(&self, leader: Option<&ServerId>) -> Option<ServerId> {
-        let deadline = Instant::now() + CONTROL_TIMEOUT;
         let targets: Vec<Rc<Target<D>>> = self.group.targets.borrow().values().cloned().collect();
-        let (primary, replicas): (Vec<_>, Vec<_>) = targets
+        let (primaries, replicas): (Vec<_>, Vec<_>) = targets.into_iter().partition(|target| {
+            let instance = target.instance.borrow();
+            Some(&instance.id) == leader || instance.role == Role::Primary
+        });
+        let (reached, failing): (Vec<_>, Vec<_>) = primaries
             .into_iter()
-            .partition(|target| Some(&target.instance.borrow().id) == leader);
+            .partition(|target| target.outage().is_none());
         let mut stopped = Vec::new();
-        let mut pending = Vec::new();
-        for target in primary {
-            let task = self.stop(&target, deadline);
-            let limit = if target.outage().is_none() {
-                DEMOTION_TIMEOUT
-            } else {
-                Duration::ZERO
-            };
-            pending = finish(vec![task], limit, &mut stopped).await;
-        }
-        let tasks = replicas
-            .iter()
-            .map(|target| self.stop(target, deadline))
-            .collect();
+        let mut pending = self.stop(&failing, DEMOTION_TIMEOUT + CONTROL_TIMEOUT);
+        let demotions = self.stop(&reached, DEMOTION_TIMEOUT + CONTROL_TIMEOUT);
+        pending.extend(finish(demotions, DEMOTION_TIMEOUT, &mut stopped).await);
+        let tasks = self.stop(&replicas, CONTROL_TIMEOUT);
         pending.extend(finish(tasks, CONTROL_TIMEOUT, &mut stopped).await);
         pending = finish(pending, Duration::ZERO, &mut stopped).await;
         let departed = self.group.departed();
@@ -80,21 +74,25 @@
         chosen
     }
 
-    /// Starts to pause or demote one server.
-    fn stop(&self, target: &Rc<Target<D>>, deadline: Instant) -> StopTask {
+    /// Starts to pause or demote servers, for at most `limit`.
+    fn stop(&self, targets: &[Rc<Target<D>>], limit: Duration) -> Vec<StopTask> {
         let term = self.group.term.get() + 1;
-        let (gateway, group) = (self.gateway.clone(), self.group.clone());
-        let server = target.instance.borrow().id.clone();
-        let draining = target.is_draining();
-        let target = target.clone();
-        let reply = tokio::task::spawn_local(async move {
-            stop_server(&gateway, &group, &target, term, deadline).await
-        });
-        StopTask {
-            server,
-            draining,
-            reply,
-        }
+        let deadline = Instant::now() + limit;
+        let start = |target: &Rc<Target<D>>| {
+            let server = target.instance.borrow().id.clone();
+            let draining = target.is_draining();
+            let (gateway, group) = (self.gateway.clone(), self.group.clone());
+            let target = target.clone();
+            let reply = tokio::task::spawn_local(async move {
+                stop_server(&gateway, &group, &target, term, deadline).await
+            });
+            StopTask {
+                server,
+                draining,
+                reply,
+            }
+        };
+        targets.iter().map(start).collect()
     }
 }
 
--- a/crates/siskinhook-gateway/tests/failover.rs
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -330,37 +330,51 @@
 async fn commits_during_a_planned_replacement_are_not_lost() {
     for seed in SEEDS {
         LocalSet::new()
-            .run_until(async {
-                let site = Site::new(seed);
-                site.orders.delay.set(Duration::from_millis(300));
-                site.world.borrow_mut()[0].busy_controls = 2;
-                let nodes = [site.start("n1"), site.start("n2")];
-                write_for(&nodes, 3).await;
-                let mut sessions = Vec::new();
-                for _ in 0..8 {
-                    let gateway = nodes[1].clone();
-                    sessions.push(spawn_local(async move {
-                        let mut session = Session::open(&gateway, "strong").expect("a route");
-                        for _ in 0..200 {
-                            ask(&mut session, "WRITE 1 a").await;
-                        }
-                    }));
-                }
-                let mut leaving = instance(0, Role::Primary);
-                leaving.draining = true;
-                nodes[0].discover(leaving);
-                for session in sessions {
-                    session.await.expect("the writes end");
-                }
-                sleep(Duration::from_secs(1)).await;
-                let seen = site.orders.seen.borrow();
-                assert_eq!(seen.len(), 1, "{seen:?}");
-                assert_eq!(site.orders.missing.get(), 0, "missing commits");
-            })
+            .run_until(replace_busy_primary(seed, 2))
             .await;
     }
 }
 
+/// Guards against a promotion that does not wait for the demotion of a primary that is reached but
+/// has no free slot for it; the primary acknowledged commits until the promotion took effect.
+#[tokio::test(start_paused = true)]
+async fn commits_on_a_primary_that_is_slow_to_be_demoted_are_not_lost() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(replace_busy_primary(seed, 20))
+            .await;
+    }
+}
+
+/// Replaces a primary that refuses the first control requests while callers write.
+async fn replace_busy_primary(seed: u64, refused: u32) {
+    let site = Site::new(seed);
+    site.orders.delay.set(Duration::from_millis(300));
+    site.world.borrow_mut()[0].busy_controls = refused;
+    let nodes = [site.start("n1"), site.start("n2")];
+    write_for(&nodes, 3).await;
+    let mut sessions = Vec::new();
+    for _ in 0..8 {
+        let gateway = nodes[1].clone();
+        sessions.push(spawn_local(async move {
+            let mut session = Session::open(&gateway, "strong").expect("a route");
+            for _ in 0..200 {
+                ask(&mut session, "WRITE 1 a").await;
+            }
+        }));
+    }
+    let mut leaving = instance(0, Role::Primary);
+    leaving.draining = true;
+    nodes[0].discover(leaving);
+    for session in sessions {
+        session.await.expect("the writes end");
+    }
+    sleep(Duration::from_secs(1)).await;
+    let seen = site.orders.seen.borrow();
+    assert_eq!(seen.len(), 1, "{seen:?}");
+    assert_eq!(site.orders.missing.get(), 0, "missing commits");
+}
+
 /// Guards against losing commits that the primary acknowledged together with a replica that left
 /// while both were cut off, over a whole failover.
 #[tokio::test(start_paused = true)]
