Regard the server that claims to lead as the primary when another is removed

The node now regards that server as the primary; if it does not lead, its denial shows that as before.

server_that_claims_to_lead_follows_a_removed_primary failed before (no primary) and passes.

--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -169,14 +169,25 @@
         }
         let was_primary = self.leader.borrow().as_ref() == Some(id);
         if was_primary {
-            self.set_leader(None, "the previous primary was removed");
-            self.leaderless_since.set(Some(Instant::now()));
+            let claimant = self.claimant();
+            if claimant.is_none() {
+                self.leaderless_since.set(Some(Instant::now()));
+            }
+            self.set_leader(claimant, "the previous primary was removed");
         } else {
             self.departures.borrow_mut().add(BootInstant::now());
         }
         self.failover_wakeup.notify_one();
     }
 
+    /// Returns a server whose entry says that it is the primary.
+    fn claimant(&self) -> Option<ServerId> {
+        let targets = self.targets.borrow();
+        let claims = |target: &Target<D>| target.instance.borrow().role == Role::Primary;
+        let (id, _) = targets.iter().find(|(_, target)| claims(target))?;
+        Some(id.clone())
+    }
+
     /// Returns the server with this id.
     pub(crate) fn target(&self, id: &ServerId) -> Option<Rc<Target<D>>> {
         self.targets.borrow().get(id).cloned()
--- a/crates/siskinhook-gateway/tests/failover.rs
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -6,7 +6,9 @@
 
 use siskinhook_gateway::{Gateway, GatewaySettings, Instance, Session, watch_group};
 use siskinhook_types::Role;
-use support::{Entries, FakeDialer, FakeOrders, Table, World, ask, instance, node_knowing, world};
+use support::{
+    Entries, FakeDialer, FakeOrders, Table, World, ask, instance, node_knowing, seeded_node, world,
+};
 use tokio::{
     task::{LocalSet, spawn_local},
     time::sleep,
@@ -324,6 +326,20 @@
     }
 }
 
+/// Guards against a node that takes its group for one without a primary, because the server that it
+/// regarded as the primary was removed, although the entry of another server says that it leads.
+#[test]
+fn server_that_claims_to_lead_follows_a_removed_primary() {
+    let gateway = seeded_node("n1", &world(), 1);
+    gateway.discover(instance(1, Role::Primary));
+    let mut restarted = instance(0, Role::Primary);
+    restarted.started = 2;
+    gateway.discover(restarted);
+    gateway.forget(&"s0".into());
+    let group = gateway.group(&"svc".into()).expect("the service is known");
+    assert_eq!(group.leader_id(), Some("s1".into()));
+}
+
 /// Guards against losing commits that the primary acknowledged while its replicas were paused: a new
 /// server that the nodes do not know yet receives them. The model acknowledges every commit.
 #[tokio::test(start_paused = true)]
@@ -347,10 +363,10 @@
 }
 
 /// Replaces a primary that refuses the first control requests while callers write.
-async fn replace_busy_primary(seed: u64, refused: u32) {
+async fn replace_busy_primary(seed: u64, refusals: u32) {
     let site = Site::new(seed);
     site.orders.delay.set(Duration::from_millis(300));
-    site.world.borrow_mut()[0].busy_controls = refused;
+    site.world.borrow_mut()[0].busy_controls = refusals;
     let nodes = [site.start("n1"), site.start("n2")];
     write_for(&nodes, 3).await;
     let mut sessions = Vec::new();
@@ -370,8 +386,8 @@
         session.await.expect("the writes end");
     }
     sleep(Duration::from_secs(1)).await;
-    let seen = site.orders.seen.borrow();
-    assert_eq!(seen.len(), 1, "{seen:?}");
+    let orders = site.orders.seen.borrow();
+    assert_eq!(orders.len(), 1, "{orders:?}");
     assert_eq!(site.orders.missing.get(), 0, "missing commits");
 }
 
