Leave out server entries that say nothing new

Reading all entries before a failover logged event 3031 for every server of the fleet and woke every waiting statement, although nothing had changed. An entry that equals the known one, sequence number included, is now left out. It has no test of its own; all tests of the gateway pass.

--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -117,6 +117,12 @@
                 && old.address == instance.address
                 && !target.is_retired()
         });
+        if same
+            .as_ref()
+            .is_some_and(|target| *target.instance.borrow() == instance)
+        {
+            return;
+        }
         let is_primary = instance.role == Role::Primary;
         let draining = instance.draining;
         let was_primary = same
