Read the list of servers only as the holder of the failover lease

The list was read by every node that found the lease free, which after the loss of a primary are nearly all: their reads fall into the 40 ms of the start jitter. At 620 nodes and 2,070 entries, five pages each, that is some 2,500 calls against a rate of 2,000 a second (worked out), so the store would refuse them and delay the failover.

The holder now reads the list after it took the lease; a node whose list is old finds out then and does not act.

node_with_an_old_list_of_servers_does_not_replace_a_live_primary passes.

--- a/crates/siskinhook-gateway/src/failover/lease.rs
+++ b/crates/siskinhook-gateway/src/failover/lease.rs
@@ -86,23 +86,14 @@
         format_smolstr!("failover/{}", self.group.service)
     }
 
-    /// Acquires the lease, unless another process holds it or the primary need not be replaced any
-    /// more. Only the holder may replace the primary.
-    ///
-    /// The list of servers is read while no other process may act. A node that could not read the
-    /// store for some time does not know the servers that started since; one of them may lead, or
-    /// hold acknowledged commits.
+    /// Acquires the lease, unless another process holds it. Only the holder may replace the
+    /// primary.
     pub(super) async fn acquire_lease(&self) -> Option<Lease> {
         let stored = self.read_lease().await?;
-        if !stored.is_available_to(self.gateway.process) {
-            return None;
-        }
-        if let Err(error) = self.discovery.refresh().await {
-            self.log_failure(&format!("cannot read the list of servers: {error}"));
-            return None;
+        if stored.is_available_to(self.gateway.process) {
+            return self.claim(&stored).await;
         }
-        self.replacement_reason()?;
-        self.claim(&stored).await
+        None
     }
 
     async fn read_lease(&self) -> Option<StoredLease> {
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -194,6 +194,14 @@
             return;
         };
         self.failures.set(0);
+        // A node that could not read the store for some time does not know the servers that started
+        // since; one of them may lead, or hold acknowledged commits. Only the holder of the lease
+        // reads the list, which is large in a large fleet.
+        if let Err(error) = self.discovery.refresh().await {
+            self.log_failure(&format!("cannot read the list of servers: {error}"));
+            self.back_off();
+            return;
+        }
         find_leader(self.group.clone()).await;
         if self.replacement_reason().is_none() {
             return;
