Tell callers to repeat a session when no configuration is read yet

Callers of a node that had just started were told that their database does not exist (NODB), which no caller repeats, although the route was in force on all other nodes.

Cause: a new session waited for any change of the node's state and was then answered from the configuration, read or not. When the list of servers was read first, or the store did not answer for 1.5 s, the empty initial state was taken for a configuration without routes.

A session now waits until both have been read, and is refused as busy, which callers repeat, if there is still no configuration. Refusals for a missing route are logged with the version that decided (2115 for a session, 2111 for a statement); until now they left no line.

--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -57,7 +57,7 @@
     unassigned: RefCell<HashMap<ServerId, Instance>>,
     /// Start and sequence number of the latest report of each server, also of servers that left.
     reports: RefCell<HashMap<ServerId, (u64, u64)>>,
-    /// Wakes tasks that wait for the first configuration or for a new group.
+    /// Wakes tasks that wait for a new group, or for the node to be initialized.
     pub configured: Notify,
     draining: Cell<bool>,
     discovered: Cell<bool>,
@@ -314,7 +314,24 @@
 
     /// Whether the configuration and the list of servers have been read.
     pub fn is_initialized(&self) -> bool {
-        self.version() > 0 && self.discovered.get()
+        self.is_configured() && self.discovered.get()
+    }
+
+    /// Whether a configuration has been read. Before that the node does not know which databases
+    /// exist.
+    pub fn is_configured(&self) -> bool {
+        self.version() > 0
+    }
+
+    /// Waits until the configuration and the list of servers have been read.
+    pub async fn wait_initialized(&self) {
+        loop {
+            let configured = self.configured.notified();
+            if self.is_initialized() {
+                return;
+            }
+            configured.await;
+        }
     }
 
     /// Makes the node report that it is not ready, before it stops.
--- a/crates/siskinhook-gateway/src/session.rs
+++ b/crates/siskinhook-gateway/src/session.rs
@@ -5,6 +5,7 @@
     rc::Rc,
 };
 
+use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{DatabaseId, LogPoint};
 use smol_str::SmolStr;
 use tokio::time::Instant;
@@ -108,7 +109,7 @@
             return answer;
         }
         match command {
-            Command::Begin { read_only } => self.begin(*read_only, arrival),
+            Command::Begin { read_only } => self.begin(query, *read_only, arrival),
             Command::Commit => self.commit(query, arrival).await,
             Command::Rollback => self.rollback().await,
             Command::Read => self.run(query, None, false, arrival).await,
@@ -168,12 +169,12 @@
         }
     }
 
-    fn begin(&mut self, read_only: bool, arrival: Arrival) -> Answer {
+    fn begin(&mut self, query: &Query, read_only: bool, arrival: Arrival) -> Answer {
         if self.transaction.is_some() {
             return self.malformed("a transaction is open already");
         }
         let Some(route) = self.gateway.route(&self.database) else {
-            return self.no_database();
+            return self.no_database(query);
         };
         self.transaction = Some(Transaction {
             route,
@@ -211,10 +212,10 @@
                 .await;
         }
         let Some(route) = self.gateway.route(&self.database) else {
-            return self.no_database();
+            return self.no_database(query);
         };
         let Some(group) = self.gateway.group(&route.service) else {
-            return self.no_database();
+            return self.no_database(query);
         };
         let statement = Statement {
             id: &query.id,
@@ -254,7 +255,7 @@
         };
         let route = transaction.route.clone();
         let Some(group) = self.gateway.group(&route.service) else {
-            return self.no_database();
+            return self.no_database(query);
         };
         let request = self.request(&route, &group, statement, arrival, transaction.started_at);
         let (mut answer, leased) = match transaction.leased.take() {
@@ -284,7 +285,7 @@
         };
         let route = transaction.route.clone();
         let Some(group) = self.gateway.group(&route.service) else {
-            return self.no_database();
+            return self.no_database(query);
         };
         let request = self.request(&route, &group, statement, arrival, transaction.started_at);
         let (mut answer, leased) = match transaction.leased.take() {
@@ -359,11 +360,15 @@
         Answer::refused(Refusal::NoStatement, text, self.state())
     }
 
-    fn no_database(&self) -> Answer {
-        Answer::refused(
-            Refusal::NoDatabase,
-            "no route has the name of the database",
-            self.state(),
-        )
+    fn no_database(&self, query: &Query) -> Answer {
+        let answer = Refusal::NoDatabase;
+        let text = "no route has the name of the database";
+        event!(
+            Event::StatementRefused,
+            request = query.id.as_str(), database = self.database.as_str(), answer:? = answer,
+            version = self.gateway.version();
+            "{text}"
+        );
+        Answer::refused(answer, text, self.state())
     }
 }
--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -153,6 +153,9 @@
     RelayFailed = 2114, Info, "relay_failed",
         "The node that holds a server's connections could not be reached; another one is used.",
         "Look for events 1001 and 1002 of that node.";
+    SessionRefused = 2115, Info, "session_refused",
+        "A caller's session was refused; the line states the version of the configuration, 0 for none.",
+        "Compare the version with event 3030 of other nodes.";
     FailoverStarted = 2120, Warn, "failover_started",
         "The node holds the duty to replace a primary; the line states the reason and the fencing token.",
         "Follow the token to events 2121 and 2122.";
