Do not date a failover lease of a former era by the store's clock

After a restore that takes the store's clock back, a lost primary would not be replaced until the clock had passed the date of the lease row again, as far back as the copy was old.

Cause: the age of the row was the difference of two times of the store, one of the former history and one of the new one.

Within an era nothing changes.

--- a/crates/siskinhook-gateway/src/failover/lease.rs
+++ b/crates/siskinhook-gateway/src/failover/lease.rs
@@ -56,13 +56,15 @@
 impl StoredLease {
     /// Whether a process may acquire the lease: it holds the lease already, or the row is so old
     /// that its holder no longer acts. A row of a former era says nothing about the holders since
-    /// the copy, whose rows are lost, so they must be old as well.
+    /// the copy, whose rows are lost, and its date is of a clock that may have gone back; all
+    /// holders of former eras are too old once this era has lasted long enough.
     fn is_available_to(&self, process: u64) -> bool {
         let record = &self.record;
+        if record.era != self.era {
+            return self.era_age >= TAKEOVER_AGE;
+        }
         let age = Duration::from_millis(self.now.saturating_sub(record.written));
-        let is_last_known = record.era == self.era || self.era_age >= TAKEOVER_AGE;
-        let is_free = record.token == 0 || record.process == process || age >= TAKEOVER_AGE;
-        is_last_known && is_free
+        record.token == 0 || record.process == process || age >= TAKEOVER_AGE
     }
 
     /// Returns a token above all that were given out before, in this era and in former ones.
--- a/crates/siskinhook-gateway/tests/failover.rs
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -179,6 +179,40 @@
     }
 }
 
+/// Guards against a group that keeps a lost primary after a restore of the table, because the lease
+/// row is dated by the clock of the former history.
+#[tokio::test(start_paused = true)]
+async fn lost_primary_is_replaced_after_a_restore_that_took_the_clock_back() {
+    for seed in SEEDS {
+        let site = Site::new(seed);
+        let first_holder = async {
+            let node = [site.start("n1")];
+            write_for(&node, 3).await;
+            site.world.borrow_mut()[0].reachable = false;
+            write_for(&node, 30).await;
+        };
+        // The node stops with its local set.
+        LocalSet::new().run_until(first_holder).await;
+        assert_eq!(site.orders.seen.borrow().len(), 1, "the first loss");
+        let others = async {
+            let nodes = [site.start("n2"), site.start("n3")];
+            let primary = site.primaries()[0];
+            {
+                let mut world = site.world.borrow_mut();
+                world[0].role = Role::Replica;
+                world[0].term = world[primary].term;
+                world[0].reachable = true;
+            }
+            site.table.restore_with_clock_back(60_000);
+            write_for(&nodes, 160).await;
+            site.world.borrow_mut()[primary].reachable = false;
+            write_for(&nodes, 40).await;
+        };
+        LocalSet::new().run_until(others).await;
+        assert_eq!(site.orders.seen.borrow().len(), 2, "the second loss");
+    }
+}
+
 /// Guards against the late execution of an order that got no answer: the repeated order has a
 /// higher token, so the late one is refused.
 #[tokio::test(start_paused = true)]
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -6,7 +6,10 @@
     collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -479,12 +482,24 @@
     rows: Arc<Mutex<BTreeMap<SmolStr, Row>>>,
     /// Number of the table's history and when it began; `None` if the table was never restored.
     era: Arc<Mutex<Option<(u64, Instant)>>>,
+    /// Milliseconds by which the clock went back with a restore.
+    clock_back: Arc<AtomicU64>,
 }
 
 impl Table {
     /// Comes back from a copy without any row.
     pub fn restore_empty(&self) {
         self.rows.lock().expect("valid in this model").clear();
+        self.begin_era();
+    }
+
+    /// Comes back from a copy with all rows and with a clock that is behind by `millis`.
+    pub fn restore_with_clock_back(&self, millis: u64) {
+        self.clock_back.store(millis, Ordering::Relaxed);
+        self.begin_era();
+    }
+
+    fn begin_era(&self) {
         let mut era = self.era.lock().expect("valid in this model");
         let next = era.map_or(1, |(number, _)| number + 1);
         *era = Some((next, Instant::now()));
@@ -512,7 +527,7 @@
     }
 
     async fn read(&self, key: &str) -> Result<Reading, PlatformError> {
-        let clock = Some(clock());
+        let clock = Some(clock() - self.clock_back.load(Ordering::Relaxed));
         let row = self.get(key).await?;
         let era = *self.era.lock().expect("valid in this model");
         Ok(Reading {
