Check in the soak that nodes follow the configuration

The operator now writes a configuration every 700 ms, each with one more route. A process that served a route and later denies it is a violation, and so is a node that does not serve the last route within config_apply_ms and outer_ms (15 s) after the end of all faults, which end with a silence of the store. The store may also go back to a copy: it takes back the version counter, loses what the nodes wrote since, and loses the calls that wait.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -79,6 +79,12 @@
 
 impl Session {
     async fn open(address: SocketAddr, database: &Database) -> Option<Self> {
+        let (session, answer) = Self::start(address, database).await?;
+        answer.starts_with("READY I").then_some(session)
+    }
+
+    /// Opens a session and returns it with the node's answer.
+    async fn start(address: SocketAddr, database: &Database) -> Option<(Self, String)> {
         let stream = timeout(CALLER_TIMEOUT, TcpStream::connect(address))
             .await
             .ok()?
@@ -93,8 +99,8 @@
         session
             .send(&format!("START {} soak", database.name))
             .await?;
-        let line = session.receive_line().await?;
-        line.starts_with("READY I").then_some(session)
+        let answer = session.receive_line().await?;
+        Some((session, answer))
     }
 
     async fn send(&mut self, line: &str) -> Option<()> {
@@ -311,3 +317,13 @@
     history.record_expectation(id, None, &[]);
     session.query(history, id, "WRITE 3 z").await == CallerOutcome::Done
 }
+
+/// Returns whether a node has a route for a database; `None` if it gives no answer or does not know.
+pub async fn knows_route(node: SocketAddr, database: &Database) -> Option<bool> {
+    let (_, answer) = Session::start(node, database).await?;
+    match answer.split(' ').nth(1) {
+        Some("I") => Some(true),
+        Some("NODB") => Some(false),
+        _ => None,
+    }
+}
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -41,6 +41,8 @@
     },
     /// The store drops its change history.
     DropHistory,
+    /// The store goes away for a moment and comes back from a copy made when the fault began.
+    RestoreStore,
     /// The operator writes a new version of the configuration.
     Reconfigure,
 }
@@ -121,6 +123,7 @@
             Fault::Store { node, fault }
         }
         92..95 => Fault::DropHistory,
+        95..98 => Fault::RestoreStore,
         _ => Fault::Reconfigure,
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod history;
 mod nodes;
+mod operator;
 mod proxy;
 mod servers;
 mod store;
@@ -16,7 +17,7 @@
 use std::{
     fs,
     path::{Path, PathBuf},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -24,9 +25,10 @@
 use faults::{Fault, PlannedFault, SiteSize, plan};
 use history::{Freshness, History};
 use nodes::Node;
+use operator::{FIRST_VERSION, configuration};
 use proxy::{FaultProxy, Link};
 use rustix::process::Signal;
-use servers::{MAX_CONNECTIONS, Servers};
+use servers::Servers;
 use store::{Store, StoreFault};
 use tokio::{
     sync::watch,
@@ -37,8 +39,8 @@
 /// Seeds that run unless `SOAK_SEEDS` is set: one for each mix of faults, and every seed that has
 /// ever failed.
 const DEFAULT_SEEDS: [u64; 2] = [
-    1, // suspended nodes, server crashes and an unavailable store
-    2, // network faults, terminated nodes and replication lag
+    1, // suspended nodes, server crashes, an unavailable and a restored store
+    2, // network faults, terminated nodes, replication lag and a restored store
 ];
 /// Period in which faults start, unless `SOAK_SECONDS` is set.
 const DEFAULT_FAULT_WINDOW: Duration = Duration::from_secs(8);
@@ -50,6 +52,10 @@
 const MAX_WRITE_ATTEMPTS: u32 = 60;
 /// Delay between these attempts.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Time for which the store is away before it comes back from a copy.
+const RESTORE_TIME: Duration = Duration::from_millis(300);
+/// Time for which the store answers no node before the faults end.
+const FINAL_SILENCE: Duration = Duration::from_millis(1500);
 
 /// The site under test in one run.
 struct Soak {
@@ -95,28 +101,6 @@
     (0..GROUP_COUNT).flat_map(group_databases).collect()
 }
 
-fn configuration(version: u64, databases: &[Database], services: &[String]) -> String {
-    let route = |database: &Database| {
-        let kind = match database.freshness {
-            Freshness::Strong => "primary",
-            Freshness::Bounded(_) => "bounded_staleness",
-            Freshness::Own(_) => "read_your_writes",
-        };
-        serde_json::json!({
-            "name": database.name, "host": database.name, "kind": kind, "timeout_ms": 1500,
-            "latency_slo_ms": 100, "priority": 1, "service": services[database.group],
-            "max_staleness_ms": MAX_STALENESS.as_millis(),
-        })
-    };
-    let service = |name: &String| serde_json::json!({"name": name, "max_conns": MAX_CONNECTIONS, "sync_replicas": 1});
-    serde_json::json!({
-        "version": version, "limits": {"tx_idle_ms": 2000},
-        "routes": databases.iter().map(route).collect::<Vec<_>>(),
-        "services": services.iter().map(service).collect::<Vec<_>>(),
-    })
-    .to_string()
-}
-
 fn service_names() -> Vec<String> {
     (0..GROUP_COUNT)
         .map(|group| format!("svc{group}"))
@@ -131,7 +115,8 @@
         let names = service_names();
         let servers = Servers::start(&names, &ZONES, history.clone(), store.clone()).await;
         let databases = databases();
-        store.put("op", "config", Some(configuration(1, &databases, &names)));
+        let first = configuration(FIRST_VERSION, &databases);
+        store.put("op", "config", Some(first));
         let mut node_proxies = Vec::new();
         let mut started = Vec::new();
         for index in 0..nodes {
@@ -161,10 +146,15 @@
             nodes: Mutex::new(started),
             node_proxies,
             databases,
-            config_version: Mutex::new(1),
+            config_version: Mutex::new(FIRST_VERSION),
         })
     }
 
+    fn config_version(&self) -> MutexGuard<'_, u64> {
+        let version = self.config_version.lock();
+        version.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn with_node(&self, node: usize, action: impl FnOnce(&mut Node)) {
         let mut nodes = self.nodes.lock().unwrap_or_else(PoisonError::into_inner);
         action(&mut nodes[node]);
@@ -253,17 +243,16 @@
                 self.set_store_fault(node, StoreFault::None);
             }
             Fault::DropHistory => self.store.drop_history(),
+            Fault::RestoreStore => {
+                let backup = self.store.backup();
+                sleep(duration).await;
+                self.set_store_fault(None, StoreFault::Unresponsive);
+                sleep(RESTORE_TIME).await;
+                self.store.restore(backup);
+                self.set_store_fault(None, StoreFault::None);
+            }
             Fault::Reconfigure => {
-                let version = {
-                    let mut version = self
-                        .config_version
-                        .lock()
-                        .unwrap_or_else(PoisonError::into_inner);
-                    *version += 3;
-                    *version
-                };
-                let text = configuration(version, &self.databases, &service_names());
-                self.store.put("op", "config", Some(text));
+                self.reconfigure();
             }
         }
     }
@@ -344,6 +333,13 @@
         };
         callers.spawn(caller.run(stop_receiver.clone()));
     }
+    callers.spawn(soak.clone().change_configuration(stop_receiver.clone()));
+    for node in 0..soak.site.nodes {
+        callers.spawn(
+            soak.clone()
+                .check_configuration(node, stop_receiver.clone()),
+        );
+    }
     let started = Instant::now();
     let mut injections = JoinSet::new();
     for planned in plan(seed, soak.site, fault_window) {
@@ -355,7 +351,11 @@
         });
     }
     while injections.join_next().await.is_some() {}
+    // The store loses the calls that wait for a change, while the operator writes some.
+    soak.set_store_fault(None, StoreFault::Unresponsive);
+    sleep(FINAL_SILENCE).await;
     soak.clear_faults();
+    soak.await_configuration().await;
     soak.await_service("end").await;
     stop.send_replace(true);
     while callers.join_next().await.is_some() {}
--- a/tests/soak/nodes.rs
+++ b/tests/soak/nodes.rs
@@ -17,6 +17,8 @@
     log_path: PathBuf,
     /// Address on which the node accepts callers.
     pub caller_address: SocketAddr,
+    /// Number of processes started so far.
+    pub starts: u32,
     child: Option<Child>,
 }
 
@@ -51,6 +53,7 @@
             name,
             settings_path,
             caller_address,
+            starts: 0,
             child: None,
         }
     }
@@ -74,6 +77,7 @@
             .stderr(stderr_log)
             .spawn();
         self.child = Some(child.expect("the program starts"));
+        self.starts += 1;
     }
 
     /// Returns whether the process is running.
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -2,10 +2,13 @@
 //! port of its own, so that faults can affect single nodes.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     convert::Infallible,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -13,7 +16,8 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    Request, Response, StatusCode, body::Incoming, header::HeaderValue, server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use rand::Rng;
@@ -46,12 +50,13 @@
     Slow(Duration),
 }
 
+#[derive(Clone)]
 struct Row {
     value: String,
     version: u64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Tables {
     rows: BTreeMap<(String, String), Row>,
     version: u64,
@@ -61,9 +66,14 @@
     truncated_version: u64,
 }
 
+/// A copy of all rows and of the version counter.
+pub struct Backup(Tables);
+
 /// The store of one run.
 pub struct Store {
     tables: Mutex<Tables>,
+    /// Number of the store's history. It rises when the store comes back from a copy.
+    era: AtomicU64,
     faults: Mutex<Vec<StoreFault>>,
     /// For each node, the address of its proxy to each server, by server id.
     proxy_addresses: Mutex<Vec<HashMap<String, SocketAddr>>>,
@@ -91,6 +101,7 @@
     pub fn new(nodes: usize) -> Arc<Self> {
         Arc::new(Self {
             tables: Mutex::default(),
+            era: AtomicU64::new(1),
             faults: Mutex::new(vec![StoreFault::None; nodes]),
             proxy_addresses: Mutex::new(vec![HashMap::new(); nodes]),
             changed: Notify::new(),
@@ -117,6 +128,37 @@
         self.changed.notify_waiters();
     }
 
+    pub fn backup(&self) -> Backup {
+        Backup(self.tables().clone())
+    }
+
+    /// Goes back to a copy, which also takes back the version counter. The operator and the servers
+    /// write again what they wrote since; what the nodes wrote since is lost.
+    pub fn restore(&self, Backup(copy): Backup) {
+        let mut tables = self.tables();
+        let lost = std::mem::replace(&mut *tables, copy);
+        let is_foreign = |(table, _): &(String, String)| table == "op" || table == "servers";
+        let keys: BTreeSet<_> = lost
+            .rows
+            .keys()
+            .chain(tables.rows.keys())
+            .cloned()
+            .collect();
+        for key in keys.into_iter().filter(is_foreign) {
+            let value = lost.rows.get(&key).map(|row| row.value.clone());
+            if value.as_ref() != tables.rows.get(&key).map(|row| &row.value) {
+                tables.put(&key.0, &key.1, value);
+            }
+        }
+        self.era.fetch_add(1, Ordering::Relaxed);
+        drop(tables);
+        self.changed.notify_waiters();
+    }
+
+    fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
     pub fn set_fault(&self, node: usize, fault: StoreFault) {
         self.faults.lock().unwrap_or_else(PoisonError::into_inner)[node] = fault;
     }
@@ -156,12 +198,30 @@
         address
     }
 
-    /// Answers a request of a node, subject to the current fault.
+    /// Answers a request of a node in the current history. A call that waits while the store goes
+    /// back to a copy is lost.
     async fn call(
         &self,
         node: usize,
         servers: &Arc<Servers>,
         request: Request<Incoming>,
+    ) -> HttpResponse {
+        let era = self.era();
+        let mut response = self.answer(node, servers, request).await;
+        if self.era() != era {
+            std::future::pending::<()>().await;
+        }
+        let header = HeaderValue::from(era);
+        response.headers_mut().insert("Store-Era", header);
+        response
+    }
+
+    /// Answers a request of a node, subject to the current fault.
+    async fn answer(
+        &self,
+        node: usize,
+        servers: &Arc<Servers>,
+        request: Request<Incoming>,
     ) -> HttpResponse {
         let path = request.uri().path().to_string();
         let query = query_parameters(request.uri().query().unwrap_or_default());
@@ -300,7 +360,7 @@
             let change = self.changed.notified();
             {
                 let tables = self.tables();
-                if after < tables.truncated_version {
+                if after < tables.truncated_version || after > tables.version {
                     return response(StatusCode::GONE, &Value::Null);
                 }
                 let changed = tables.changed_since(&table, after);
