Check a lost primary once more before it is replaced

Cause: when the cut ends, replicas answer at once, so that a successor can be chosen, while a connect to the primary that began before still waits for its timeout of 300 ms. What the node knew from before its own outage decided.

The holder of the lease now connects once more to every server of the group that does not answer, for at most 200 ms and beside the reading of the list of servers. Ruled out: a wait after a cut, which would need a detector for every kind of cut.

--- a/crates/siskinhook-gateway/src/connection.rs
+++ b/crates/siskinhook-gateway/src/connection.rs
@@ -198,7 +198,7 @@
         address: SocketAddr,
     ) -> impl Future<Output = Result<Self::Connection, ConnectionError>>;
 
-    /// Returns whether a node responds at an address.
+    /// Returns whether a node or server accepts connections at an address.
     fn reaches(&self, address: SocketAddr) -> impl Future<Output = bool>;
 
     /// Parses the reply to a pause or demote request; `None` if it holds no status.
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -40,6 +40,9 @@
 const START_JITTER: Duration = Duration::from_millis(80);
 /// Time limit of the reachability check before servers are paused.
 const REACHABILITY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time limit of the last attempt to connect to a server before it is regarded as lost; longer than
+/// a round trip between regions.
+const RECHECK_TIMEOUT: Duration = Duration::from_millis(200);
 /// Delay before a failed step is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Maximum of the retry delay.
@@ -194,10 +197,11 @@
             return;
         };
         self.failures.set(0);
-        // A node that could not read the store for some time does not know the servers that started
-        // since; one of them may lead, or hold acknowledged commits. Only the holder of the lease
-        // reads the list, which is large in a large fleet.
-        if let Err(error) = self.discovery.refresh().await {
+        // A node that was cut off knows the state from before: a server that started since may lead
+        // or hold acknowledged commits, and the primary may be alive. Only the holder of the lease
+        // reads the list of servers, which is large in a large fleet.
+        let (refreshed, ()) = tokio::join!(self.discovery.refresh(), self.recheck_servers());
+        if let Err(error) = refreshed {
             self.log_failure(&format!("cannot read the list of servers: {error}"));
             self.back_off();
             return;
@@ -227,6 +231,29 @@
         }
     }
 
+    /// Connects once more to the servers that did not answer. When a cut ends, a connect that began
+    /// before still waits for its timeout, while other servers answer already.
+    async fn recheck_servers(&self) {
+        let targets: Vec<Rc<Target<D>>> = self.group.targets.borrow().values().cloned().collect();
+        let failing = targets.into_iter().filter(|t| t.outage().is_some());
+        let checks: Vec<_> = failing
+            .map(|target| {
+                let dialer = self.gateway.dialer.clone();
+                tokio::task::spawn_local(async move {
+                    let address = target.instance.borrow().address;
+                    let reached = timeout(RECHECK_TIMEOUT, dialer.reaches(address)).await;
+                    if reached.unwrap_or(false) {
+                        target.record_success();
+                    }
+                })
+            })
+            .collect();
+        for check in checks {
+            // A check that panicked leaves the server as it was.
+            let _ = check.await;
+        }
+    }
+
     /// Returns whether enough servers are reachable from this node to choose a successor. Pausing
     /// servers without one would only stop commits on a primary that other nodes may still reach.
     async fn is_feasible(&self) -> bool {
--- a/crates/siskinhook-gateway/tests/failover.rs
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -264,6 +264,33 @@
     }
 }
 
+/// Guards against a node that was cut off from all servers and replaces a live primary when the cut
+/// ends, because a connect to the primary is still waiting for its timeout.
+#[tokio::test(start_paused = true)]
+async fn node_that_was_cut_off_does_not_replace_a_live_primary() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                let node = [site.start("n1")];
+                // A node just started does not replace a primary.
+                write_for(&node, 160).await;
+                for server in site.world.borrow_mut().iter_mut() {
+                    server.reachable = false;
+                    server.dial_time = Duration::from_millis(300);
+                }
+                write_for(&node, 30).await;
+                sleep(Duration::from_millis(7 * seed)).await;
+                for server in site.world.borrow_mut().iter_mut() {
+                    server.reachable = true;
+                }
+                write_for(&node, 30).await;
+                assert_eq!(*site.orders.seen.borrow(), []);
+            })
+            .await;
+    }
+}
+
 /// Guards against a node that could not read the list of servers for some time: it replaced a live
 /// primary that had started since, and commits that this one acknowledged meanwhile were lost.
 #[tokio::test(start_paused = true)]
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -40,6 +40,8 @@
     pub received: u64,
     pub paused_term: Term,
     pub reachable: bool,
+    /// Time after which a dial fails while the server is not reachable.
+    pub dial_time: Duration,
     /// Whether the server sends no replies although its connections stay open.
     pub unresponsive: bool,
     /// Number of `BEGIN` requests that the server will refuse because of load.
@@ -69,6 +71,7 @@
         received: 10,
         paused_term: 0,
         reachable: true,
+        dial_time: STEP,
         unresponsive: false,
         busy_begins: 0,
         busy_controls: 0,
@@ -142,8 +145,12 @@
     ) -> Result<FakeConnection, ConnectionError> {
         let index = usize::from(address.port()) - 1;
         self.0.borrow_mut()[index].dials += 1;
-        if !self.0.borrow()[index].reachable {
-            sleep(STEP).await;
+        let (reachable, dial_time) = {
+            let world = self.0.borrow();
+            (world[index].reachable, world[index].dial_time)
+        };
+        if !reachable {
+            sleep(dial_time).await;
             return Err(ConnectionError::Unreachable("refused".into()));
         }
         sleep(STEP).await;
@@ -164,9 +171,13 @@
     }
 
     async fn reaches(&self, address: SocketAddr) -> bool {
-        sleep(STEP).await;
         let index = usize::from(address.port()) - 1;
-        self.0.borrow()[index].reachable
+        let (reachable, dial_time) = {
+            let world = self.0.borrow();
+            (world[index].reachable, world[index].dial_time)
+        };
+        sleep(if reachable { STEP } else { dial_time }).await;
+        reachable
     }
 
     fn status(&self, reply: &ServerReply) -> Option<ReplicationStatus> {
