Answer all statements before the process stops

Cause: a session stays open while its caller keeps sending, and a statement waits for its own time limit, which knows nothing of the end of the process five sixths of the grace period after SIGTERM.

The gateway now knows until when it answers. Statements that arrive while it stops wait no longer than that and are refused as not run; those that arrived before are answered as unknown when that time comes; those that arrive later are refused at once and not sent to a server.

--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use siskinhook_types::{NodeId, ServerId, ServiceId, Zone};
 use tokio::{
     sync::{Notify, watch},
-    time::{MissedTickBehavior, interval},
+    time::{Instant, MissedTickBehavior, interval, sleep_until},
 };
 
 use crate::{
@@ -59,7 +59,8 @@
     reports: RefCell<HashMap<ServerId, (u64, u64)>>,
     /// Wakes tasks that wait for a new group, or for the node to be initialized.
     pub configured: Notify,
-    draining: Cell<bool>,
+    /// When the node stops to serve callers; `None` until it is told to stop.
+    stop_time: watch::Sender<Option<Instant>>,
     discovered: Cell<bool>,
     /// Whether the node is cut off from the other zones.
     cut_off: watch::Sender<bool>,
@@ -94,7 +95,7 @@
             unassigned: RefCell::default(),
             reports: RefCell::default(),
             configured: Notify::new(),
-            draining: Cell::default(),
+            stop_time: watch::Sender::default(),
             discovered: Cell::default(),
             cut_off: watch::Sender::new(false),
             store_answers: RefCell::default(),
@@ -280,7 +281,7 @@
     /// Whether the node should receive callers: it is initialized, not draining, and no other zone
     /// would serve them better.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.is_initialized() && !self.is_out_of_rotation()
+        !self.is_draining() && self.is_initialized() && !self.is_out_of_rotation()
     }
 
     /// Sets whether the node is cut off from the other zones. Returns whether the value changed.
@@ -334,14 +335,30 @@
         }
     }
 
-    /// Makes the node report that it is not ready, before it stops.
-    pub fn drain(&self) {
-        self.draining.set(true);
+    /// Makes the node report that it is not ready. Statements are answered until `until`.
+    pub fn drain(&self, until: Instant) {
+        self.stop_time.send_replace(Some(until));
     }
 
     /// Whether the node is about to stop and accepts no new work.
     pub fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.stop_time.borrow().is_some()
+    }
+
+    /// Returns the time until which statements are answered, if the node is about to stop.
+    pub(crate) fn stop_time(&self) -> Option<Instant> {
+        *self.stop_time.borrow()
+    }
+
+    /// Waits until the node answers no more statements.
+    pub async fn stopped(&self) {
+        let mut stop_time = self.stop_time.subscribe();
+        // Fails only if the sender is dropped, which lives as long as the node.
+        if let Ok(until) = stop_time.wait_for(Option::is_some).await.map(|time| *time)
+            && let Some(until) = until
+        {
+            sleep_until(until).await;
+        }
     }
 
     /// Closes idle connections periodically; runs until dropped.
--- a/crates/siskinhook-gateway/src/session.rs
+++ b/crates/siskinhook-gateway/src/session.rs
@@ -96,7 +96,12 @@
     /// Answers a statement.
     pub async fn handle(&mut self, query: &Query, arrival: Arrival) -> Answer {
         self.gateway.counters.statements.add(1);
-        let answer = self.dispatch(query, arrival).await;
+        let stop_time = self.gateway.stop_time();
+        let answer = if stop_time.is_some_and(|until| arrival.at >= until) {
+            self.refuse_stopped(query)
+        } else {
+            self.dispatch(query, arrival).await
+        };
         self.gateway.counters.record_latency(arrival.at.elapsed());
         answer
     }
@@ -314,12 +319,15 @@
         let last_commit = self
             .last_commit
             .filter(|_| route.consistency == Consistency::ReadYourWrites);
+        // A statement that outlives the node gets no answer.
+        let timeout = arrival.at + route.timeout;
+        let stop_time = self.gateway.stop_time();
         Request {
             gateway: &self.gateway,
             route,
             group,
             statement,
-            deadline: arrival.at + route.timeout,
+            deadline: stop_time.map_or(timeout, |until| timeout.min(until)),
             arrived: arrival.at,
             bounds: ReadBounds {
                 started_at,
@@ -346,6 +354,22 @@
         }
     }
 
+    /// Refuses a statement that arrives when the node no longer serves.
+    fn refuse_stopped(&mut self, query: &Query) -> Answer {
+        // The server rolls the transaction back when its connection closes.
+        let refusal = match self.transaction.take() {
+            Some(_) => Refusal::Aborted,
+            None => Refusal::Busy,
+        };
+        let text = "this node is stopping";
+        event!(
+            Event::StatementRefused,
+            request = query.id.as_str(), database = self.database.as_str(), answer:? = refusal;
+            "{text}"
+        );
+        self.refuse(refusal, text)
+    }
+
     fn refuse(&self, refusal: Refusal, text: &str) -> Answer {
         self.gateway.counters.refused.add(1);
         Answer::refused(refusal, text, self.state())
