--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -132,7 +132,7 @@
     fn process(&self, node: usize) -> (SocketAddr, u32) {
         let mut process = None;
         self.with_node(node, |node| {
-            process = Some((node.caller_address, node.starts))
+            process = Some((node.caller_address, node.starts));
         });
         process.expect("the node exists")
     }
