Give no two nodes of the soak the same port

Their logs show the cause: 'cannot listen on 127.0.0.1:14444: Address already in use' 121 and 122 times. Both settings files name that port for the readiness check: a drawn port is free again until its node binds it, so two of the 16 random ports of a run can be the same, in about one run of 170 (worked out: 120 pairs among 20,000 ports).

Drawn ports are now remembered for the whole process. No check changes.

--- a/tests/soak/nodes.rs
+++ b/tests/soak/nodes.rs
@@ -1,10 +1,12 @@
 //! Nodes as processes of the `siskinhook` program.
 
 use std::{
+    collections::BTreeSet,
     fs::{self, File},
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::{Mutex, PoisonError},
 };
 
 use rand::Rng;
@@ -26,11 +28,16 @@
 /// connections, so that a node that restarts can bind its ports again.
 const PORT_RANGE: std::ops::Range<u16> = 10_000..30_000;
 
+/// Ports that were given to nodes. A port is free again until its node binds it, so two nodes could
+/// draw the same one.
+static DRAWN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
 fn free_address() -> SocketAddr {
+    let mut drawn = DRAWN_PORTS.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
         let port = rand::rng().random_range(PORT_RANGE);
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
+        if TcpListener::bind(address).is_ok() && drawn.insert(port) {
             return address;
         }
     }
