--- /dev/null
+++ b/review/standin/src/main.rs
@@ -0,0 +1,120 @@
+//! Runs one of the review's scripts: `review-standin CASE RECORD`.
+//!
+//! Starts stand-ins of the platform and of one service with three servers, eight nodes of the
+//! project's program, and clients. Exits with 1 if the rule was broken, with 0 if it held, and with
+//! 2 if the case could not run. With `TROUBLE=0` in the environment the disruption is left out.
+
+mod client;
+mod database;
+mod http;
+mod node;
+mod scenarios;
+mod site;
+
+use std::{env, fs::File, net::TcpListener, path::Path, process::ExitCode, sync::Arc, thread};
+
+use node::Node;
+use serde_json::json;
+use site::Site;
+
+/// Zones of the servers; the last one starts only in a release.
+const SERVER_ZONES: [&str; 4] = ["split-a", "split-b", "sinj-a", "split-b"];
+/// Zones of the nodes, two in each.
+const ZONES: [&str; 4] = ["split-a", "split-b", "sinj-a", "omis-a"];
+
+fn route(host: &str, kind: &str) -> serde_json::Value {
+    json!({
+        "name": format!("r-{host}"), "host": host, "prefix": "/", "kind": kind, "timeout_ms": 800,
+        "latency_slo_ms": 200, "priority": 1, "service": site::SERVICE, "max_attempts": 2,
+        "max_staleness_ms": 1500,
+    })
+}
+
+/// Starts the stand-ins and the nodes.
+fn start(site: &Arc<Site>, directory: &Path) -> std::io::Result<Vec<Node>> {
+    for index in 0..SERVER_ZONES.len() {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        site.lock().servers[index].port = listener.local_addr()?.port();
+        database::serve(site, index, listener);
+        let site = site.clone();
+        thread::spawn(move || site.run_reports(index));
+    }
+    let configuration = json!({
+        "version": 7,
+        "routes": [route("orders", "primary"), route("stock", "bounded_staleness")],
+        "services": [{"name": site::SERVICE, "max_conns": site::MAX_CONNECTIONS, "sync_replicas": 1}],
+        "limits": {"tx_idle_ms": 5000},
+    });
+    site.lock().store.put_json("op", "config", &configuration);
+    let expiry = site.clone();
+    thread::spawn(move || expiry.run_expiry());
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    http::serve(site, listener);
+    let node = |index: usize| {
+        let zone = ZONES[index / 2];
+        Node::start(
+            directory,
+            &format!("edge-{zone}-{}", index % 2 + 1),
+            zone,
+            address,
+        )
+    };
+    Ok((0..8).map(node).collect())
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let [case, record] = arguments.as_slice() else {
+        eprintln!("usage: review-standin CASE RECORD");
+        return ExitCode::from(2);
+    };
+    let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
+    let directory = env::temp_dir().join(format!("review-{}", std::process::id()));
+    let Ok(file) = File::create(record) else {
+        eprintln!("cannot write {record}");
+        return ExitCode::from(2);
+    };
+    if std::fs::create_dir_all(&directory).is_err() {
+        return ExitCode::from(2);
+    }
+    let site = Site::new(file, &SERVER_ZONES);
+    let result = match start(&site, &directory) {
+        Ok(nodes) if nodes.iter().all(Node::wait_ready) => {
+            site.note(&format!("{} nodes are ready", nodes.len()));
+            match case.as_str() {
+                "restart" => scenarios::restart(&site, &nodes, has_trouble),
+                "lapse" => scenarios::lapse(&site, &nodes, has_trouble),
+                "join" => scenarios::join(&site, &nodes, has_trouble),
+                "text" => scenarios::text(&site, &nodes, has_trouble),
+                _ => Err(format!("there is no case {case}")),
+            }
+        }
+        Ok(_) => Err("a node was not ready in time".into()),
+        Err(error) => Err(error.to_string()),
+    };
+    if env::var_os("KEEP").is_none() {
+        let _ = std::fs::remove_dir_all(&directory);
+    }
+    match result {
+        Ok(broken) => {
+            for line in &broken {
+                site.note(&format!("BROKEN {line}"));
+                println!("BROKEN {line}");
+            }
+            let verdict = if broken.is_empty() {
+                "the rule held"
+            } else {
+                "the rule was broken"
+            };
+            site.note(verdict);
+            println!("{verdict}");
+            ExitCode::from(u8::from(!broken.is_empty()))
+        }
+        Err(reason) => {
+            site.note(&format!("could not run: {reason}"));
+            eprintln!("could not run: {reason}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/review/standin/src/node.rs
@@ -0,0 +1,88 @@
+//! Nodes as processes of the project's program.
+
+use std::{
+    fs::{self, File},
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::Path,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+
+/// A node. Dropping it kills the process.
+pub struct Node {
+    pub callers: SocketAddr,
+    readiness: SocketAddr,
+    child: Child,
+}
+
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("a bound port"))
+        .collect()
+}
+
+impl Node {
+    pub fn start(directory: &Path, name: &str, zone: &str, store: SocketAddr) -> Self {
+        let addresses = free_addresses(4);
+        // The fields of deploy/node.jsonc, with the bounds of the small deployments.
+        let settings = json!({
+            "node": name, "zone": zone, "callers": addresses[0], "readiness": addresses[1],
+            "metrics": addresses[2], "relay": addresses[3], "store": store, "orders": store,
+            "checks_fence": true, "grace": 6000, "bounds": {"contact": 4000, "drain": 7000},
+        });
+        let path = directory.join(format!("{name}.jsonc"));
+        fs::write(&path, settings.to_string()).expect("the temporary folder is writable");
+        let log = File::create(directory.join(format!("{name}.log"))).expect("a log file");
+        let child = Command::new("target/release/siskinhook")
+            .args(["hosted", "--settings"])
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        Self {
+            callers: addresses[0],
+            readiness: addresses[1],
+            child,
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        let ask = || -> std::io::Result<String> {
+            let mut stream = TcpStream::connect_timeout(&self.readiness, Duration::from_secs(1))?;
+            stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+            stream.write_all(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer)?;
+            Ok(answer)
+        };
+        ask().is_ok_and(|answer| answer.starts_with("HTTP/1.1 200"))
+    }
+
+    /// Waits until the node is ready; returns whether it is.
+    pub fn wait_ready(&self) -> bool {
+        let until = Instant::now() + Duration::from_secs(15);
+        while Instant::now() < until {
+            if self.is_ready() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/review/standin/src/scenarios.rs
@@ -0,0 +1,272 @@
+//! The scripts. Each returns what broke the rule.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread::{self, JoinHandle, sleep},
+    time::{Duration, Instant},
+};
+
+use crate::{client::Client, node::Node, site::Site};
+
+type Broken = Result<Vec<String>, String>;
+
+/// Clients that write one item after the other, and note what was acknowledged.
+struct Writers {
+    is_over: Arc<AtomicBool>,
+    acknowledged: Arc<Mutex<Vec<String>>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Writers {
+    fn start(site: &Arc<Site>, nodes: &[Node]) -> Self {
+        let (is_over, acknowledged) = (Arc::new(AtomicBool::new(false)), Arc::default());
+        let next = Arc::new(AtomicU64::new(1));
+        let start = |node: &Node| {
+            let (site, is_over, next) = (site.clone(), is_over.clone(), next.clone());
+            let acknowledged: Arc<Mutex<Vec<String>>> = Arc::clone(&acknowledged);
+            let address = node.callers;
+            thread::spawn(move || {
+                let mut client = None;
+                while !is_over.load(Ordering::Relaxed) {
+                    sleep(Duration::from_millis(40));
+                    if client.is_none() {
+                        client = Client::open(address, "orders");
+                    }
+                    let Some(open) = client.as_mut() else {
+                        continue;
+                    };
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    let id = format!("w{number}");
+                    let text = format!("WRITE item{number} data{number}");
+                    site.note(&format!("client sends {id} {text}"));
+                    match open.query(&id, text.as_bytes()).map(|answer| answer.result) {
+                        Some(Ok(signature)) => {
+                            site.note(&format!(
+                                "client gets {id} acknowledged, signed {signature}"
+                            ));
+                            let mut list =
+                                acknowledged.lock().unwrap_or_else(PoisonError::into_inner);
+                            list.push(id);
+                        }
+                        Some(Err(error)) => site.note(&format!("client gets {id} {error}")),
+                        None => {
+                            site.note(&format!("client gets no answer to {id}"));
+                            client = None;
+                        }
+                    }
+                }
+            })
+        };
+        let threads = nodes.iter().map(start).collect();
+        Self {
+            is_over,
+            acknowledged,
+            threads,
+        }
+    }
+
+    /// Stops the clients and returns what was acknowledged.
+    fn stop(self) -> Vec<String> {
+        self.is_over.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        let list = self
+            .acknowledged
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        list.clone()
+    }
+}
+
+fn millis(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+/// Waits for an order to promote a server; returns the index of that server.
+fn wait_for_order(site: &Site, limit: Duration) -> Option<usize> {
+    let until = Instant::now() + limit;
+    while Instant::now() < until {
+        let world = site.lock();
+        if let Some(id) = &world.ordered {
+            return world.servers.iter().position(|s| s.id == *id);
+        }
+        drop(world);
+        sleep(millis(5));
+    }
+    None
+}
+
+fn finish(site: &Site, writers: Writers) -> Broken {
+    let acknowledged = writers.stop();
+    let promotions = site.lock().promoted.len();
+    site.note(&format!(
+        "{} writes acknowledged, {promotions} promotions",
+        acknowledged.len()
+    ));
+    if acknowledged.len() < 50 {
+        return Err("hardly any write was acknowledged".into());
+    }
+    Ok(site.lost(&acknowledged))
+}
+
+/// A primary and, just after, a replica restart.
+pub fn restart(site: &Arc<Site>, nodes: &[Node], has_trouble: bool) -> Broken {
+    let writers = Writers::start(site, nodes);
+    sleep(millis(4000));
+    if has_trouble {
+        site.crash(0);
+        let crashed_at = Instant::now();
+        let ordered = wait_for_order(site, millis(580));
+        sleep(millis(600).saturating_sub(crashed_at.elapsed()));
+        site.restart(0);
+        let ordered = ordered.or_else(|| wait_for_order(site, millis(3000)));
+        let replica = if ordered == Some(1) { 2 } else { 1 };
+        sleep(millis(100));
+        site.crash(replica);
+        sleep(millis(200));
+        site.restart(replica);
+    }
+    sleep(millis(4000));
+    finish(site, writers)
+}
+
+/// The entries lapse while the store is down, and one replica is cut off from the store when it
+/// returns. Then the other replica receives nothing, and the primary crashes.
+pub fn lapse(site: &Arc<Site>, nodes: &[Node], has_trouble: bool) -> Broken {
+    let writers = Writers::start(site, nodes);
+    sleep(millis(4000));
+    if has_trouble {
+        let started = Instant::now();
+        let wait_until = |time: u64| sleep(millis(time).saturating_sub(started.elapsed()));
+        let set_down = |is_down: bool| {
+            site.lock().store.is_down = is_down;
+            site.note(if is_down {
+                "store: down"
+            } else {
+                "store: back"
+            });
+            site.changed.notify_all();
+        };
+        let set_cut = |is_cut: bool| {
+            site.lock().servers[1].is_store_cut = is_cut;
+            site.note(&format!("server 1 is cut off from the store: {is_cut}"));
+        };
+        let set_deaf = |is_deaf: bool| {
+            let mut world = site.lock();
+            world.servers[2].is_deaf = is_deaf;
+            site.note(&format!("server 2 receives nothing: {is_deaf}"));
+            site.replicate(&mut world);
+        };
+        set_down(true);
+        wait_until(4400);
+        set_cut(true);
+        wait_until(4500);
+        set_down(false);
+        wait_until(8100);
+        set_deaf(true);
+        wait_until(8700);
+        site.crash(0);
+        wait_until(9100);
+        set_deaf(false);
+        wait_until(9400);
+        set_cut(false);
+        wait_until(13_000);
+        site.restart(0);
+    }
+    sleep(millis(4000));
+    finish(site, writers)
+}
+
+/// A primary restarts, and the new server of a release starts.
+pub fn join(site: &Arc<Site>, nodes: &[Node], has_trouble: bool) -> Broken {
+    let writers = Writers::start(site, nodes);
+    sleep(millis(4000));
+    if has_trouble {
+        site.crash(0);
+        sleep(millis(600));
+        site.restart(0);
+        sleep(millis(200));
+    }
+    site.join(3);
+    sleep(millis(5000));
+    finish(site, writers)
+}
+
+/// Clients whose texts are not UTF-8.
+pub fn text(site: &Arc<Site>, nodes: &[Node], has_trouble: bool) -> Broken {
+    // "Omi\u{161}" and "Omi\u{107}" in ISO 8859-2, or in UTF-8 without the disruption.
+    let items: [&[u8]; 2] = if has_trouble {
+        [b"omi\xb9", b"omi\xe6"]
+    } else {
+        ["omi\u{161}".as_bytes(), "omi\u{107}".as_bytes()]
+    };
+    let mut broken = Vec::new();
+    let mut sent: Vec<(Vec<u8>, Vec<u8>)> = Vec::new();
+    let mut clients = Vec::new();
+    for node in &nodes[..2] {
+        clients.push(Client::open(node.callers, "orders").ok_or("no session")?);
+    }
+    let mut ask = |client: usize, id: &str, text: &[u8]| {
+        site.note(&format!(
+            "client {client} sends {id} {}",
+            text.escape_ascii()
+        ));
+        sent.push((id.into(), text.into()));
+        let answer = clients[client].query(id, text);
+        match &answer {
+            Some(answer) => {
+                let rows: Vec<String> = answer
+                    .rows
+                    .iter()
+                    .map(|r| r.escape_ascii().to_string())
+                    .collect();
+                site.note(&format!(
+                    "client {client} gets {id} {:?} rows {rows:?}",
+                    answer.result
+                ));
+            }
+            None => site.note(&format!("client {client} gets no answer to {id}")),
+        }
+        answer.filter(|answer| answer.result.is_ok())
+    };
+    let mut data = Vec::new();
+    for (client, item) in items.iter().enumerate() {
+        let own = format!("coil-of-client-{client}");
+        let text = [b"WRITE ", *item, b" ", own.as_bytes()].concat();
+        data.push((ask(client, &format!("w{client}"), &text).is_some(), own));
+    }
+    for (client, item) in items.iter().enumerate() {
+        let text = [b"READ ", *item].concat();
+        let Some(answer) = ask(client, &format!("r{client}"), &text) else {
+            continue;
+        };
+        let (is_acknowledged, own) = &data[client];
+        if *is_acknowledged && answer.rows != [own.as_bytes()] {
+            let rows: Vec<String> = answer
+                .rows
+                .iter()
+                .map(|r| r.escape_ascii().to_string())
+                .collect();
+            broken.push(format!(
+                "MIXED: client {client} wrote {own:?} to its item and reads {rows:?}"
+            ));
+        }
+    }
+    let world = site.lock();
+    for (id, text) in &world.runs {
+        if !sent.contains(&(id.clone(), text.clone())) {
+            let (id, text) = (id.escape_ascii(), text.escape_ascii());
+            broken.push(format!(
+                "UNASKED: a server ran {id} with the text {text}, which nobody sent"
+            ));
+        }
+    }
+    if world.runs.is_empty() && !has_trouble {
+        return Err("no statement ran".into());
+    }
+    Ok(broken)
+}
--- /dev/null
+++ b/review/standin/src/site.rs
@@ -0,0 +1,417 @@
+//! State of the stand-in platform: the metadata store and the database servers of one service.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    fs::File,
+    io::Write as _,
+    net::{Shutdown, TcpStream},
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::{Duration, Instant},
+};
+
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use serde_json::{Value, json};
+
+/// Name of the service.
+pub const SERVICE: &str = "huvo11a";
+/// Interval at which servers report, as in the settings of the small deployments.
+pub const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// Maximum number of connections to a server from all nodes together.
+pub const MAX_CONNECTIONS: usize = 32;
+/// Time from the order of a promotion until the server leads.
+pub const PROMOTION_TIME: Duration = Duration::from_millis(1000);
+
+pub struct Row {
+    pub value: String,
+    pub version: u64,
+}
+
+/// The metadata store.
+#[derive(Default)]
+pub struct Store {
+    pub rows: BTreeMap<(String, String), Row>,
+    pub version: u64,
+    /// Version, table and key of each change, oldest first.
+    pub changes: Vec<(u64, String, String)>,
+    /// Whether the store answers 503 to everything.
+    pub is_down: bool,
+}
+
+impl Store {
+    pub fn put(&mut self, table: &str, key: &str, value: Option<String>) {
+        self.version += 1;
+        let version = self.version;
+        let row_key = (table.to_string(), key.to_string());
+        match value {
+            Some(value) => {
+                self.rows.insert(row_key, Row { value, version });
+            }
+            None => {
+                self.rows.remove(&row_key);
+            }
+        }
+        self.changes.push((version, table.into(), key.into()));
+    }
+
+    pub fn put_json(&mut self, table: &str, key: &str, value: &Value) {
+        self.put(table, key, Some(BASE64_STANDARD.encode(value.to_string())));
+    }
+}
+
+/// An entry of a server's log.
+#[derive(Clone)]
+pub struct Commit {
+    pub term: u64,
+    pub number: u64,
+    /// Id of the statement that a client sent to commit.
+    pub id: String,
+    /// Item and data of each write.
+    pub writes: Vec<(Vec<u8>, Vec<u8>)>,
+}
+
+/// A database server.
+pub struct Server {
+    pub id: String,
+    pub zone: &'static str,
+    pub port: u16,
+    pub is_up: bool,
+    pub is_primary: bool,
+    pub term: u64,
+    pub log: Vec<Commit>,
+    /// Term of the pause, 0 if the replica receives.
+    pub paused_term: u64,
+    /// Whether the replica receives nothing.
+    pub is_deaf: bool,
+    /// Whether the server is cut off from the store.
+    pub is_store_cut: bool,
+    /// Number of starts; connections of an earlier one are closed.
+    pub epoch: u64,
+    pub born: u64,
+    pub sequence: u64,
+    pub last_report: Instant,
+    pub streams: Vec<TcpStream>,
+}
+
+impl Server {
+    pub fn position(&self) -> String {
+        let (term, number) = self.log.last().map_or((1, 0), |c| (c.term, c.number));
+        format!("{term}.{number}")
+    }
+
+    pub fn status(&self) -> String {
+        let role = if self.is_primary {
+            "primary"
+        } else {
+            "replica"
+        };
+        let (term, position, held) = (self.term, self.position(), self.paused_term);
+        format!("{role} {term} {position} {held} 0 0 {}", self.streams.len())
+    }
+
+    /// Whether the log holds a position.
+    pub fn holds(&self, term: u64, number: u64) -> bool {
+        let last = self.log.last().map_or((1, 0), |c| (c.term, c.number));
+        last >= (term, number) || number == 0
+    }
+}
+
+/// Everything that the stand-ins share.
+pub struct World {
+    pub store: Store,
+    pub servers: Vec<Server>,
+    /// Highest fencing token seen.
+    pub token: u64,
+    /// Id of the server whose promotion was ordered last.
+    pub ordered: Option<String>,
+    /// Ids of servers that restarted under another id, and when their entries lapse.
+    pub former_ids: Vec<(String, Instant)>,
+    /// Term in which each statement was committed.
+    pub committed: HashMap<String, u64>,
+    /// Id and text of each statement of a client that a server ran.
+    pub runs: Vec<(Vec<u8>, Vec<u8>)>,
+    /// Term and statements in the log of each server that was promoted, at that moment.
+    pub promoted: Vec<(u64, String, HashSet<String>)>,
+}
+
+pub struct Site {
+    world: Mutex<World>,
+    pub changed: Condvar,
+    record: Mutex<File>,
+    pub started: Instant,
+}
+
+fn unix_millis() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or_default()
+}
+
+impl Site {
+    pub fn new(record: File, zones: &[&'static str]) -> Arc<Self> {
+        let server = |(index, zone): (usize, &&'static str)| Server {
+            id: format!("i-{:02x}", 0xa0 + index),
+            zone,
+            port: 0,
+            // The fourth server belongs to a release and starts later.
+            is_up: index < 3,
+            is_primary: index == 0,
+            term: 1,
+            log: Vec::new(),
+            paused_term: 0,
+            is_deaf: false,
+            is_store_cut: false,
+            epoch: 0,
+            born: unix_millis(),
+            sequence: 0,
+            last_report: Instant::now(),
+            streams: Vec::new(),
+        };
+        Arc::new(Self {
+            world: Mutex::new(World {
+                store: Store::default(),
+                servers: zones.iter().enumerate().map(server).collect(),
+                token: 0,
+                ordered: None,
+                former_ids: Vec::new(),
+                committed: HashMap::new(),
+                runs: Vec::new(),
+                promoted: Vec::new(),
+            }),
+            changed: Condvar::new(),
+            record: Mutex::new(record),
+            started: Instant::now(),
+        })
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, World> {
+        self.world.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes a line to the record.
+    pub fn note(&self, text: &str) {
+        let mut record = self.record.lock().unwrap_or_else(PoisonError::into_inner);
+        let time = self.started.elapsed().as_secs_f64();
+        let _ = writeln!(record, "{time:9.3} {text}");
+    }
+
+    /// Copies the primary's log to every replica that receives.
+    pub fn replicate(&self, world: &mut World) {
+        let is_leading = |s: &&Server| s.is_up && s.is_primary;
+        let Some(primary) = world
+            .servers
+            .iter()
+            .filter(is_leading)
+            .max_by_key(|s| s.term)
+        else {
+            return;
+        };
+        let (term, log) = (primary.term, primary.log.clone());
+        for server in &mut world.servers {
+            if server.is_up && !server.is_primary && !server.is_deaf && server.paused_term == 0 {
+                server.term = term;
+                server.log.clone_from(&log);
+            }
+        }
+        self.changed.notify_all();
+    }
+
+    /// Writes the entry of a server if the server reaches the store.
+    pub fn report(&self, world: &mut World, index: usize) {
+        let World { store, servers, .. } = world;
+        let server = &mut servers[index];
+        if !server.is_up || server.is_store_cut || store.is_down {
+            return;
+        }
+        server.last_report = Instant::now();
+        server.sequence += 1;
+        let role = if server.is_primary {
+            "primary"
+        } else {
+            "replica"
+        };
+        let entry = |sequence: u64| {
+            json!({
+                "service": SERVICE, "addr": format!("127.0.0.1:{}", server.port),
+                "zone": server.zone, "version": "v1", "slots": 4, "state": "ready",
+                "cold_left_ms": 0, "db_role": role, "seq": sequence, "born": server.born,
+            })
+        };
+        // The entry changes when more than the number of the report changes.
+        let key = ("servers".to_string(), server.id.clone());
+        if let Some(row) = store.rows.get(&key) {
+            let known = BASE64_STANDARD.decode(&row.value).unwrap_or_default();
+            let known: Value = serde_json::from_slice(&known).unwrap_or_default();
+            let same = known["seq"].as_u64().is_some_and(|seq| known == entry(seq));
+            if same {
+                return;
+            }
+        }
+        store.put_json("servers", &server.id, &entry(server.sequence));
+        self.changed.notify_all();
+    }
+
+    /// Lets servers report, and removes the entries of servers that are silent for three intervals.
+    pub fn run_reports(self: Arc<Self>, index: usize) {
+        thread::sleep(HEARTBEAT / 4 * u32::try_from(index).unwrap_or_default());
+        loop {
+            let mut world = self.lock();
+            self.report(&mut world, index);
+            drop(world);
+            thread::sleep(HEARTBEAT);
+        }
+    }
+
+    pub fn run_expiry(self: Arc<Self>) {
+        loop {
+            thread::sleep(Duration::from_millis(20));
+            let mut world = self.lock();
+            let World {
+                store,
+                servers,
+                former_ids,
+                ..
+            } = &mut *world;
+            former_ids.retain(|(id, lapses_at)| {
+                let is_due = Instant::now() >= *lapses_at;
+                if is_due {
+                    store.put("servers", id, None);
+                    self.changed.notify_all();
+                }
+                !is_due
+            });
+            for server in servers {
+                let key = ("servers".to_string(), server.id.clone());
+                if server.last_report.elapsed() >= HEARTBEAT * 3 && store.rows.contains_key(&key) {
+                    store.put("servers", &server.id, None);
+                    self.note(&format!("store: the entry of {} lapsed", server.id));
+                    self.changed.notify_all();
+                }
+            }
+        }
+    }
+
+    /// Crashes a server. Its entry lapses by itself.
+    pub fn crash(&self, index: usize) {
+        let mut world = self.lock();
+        let server = &mut world.servers[index];
+        server.is_up = false;
+        server.epoch += 1;
+        for stream in server.streams.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        self.note(&format!("server {} crashes", server.id));
+        self.changed.notify_all();
+    }
+
+    /// Starts a crashed server again, with its log and under a new id. It leads if no other server
+    /// was promoted.
+    pub fn restart(&self, index: usize) {
+        let mut world = self.lock();
+        let old = world.servers[index].id.clone();
+        // The entry of the former process lapses after three intervals.
+        let lapses_at = world.servers[index].last_report + HEARTBEAT * 3;
+        world.former_ids.push((old.clone(), lapses_at));
+        let server = &mut world.servers[index];
+        server.id = format!("{old}r");
+        server.is_up = true;
+        server.paused_term = 0;
+        server.born = unix_millis();
+        server.sequence = 0;
+        let (role, position) = (
+            if server.is_primary {
+                "primary"
+            } else {
+                "replica"
+            },
+            server.position(),
+        );
+        self.note(&format!(
+            "server {old} is back as {} ({role}, log ends at {position})",
+            server.id
+        ));
+        self.replicate(&mut world);
+        self.report(&mut world, index);
+    }
+
+    /// Starts the new server of a release, with the log that it gets from the primary.
+    pub fn join(&self, index: usize) {
+        let mut world = self.lock();
+        world.servers[index].is_up = true;
+        world.servers[index].born = unix_millis();
+        self.replicate(&mut world);
+        self.report(&mut world, index);
+        self.note(&format!(
+            "server {} of a release starts",
+            world.servers[index].id
+        ));
+    }
+
+    /// Handles an order to promote a server and returns the status of the answer.
+    pub fn order(self: &Arc<Self>, id: &str, holder: &str, token: u64) -> u16 {
+        let mut world = self.lock();
+        let status = if token < world.token {
+            409
+        } else {
+            world.token = token;
+            match world.servers.iter().position(|s| s.id == id && s.is_up) {
+                None => 409,
+                Some(index) if world.servers[index].is_primary => 200,
+                Some(index) => {
+                    world.ordered = Some(id.to_string());
+                    let (site, id) = (self.clone(), id.to_string());
+                    thread::spawn(move || {
+                        thread::sleep(PROMOTION_TIME);
+                        site.promote(index, &id);
+                    });
+                    200
+                }
+            }
+        };
+        drop(world);
+        self.note(&format!(
+            "order: {holder} orders to promote {id} under token {token}: {status}"
+        ));
+        self.changed.notify_all();
+        status
+    }
+
+    fn promote(&self, index: usize, id: &str) {
+        let mut world = self.lock();
+        if !world.servers[index].is_up || world.servers[index].id != id {
+            self.note(&format!("order: {id} is not running any more"));
+            return;
+        }
+        let term = world.servers.iter().map(|s| s.term).max().unwrap_or(1) + 1;
+        for (other, server) in world.servers.iter_mut().enumerate() {
+            server.is_primary = other == index;
+            server.paused_term = 0;
+        }
+        let server = &mut world.servers[index];
+        server.term = term;
+        let statements = server.log.iter().map(|c| c.id.clone()).collect();
+        let position = server.position();
+        world.promoted.push((term, id.to_string(), statements));
+        self.note(&format!(
+            "server {id} leads term {term}; its log ends at {position}"
+        ));
+        self.replicate(&mut world);
+        for server in 0..world.servers.len() {
+            self.report(&mut world, server);
+        }
+    }
+
+    /// Returns the acknowledged statements that the log of a promoted server lacks.
+    pub fn lost(&self, acknowledged: &[String]) -> Vec<String> {
+        let world = self.lock();
+        let mut lost = Vec::new();
+        for (term, server, statements) in &world.promoted {
+            for id in acknowledged {
+                let committed = world.committed.get(id).copied().unwrap_or(u64::MAX);
+                if committed < *term && !statements.contains(id) {
+                    lost.push(format!("{id}, committed in term {committed}, is not in the log of {server}, which was promoted in term {term}"));
+                }
+            }
+        }
+        lost
+    }
+}
