--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -11,7 +11,7 @@
 mod scenarios;
 mod site;
 
-use std::{env, fs::File, net::TcpListener, path::Path, process::ExitCode, sync::Arc, thread};
+use std::{env, fs::File, path::Path, process::ExitCode, sync::Arc, thread};
 
 use node::Node;
 use serde_json::json;
@@ -33,7 +33,7 @@
 /// Starts the stand-ins and the nodes.
 fn start(site: &Arc<Site>, directory: &Path) -> std::io::Result<Vec<Node>> {
     for index in 0..SERVER_ZONES.len() {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = node::free_listener()?;
         site.lock().servers[index].port = listener.local_addr()?.port();
         database::serve(site, index, listener);
         let site = site.clone();
@@ -48,7 +48,7 @@
     site.lock().store.put_json("op", "config", &configuration);
     let expiry = site.clone();
     thread::spawn(move || expiry.run_expiry());
-    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let listener = node::free_listener()?;
     let address = listener.local_addr()?;
     http::serve(site, listener);
     let node = |index: usize| {
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -6,6 +6,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     path::Path,
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -18,9 +19,29 @@
     child: Child,
 }
 
+/// Range of the ports of nodes and servers. It lies below the ports that the kernel gives to outgoing
+/// connections, so that a server that restarts can bind its port again.
+const PORTS: std::ops::Range<u32> = 10_000..30_000;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// Binds a free port. The search starts at a port that depends on the process.
+pub fn free_listener() -> std::io::Result<TcpListener> {
+    let start = std::process::id().wrapping_mul(97);
+    for _ in 0..PORTS.len() {
+        let offset = start.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + offset % (PORTS.end - PORTS.start);
+        let port = u16::try_from(port).unwrap_or_default();
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return Ok(listener);
+        }
+    }
+    Err(std::io::Error::other("no port is free"))
+}
+
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
     let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .map(|_| free_listener().expect("a free port"))
         .collect();
     listeners
         .iter()
