--- a/review/standin/src/database.rs
+++ b/review/standin/src/database.rs
@@ -261,7 +261,7 @@
             let world = site.lock();
             let writes = world.servers[index].log.iter().flat_map(|c| &c.writes);
             let own = connection.writes.iter();
-            let found = writes.chain(own).filter(|(item, _)| item == rest).last();
+            let found = writes.chain(own).filter(|(item, _)| item == rest).next_back();
             Ok(found.map(|(_, data)| data.clone()).into_iter().collect())
         }
         b"WRITE" => {
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -80,12 +80,13 @@
     }
     let site = Site::new(file, &SERVER_ZONES);
     let result = match start(&site, &directory) {
-        Ok(nodes) if nodes.iter().all(Node::wait_ready) => {
+        Ok(mut nodes) if nodes.iter().all(Node::wait_ready) => {
             site.note(&format!("{} nodes are ready", nodes.len()));
             match case.as_str() {
                 "restart" => scenarios::restart(&site, &nodes, has_trouble),
                 "lapse" => scenarios::lapse(&site, &nodes, has_trouble),
                 "join" => scenarios::join(&site, &nodes, has_trouble),
+                "memory" => scenarios::memory(&site, &mut nodes, has_trouble),
                 "text" => scenarios::text(&site, &nodes, has_trouble),
                 _ => Err(format!("there is no case {case}")),
             }
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -4,7 +4,7 @@
     fs::{self, File},
     io::{Read as _, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
-    path::Path,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
@@ -14,8 +14,10 @@
 
 /// A node. Dropping it kills the process.
 pub struct Node {
+    pub name: String,
     pub callers: SocketAddr,
     readiness: SocketAddr,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -49,6 +51,22 @@
         .collect()
 }
 
+fn start_process(settings: &Path) -> Child {
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(settings.with_extension("log"))
+        .expect("a log file");
+    Command::new("target/release/siskinhook")
+        .args(["hosted", "--settings"])
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts")
+}
+
 impl Node {
     pub fn start(directory: &Path, name: &str, zone: &str, store: SocketAddr) -> Self {
         let addresses = free_addresses(4);
@@ -60,20 +78,31 @@
         });
         let path = directory.join(format!("{name}.jsonc"));
         fs::write(&path, settings.to_string()).expect("the temporary folder is writable");
-        let log = File::create(directory.join(format!("{name}.log"))).expect("a log file");
-        let child = Command::new("target/release/siskinhook")
-            .args(["hosted", "--settings"])
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the program starts");
         Self {
+            name: name.to_string(),
             callers: addresses[0],
             readiness: addresses[1],
-            child,
+            child: start_process(&path),
+            settings: path,
+        }
+    }
+
+    /// Returns the resident memory of the process in bytes, or `None` if it has ended.
+    pub fn memory(&mut self) -> Option<u64> {
+        if !matches!(self.child.try_wait(), Ok(None)) {
+            return None;
         }
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kilobytes * 1024)
+    }
+
+    /// Kills the process and starts it again.
+    pub fn restart(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = start_process(&self.settings);
     }
 
     fn is_ready(&self) -> bool {
--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -270,3 +270,80 @@
     }
     Ok(broken)
 }
+
+/// Memory limit of a process on the small deployments (`memory_mb`).
+const MEMORY_LIMIT: u64 = 260 << 20;
+/// Size of the shapes that a client prepares; a message has at most 1 MiB.
+const SHAPE_BYTES: usize = 1_000_000;
+
+/// Two clients prepare many statements, one at each of two nodes. The platform kills a process that
+/// exceeds its memory and starts it again.
+pub fn memory(site: &Arc<Site>, nodes: &mut [Node], has_trouble: bool) -> Broken {
+    let writers = Writers::start(site, nodes);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut threads = Vec::new();
+    for (number, node) in nodes.iter().enumerate().take(2) {
+        let (site, is_over, address) = (site.clone(), is_over.clone(), node.callers);
+        threads.push(thread::spawn(move || {
+            while has_trouble && !is_over.load(Ordering::Relaxed) {
+                sleep(millis(500));
+                let Some(mut client) = Client::open(address, "orders") else {
+                    continue;
+                };
+                let mut count = 0;
+                let mut last = "no answer".to_string();
+                while !is_over.load(Ordering::Relaxed) && count < 400 {
+                    // 1 MB each 20 ms is less than half of the link of the machine.
+                    sleep(millis(20));
+                    let head = format!("PREPARE s{count} READ {count:08}");
+                    let text = [head.as_bytes(), &vec![b'q'; SHAPE_BYTES]].concat();
+                    match client.query(&format!("p{count}"), &text) {
+                        Some(answer) => last = format!("{:?}", answer.result),
+                        None => break,
+                    }
+                    count += 1;
+                }
+                site.note(&format!(
+                    "rude client {number}: {count} PREPARE of 1 MB answered, the last one {last}"
+                ));
+            }
+        }));
+    }
+    let mut ends = vec![0; nodes.len()];
+    let mut peak = vec![0; nodes.len()];
+    let until = Instant::now() + Duration::from_secs(if has_trouble { 75 } else { 20 });
+    while Instant::now() < until && ends.iter().filter(|count| **count >= 3).count() < 2 {
+        sleep(millis(10));
+        for (index, node) in nodes.iter_mut().enumerate() {
+            let memory = node.memory();
+            peak[index] = peak[index].max(memory.unwrap_or_default());
+            if memory.is_none_or(|bytes| bytes > MEMORY_LIMIT) {
+                ends[index] += 1;
+                let (name, size) = (&node.name, memory.unwrap_or_default() >> 20);
+                site.note(&format!(
+                    "platform: {name} has {size} MB, the limit is 260 MB: killed, restarted"
+                ));
+                node.restart();
+            }
+        }
+    }
+    is_over.store(true, Ordering::Relaxed);
+    for thread in threads {
+        let _ = thread.join();
+    }
+    let acknowledged = writers.stop().len();
+    let most: Vec<u64> = peak.iter().map(|bytes| bytes >> 20).collect();
+    site.note(&format!(
+        "{acknowledged} writes acknowledged; most memory in MB {most:?}, ends {ends:?}"
+    ));
+    if acknowledged < 50 {
+        return Err("hardly any write was acknowledged".into());
+    }
+    let ended = ends.iter().filter(|count| **count >= 3).count();
+    Ok((ended >= 2)
+        .then(|| {
+            format!("Fault: on {ended} of 8 machines a process exceeded its memory three times")
+        })
+        .into_iter()
+        .collect())
+}
