Hold writes back at a primary that may be about to be replaced

Callers saw commits acknowledged that the next primary lacked (LOST): a primary restarted while its replacement was under way, found a replica that had restarted and so was no longer paused, and acknowledged commits with it until the promotion took effect.

Cause: a replacement chooses the successor from logs that are read once, and relied on the replicas to stay paused until the promotion. A pause does not outlast a restart, and a primary that is down is not demoted. The nodes found the restarted primary and wrote to it.

Change: the lease row names the term of the primary that is being replaced. A node writes to a server only if its process has been running since before any replacement that may be pending, or if the row, read after the process started, shows none. A replacement that is given up before an order was sent says so in the row; one whose holder stopped is completed by another node.

Why it works: a restart breaks all connections, so a node knows since when the process has been running. A replacement that begins after that finds the primary running and demotes it.

Ruled out: pausing again until the promotion takes effect, which is a race with each restart and ends with the node; reading the logs again after the order, which cannot be taken back.

--- a/crates/siskinhook-gateway/src/attempt.rs
+++ b/crates/siskinhook-gateway/src/attempt.rs
@@ -85,6 +85,8 @@
     Lost(ConnectionError),
     /// The statement was not sent: the server claims to lead this term, but no replica confirms it.
     Unconfirmed(Term),
+    /// The statement was not sent: the server is a primary whose replacement may be pending.
+    Replaceable,
     /// The deadline passed; `true` if the statement had been sent.
     Deadline(bool),
 }
@@ -98,6 +100,9 @@
             Self::Unconfirmed(_) => {
                 f.write_str("not sent: no replica confirms that the server leads")
             }
+            Self::Replaceable => {
+                f.write_str("not sent: a replacement of the primary may be pending")
+            }
             Self::Deadline(false) => f.write_str("not sent: no reply to the set-up in time"),
             Self::Deadline(true) => f.write_str("sent, no answer in time"),
         }
@@ -122,7 +127,7 @@
     let stale_replies = entry.conn.outstanding();
     queue_setup(entry, statement);
     let changed = entry.conn.outstanding() > stale_replies;
-    let sent_at = BootInstant::now();
+    let (sent_at, started) = (BootInstant::now(), Instant::now());
     match check {
         Check::None => {}
         Check::IsPrimary => {
@@ -159,6 +164,7 @@
         Ok(Err(error)) => return Err(AttemptError::NotSent(error)),
         Err(_) => return Err(AttemptError::Deadline(false)),
     };
+    leased.record_reply(started);
     if let Some(code) = refused {
         // The refused values or statements are recorded as set, so the connection cannot be reused.
         if changed && code == TargetCode::Busy {
@@ -256,6 +262,7 @@
     };
     match timeout_at(deadline, exchange).await {
         Ok(Ok(reply)) => {
+            leased.record_reply(started);
             if let Some(target) = target.filter(|_| reply.point.is_some()) {
                 target.record_success();
                 if reply.result.is_ok() {
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -2,15 +2,18 @@
 //!
 //! One node at a time performs the failover, under a lease in a row of the platform's table that is
 //! written with compare-and-set. The fencing token of the lease rises with every attempt, so an
-//! order that is executed late is refused once a newer one was seen. Paused servers resume only
-//! through a promotion. Until one takes effect no commit can be acknowledged, so an earlier order
-//! that is still in flight cannot lose commits.
+//! order that is executed late is refused once a newer one was seen. The successor is chosen from
+//! logs that are read before the promotion, so no commit may be acknowledged in between. Replicas
+//! are paused and the primary is demoted; if it is down, the lease row makes the nodes hold writes
+//! back when it restarts (`write_permit.rs`). Paused servers resume only through a promotion.
 
+mod check;
 mod lease;
 mod stop;
 
 use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 
+use check::answer_checks;
 use lease::Lease;
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{NodeId, Platform, PlatformError, ServerId, ServiceId};
@@ -49,6 +52,9 @@
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(900);
 /// Maximum number of attempts to send a promotion order during one failover.
 const MAX_ORDER_ATTEMPTS: u32 = 6;
+/// Time for which writes are held back at a primary that answers, after which it is replaced: the
+/// node that had begun to replace it has stopped. A replacement takes less.
+const HELD_LIMIT: Duration = Duration::from_secs(3);
 /// Time without a known primary after which a server is promoted.
 const LEADERLESS_LIMIT: Duration = Duration::from_millis(1500);
 
@@ -102,13 +108,19 @@
         orders,
         failures: Cell::default(),
         retry_at: Cell::new(Instant::now()),
+        is_unfinished: Cell::default(),
     };
-    loop {
-        controller.wait().await;
-        if let Some(reason) = controller.replacement_reason() {
-            controller.replace(reason).await;
+    let watch = async {
+        loop {
+            controller.wait().await;
+            if let Some(reason) = controller.replacement_reason() {
+                controller.replace(reason).await;
+            } else if controller.is_unfinished.get() {
+                controller.give_up_replacement().await;
+            }
         }
-    }
+    };
+    tokio::join!(watch, answer_checks(&controller));
 }
 
 struct Controller<D: Dialer, P: Platform, S: Discovery, O: Orders> {
@@ -121,6 +133,9 @@
     failures: Cell<u32>,
     /// Time of the next permitted attempt.
     retry_at: Cell<Instant>,
+    /// Whether the lease row may say that this process replaces the primary although it has sent no
+    /// order that could still be carried out.
+    is_unfinished: Cell<bool>,
 }
 
 impl<D: Dialer, P: Platform, S: Discovery, O: Orders> Controller<D, P, S, O> {
@@ -175,6 +190,9 @@
         {
             return Some("the primary does not answer");
         }
+        if self.group.held_duration() >= HELD_LIMIT {
+            return Some("its former replacement was not completed");
+        }
         (self.group.unanswered_writes.get() >= UNANSWERED_WRITES_LIMIT)
             .then_some("writes get no answer")
     }
@@ -223,6 +241,12 @@
             sleep(RETRY_DELAY).await;
             return;
         };
+        if self.group.term.get() > lease.term {
+            // The lease row names an older term, so other nodes may write to the primary of this
+            // one. The next attempt begins with the term that is known now.
+            self.log_failure("a server has reached a term later than the one being replaced");
+            return;
+        }
         if self.order_promotion(&chosen, lease).await {
             self.group.record_promotion(&chosen);
             self.gateway.counters.promotions.add(1);
@@ -316,7 +340,10 @@
                 .promote(service, server, node, lease.token)
                 .await
             {
-                OrderOutcome::Accepted => return true,
+                OrderOutcome::Accepted => {
+                    self.is_unfinished.set(false);
+                    return true;
+                }
                 OrderOutcome::Refused => {
                     self.log_failure(
                         "promotion refused: a newer fencing token was seen, or the server is not running",
@@ -325,6 +352,7 @@
                 }
                 OrderOutcome::NotDone => sleep(RETRY_DELAY).await,
                 OrderOutcome::Unanswered => {
+                    self.is_unfinished.set(false);
                     self.log_failure(
                         "the promotion got no answer; repeating it under a higher fencing token",
                     );
--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -34,6 +34,9 @@
     /// Whether a replaced primary may go on believing that it leads, because the platform does not
     /// demote it. Reads on a primary then need the confirmation of a replica.
     pub confirm_leader: bool,
+    /// Whether nodes replace primaries, so that one which restarts may be about to be replaced.
+    /// Writes then wait until the failover lease row shows that it is not.
+    pub replace_primaries: bool,
 }
 
 /// The gateway of one node. It runs on a single thread.
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -15,7 +15,7 @@
 use crate::{
     BootInstant, Counters, Departed, Dialer, GatewaySettings, Instance, Leadership, Service,
     Watermark, Watermarks, confirmation::Confirmation, departures::Departures, fleet::Fleet,
-    pool::Target,
+    pool::Target, write_admission::WriteAdmission,
 };
 
 /// Cost factor for a server in another zone, since traffic between zones is charged.
@@ -36,6 +36,8 @@
     /// Claims of the primary; `None` if a replaced primary knows at once that it was replaced.
     pub(crate) leadership: Option<RefCell<Leadership>>,
     pub(crate) confirmation: Confirmation,
+    /// Admission of writes; `None` if this node replaces no primary.
+    pub(crate) admission: Option<WriteAdmission>,
     /// Server that this node regards as the primary.
     leader: RefCell<Option<ServerId>>,
     /// Highest term that any server reported.
@@ -78,6 +80,7 @@
             departures: RefCell::new(departures),
             leadership: gateway.confirm_leader.then(RefCell::default),
             confirmation: Confirmation::default(),
+            admission: gateway.replace_primaries.then(WriteAdmission::default),
             leader: RefCell::default(),
             term: Cell::default(),
             proved_term: Cell::default(),
@@ -239,6 +242,9 @@
             "the primary known to this node changed: {reason}"
         );
         *self.leader.borrow_mut() = id;
+        if let Some(admission) = &self.admission {
+            admission.reset_held();
+        }
         self.unanswered_writes.set(0);
         self.topology_changed.notify_waiters();
     }
@@ -260,6 +266,7 @@
             self.departures.borrow_mut().clear();
         }
         self.record_position(point);
+        target.record_led_term(point.term);
         if point.term >= self.term.get() {
             let id = target.instance.borrow().id.clone();
             self.leaderless_since.set(None);
@@ -318,6 +325,12 @@
             .is_some_and(|(_, until)| Instant::now() < *until)
     }
 
+    /// Returns for how long writes have been held back at a primary that answers.
+    pub(crate) fn held_duration(&self) -> Duration {
+        let admission = self.admission.as_ref();
+        admission.map_or(Duration::ZERO, WriteAdmission::held_duration)
+    }
+
     /// Returns for how long the group has had no known primary.
     pub(crate) fn leaderless_duration(&self) -> Duration {
         self.leaderless_since
--- a/crates/siskinhook-gateway/src/lib.rs
+++ b/crates/siskinhook-gateway/src/lib.rs
@@ -26,6 +26,8 @@
 mod statement;
 mod successor;
 mod watermarks;
+mod write_admission;
+mod write_permit;
 
 pub use clock::BootInstant;
 pub use connection::{
@@ -41,8 +43,10 @@
 pub use isolation::watch_isolation;
 pub use leadership::Leadership;
 pub use model::{Configuration, Consistency, Instance, Route, Service};
+pub use pool::Contact;
 pub use relay::{Relay, RelayedRequest};
 pub use session::{Arrival, Session};
 pub use statement::{Answer, Command, PreparedStatement, Query, Refusal, TransactionState};
 pub use successor::{Departed, Report, choose_successor};
 pub use watermarks::{Watermark, Watermarks};
+pub use write_permit::{PendingReplacement, REPLACEMENT_LIFETIME, ReplacementChecks};
--- a/crates/siskinhook-gateway/src/pool/leased.rs
+++ b/crates/siskinhook-gateway/src/pool/leased.rs
@@ -21,6 +21,8 @@
     pub prepared: HashSet<SmolStr>,
     /// The node that relays to the server; `None` for a direct connection.
     pub(super) via: Option<NodeId>,
+    /// When the connection was opened.
+    pub(super) opened_at: Instant,
     /// When the connection became idle.
     pub(super) idle_since: Instant,
 }
@@ -32,6 +34,7 @@
             values: BTreeMap::new(),
             prepared: HashSet::new(),
             via,
+            opened_at: Instant::now(),
             idle_since: Instant::now(),
         }
     }
@@ -67,6 +70,27 @@
             .is_some_and(|pooled| pooled.via.is_none())
     }
 
+    /// Records that the server answered a request that was sent at `sent`. Replies through a relay
+    /// say nothing about the server's process, because the relay may have reconnected.
+    pub fn record_reply(&self, sent: Instant) {
+        if let (Some(target), Some(opened_at)) = (&self.target, self.opened_directly_at()) {
+            target.contact.borrow_mut().record_reply(opened_at, sent);
+        }
+    }
+
+    /// Returns since when the server's process has certainly been running; `None` for a connection
+    /// through a relay.
+    pub fn running_since(&self) -> Option<Instant> {
+        let target = self.target.as_ref()?;
+        let opened_at = self.opened_directly_at()?;
+        Some(target.contact.borrow().running_since(opened_at))
+    }
+
+    fn opened_directly_at(&self) -> Option<Instant> {
+        let direct = self.pooled.as_ref().filter(|pooled| pooled.via.is_none());
+        direct.map(|pooled| pooled.opened_at)
+    }
+
     /// Closes the connection because its relaying node cannot reach the server. Returns whether a
     /// direct connection or another relay is left to try.
     pub fn block_relay(self) -> bool {
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -1,5 +1,6 @@
 //! Connection pool of one server, with the server's health and expected latency.
 
+mod contact;
 mod leased;
 
 use std::{
@@ -9,9 +10,10 @@
     time::Duration,
 };
 
+pub use contact::Contact;
 pub use leased::{Leased, Pooled};
 use siskinhook_telemetry::{Event, event};
-use siskinhook_types::NodeId;
+use siskinhook_types::{LogPoint, NodeId, Term};
 use smol_str::SmolStr;
 use tokio::{
     sync::{Notify, oneshot},
@@ -102,6 +104,10 @@
     pub instance: RefCell<Instance>,
     pool: RefCell<Pool<D>>,
     health: Cell<Health>,
+    /// Time for which the server's process has been running without interruption.
+    contact: RefCell<Contact>,
+    /// Latest term in which the server was seen to lead; 0 if it was not.
+    led_term: Cell<Term>,
     /// When the server was reachable again after its last outage.
     recovered_at: Cell<Option<Instant>>,
     lagging_until: Cell<Option<Instant>>,
@@ -142,6 +148,8 @@
                 refusals: 0,
             }),
             health: Cell::default(),
+            contact: RefCell::default(),
+            led_term: Cell::default(),
             recovered_at: Cell::default(),
             lagging_until: Cell::default(),
             mean_latency: Cell::new(INITIAL_LATENCY_MILLIS),
@@ -185,6 +193,16 @@
         self.retired.get()
     }
 
+    /// Records that the server led `term`.
+    pub fn record_led_term(&self, term: Term) {
+        self.led_term.set(self.led_term.get().max(term));
+    }
+
+    /// Returns the latest term in which the server was seen to lead; 0 if it was not.
+    pub fn led_term(&self) -> Term {
+        self.led_term.get()
+    }
+
     /// Whether the server may receive new statements.
     pub fn is_usable(&self) -> bool {
         !self.retired.get() && !self.is_draining() && self.health.get().failing_since.is_none()
@@ -478,10 +496,17 @@
 
     /// Returns whether the server itself replies before the deadline.
     pub async fn is_responsive(&self, deadline: Instant) -> bool {
+        self.log_end(deadline).await.is_some()
+    }
+
+    /// Asks the server for the end of its log. Returns `None` if the server itself does not reply
+    /// before the deadline.
+    pub async fn log_end(&self, deadline: Instant) -> Option<LogPoint> {
         // Outside a transaction the server refuses a rollback, and reports the end of its log. A
         // reply that a relay creates by itself has no log position.
-        let reply = self.send_control(&ServerOp::Rollback, deadline).await;
-        reply.is_some_and(|reply| reply.point.is_some())
+        self.send_control(&ServerOp::Rollback, deadline)
+            .await?
+            .point
     }
 
     /// Sends a control request, ahead of callers' statements. Returns `None` if there is no reply
@@ -494,6 +519,7 @@
         let pooled = leased.pooled()?;
         pooled.conn.push(op);
         let replies = pooled.conn.outstanding();
+        let sent_at = Instant::now();
         let exchange = async {
             pooled.conn.flush().await?;
             for _ in 1..replies {
@@ -506,6 +532,7 @@
             leased.block_relay();
             return None;
         }
+        leased.record_reply(sent_at);
         leased.return_to_pool();
         Some(reply)
     }
@@ -568,6 +595,8 @@
         let mut pool = self.pool.borrow_mut();
         let before = pool.idle.len();
         let mut kept = 0;
+        // The oldest connection is kept: it proves for how long the server's process has been running.
+        pool.idle.sort_by_key(|pooled| pooled.opened_at);
         pool.idle.retain_mut(|pooled| {
             let direct = pooled.via.is_none();
             let limit = if direct {
--- a/crates/siskinhook-gateway/src/relay.rs
+++ b/crates/siskinhook-gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use crate::{
     Connection, ConnectionError, Dialer, Gateway, ServerOp, ServerReply, TargetCode,
     TransactionState, attempt,
+    group::Group,
     pool::{AcquireError, Leased, Target},
 };
 
@@ -31,10 +32,13 @@
 /// The relay side of one connection from another node. It occupies a connection to the server from
 /// the first request until no transaction is open and no session state is set on it.
 pub struct Relay<D: Dialer> {
+    group: Rc<Group<D>>,
     target: Rc<Target<D>>,
     leased: Option<Leased<D>>,
     /// Whether session values or prepared statements are set on the connection.
     has_setup: bool,
+    /// Whether a prepared statement on the connection writes.
+    has_prepared_write: bool,
     state: TransactionState,
 }
 
@@ -42,7 +46,8 @@
     /// Opens a relay to a server; `None` if this node is draining or does not hold the server's
     /// connections.
     pub fn open(gateway: &Gateway<D>, service: &ServiceId, server: &ServerId) -> Option<Self> {
-        let target = gateway.group(service)?.target(server)?;
+        let group = gateway.group(service)?;
+        let target = group.target(server)?;
         if gateway.is_draining() || !target.is_holder() {
             event!(
                 Event::RelayRefused, server = server.as_str(), nodes = gateway.fleet.size();
@@ -51,9 +56,11 @@
             return None;
         }
         Some(Self {
+            group,
             target,
             leased: None,
             has_setup: false,
+            has_prepared_write: false,
             state: TransactionState::Idle,
         })
     }
@@ -82,9 +89,29 @@
                 }
             },
         };
+        let mut writes = false;
+        for request in requests {
+            writes |= self.may_write(request);
+        }
+        let deadline = Instant::now() + ACQUIRE_TIMEOUT;
+        if writes && !self.group.admits_write(&leased, deadline).await {
+            self.log_refusal(requests, TargetCode::Busy);
+            let refused = requests.iter().map(|_| ServerReply {
+                state: self.state,
+                ..refused_reply(TargetCode::Busy)
+            });
+            let replies = refused.collect();
+            if self.state == TransactionState::Idle && !self.has_setup {
+                leased.return_to_pool();
+            } else {
+                self.leased = Some(leased);
+            }
+            return Ok(replies);
+        }
         let Some(pooled) = leased.pooled() else {
             return Err(ConnectionError::Closed("already released".into()));
         };
+        let sent_at = Instant::now();
         let stale_replies = pooled.conn.outstanding();
         let skipped_replies = stale_replies + usize::from(attempt::queue_reset(pooled));
         for RelayedRequest { id, text } in requests {
@@ -92,7 +119,10 @@
             pooled.conn.push(&ServerOp::Forward { id, after, text });
             match text.split(' ').next() {
                 Some("SET" | "PREPARE") => self.has_setup = true,
-                Some("RESET") => self.has_setup = false,
+                Some("RESET") => {
+                    self.has_setup = false;
+                    self.has_prepared_write = false;
+                }
                 _ => {}
             }
         }
@@ -105,6 +135,7 @@
             replies.push(pooled.conn.next().await?);
         }
         self.target.record_success();
+        leased.record_reply(sent_at);
         self.state = replies.last().map_or(self.state, |reply| reply.state);
         if self.state == TransactionState::Idle && !self.has_setup {
             leased.return_to_pool();
@@ -114,6 +145,20 @@
         Ok(replies)
     }
 
+    /// Whether a request may commit a write, alone or later with its transaction.
+    fn may_write(&mut self, request: &RelayedRequest) -> bool {
+        let mut words = request.text.split(' ');
+        match words.next() {
+            Some("WRITE") => true,
+            Some("PREPARE") => {
+                self.has_prepared_write |= words.nth(1) == Some("WRITE");
+                false
+            }
+            Some("EXECUTE") => self.has_prepared_write,
+            _ => false,
+        }
+    }
+
     fn log_refusal(&self, requests: &[RelayedRequest], code: TargetCode) {
         let server = self.target.instance.borrow().id.clone();
         event!(
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -187,6 +187,12 @@
     /// Runs a further statement of a transaction.
     pub async fn run_inside(self, mut leased: Leased<D>) -> Outcome<D> {
         let result = match self.prepare(&mut leased, Check::None, self.deadline).await {
+            Ok(())
+                if self.statement.writes
+                    && !self.group.admits_write(&leased, self.deadline).await =>
+            {
+                Err(AttemptError::Replaceable)
+            }
             Ok(()) => self.run_while_busy(&mut leased, None, self.deadline).await,
             Err(error) => Err(error),
         };
@@ -286,6 +292,9 @@
         history.attempts += 1;
         let id = plan.target.instance.borrow().id.clone();
         let mut leased = self.acquire(plan, history, &id).await?;
+        if self.statement.writes && !self.group.admits_write(&leased, self.deadline).await {
+            return Err(self.handle_held_write(leased, history).await);
+        }
         if let Err(error) = self.prepare(&mut leased, plan.check, self.deadline).await {
             return Err(self
                 .handle_prepare_error(plan, leased, &error, history, id)
@@ -480,6 +489,19 @@
         }
     }
 
+    /// Handles a write that was held back because its primary may be about to be replaced. It waits
+    /// for the next primary.
+    async fn handle_held_write(
+        &self,
+        leased: Leased<D>,
+        history: &mut AttemptHistory,
+    ) -> Option<Answer> {
+        self.report_failure(&leased, &AttemptError::Replaceable);
+        history.last_failure = "the primary may be about to be replaced";
+        leased.return_to_pool();
+        self.wait_for_change(history).await
+    }
+
     /// Handles a relay that cannot reach the server: the next attempt uses another relay or a
     /// direct connection, if there is one.
     async fn handle_blocked_relay(
--- /dev/null
+++ b/crates/siskinhook-gateway/src/write_admission.rs
@@ -0,0 +1,137 @@
+//! Admission of writes on a server: asks whether a replacement of the primary may be pending.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use siskinhook_telemetry::{Event, event};
+use siskinhook_types::Role;
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
+
+use crate::{
+    Dialer, ServerOp,
+    group::Group,
+    pool::{Leased, Target},
+    write_permit::{PendingReplacement, ReplacementChecks},
+};
+
+/// Time limit for one reading of the lease row, and for the status of the primary, while a write
+/// waits; many times their usual latency.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// State of a group's admission of writes.
+#[derive(Default)]
+pub struct WriteAdmission {
+    checks: RefCell<ReplacementChecks>,
+    /// Wakes the task that reads the lease row.
+    requested: Notify,
+    /// Wakes the writes that wait for a reading.
+    checked: Notify,
+    /// Since when writes have been held back at a primary that answers; `None` if they are not.
+    held_since: Cell<Option<Instant>>,
+}
+
+impl WriteAdmission {
+    /// Waits until a write needs a reading of the lease row.
+    pub async fn wait_requested(&self) {
+        self.requested.notified().await;
+    }
+
+    /// Records a reading of the lease row that was requested at `at`.
+    pub fn record_check(&self, at: Instant, pending: Option<PendingReplacement>) {
+        self.checks.borrow_mut().record(at, pending);
+        self.checked.notify_waiters();
+    }
+
+    /// Returns for how long writes have been held back at a primary that answers.
+    pub fn held_duration(&self) -> Duration {
+        let since = self.held_since.get();
+        since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    /// Records that the group has another primary, so that nothing is held back any more.
+    pub fn reset_held(&self) {
+        self.held_since.set(None);
+    }
+
+    fn permits<D: Dialer>(&self, target: &Target<D>, running_since: Instant) -> bool {
+        let checks = self.checks.borrow();
+        checks.permits(Instant::now(), running_since, target.led_term())
+    }
+}
+
+impl<D: Dialer> Group<D> {
+    /// Whether a write may be sent on this connection. Reads the failover lease row if that is
+    /// needed to tell. Connections through a relay are checked by the relaying node.
+    pub(crate) async fn admits_write(&self, leased: &Leased<D>, deadline: Instant) -> bool {
+        let (Some(admission), Some(running_since)) = (&self.admission, leased.running_since())
+        else {
+            return true;
+        };
+        let Some(target) = leased.target() else {
+            return true;
+        };
+        let permitted = admission.permits(target, running_since)
+            || self
+                .check_replacement(admission, target, running_since, deadline)
+                .await;
+        if permitted {
+            admission.held_since.set(None);
+            return true;
+        }
+        if admission.held_since.get().is_none() {
+            admission.held_since.set(Some(Instant::now()));
+            let server = target.instance.borrow().id.clone();
+            event!(
+                Event::WritesHeld,
+                service = self.service.as_str(), server = server.as_str(),
+                term = self.term.get(), led_term = target.led_term(),
+                running = running_since.elapsed().as_millis();
+                "holding writes back: the primary may have restarted during its replacement"
+            );
+        }
+        false
+    }
+
+    /// Has the lease row read and, if a replacement may be pending, asks the primary for its term.
+    /// Returns whether the primary may receive writes.
+    async fn check_replacement(
+        &self,
+        admission: &WriteAdmission,
+        target: &Rc<Target<D>>,
+        running_since: Instant,
+        deadline: Instant,
+    ) -> bool {
+        if admission
+            .checks
+            .borrow()
+            .is_recently_pending(Instant::now())
+        {
+            return false;
+        }
+        let limit = deadline.min(Instant::now() + CHECK_TIMEOUT);
+        let checked = admission.checked.notified();
+        admission.requested.notify_one();
+        if timeout_at(limit, checked).await.is_err() {
+            return false;
+        }
+        if admission.permits(target, running_since) {
+            return true;
+        }
+        if !admission.checks.borrow().needs_term(running_since) {
+            return false;
+        }
+        let limit = deadline.min(Instant::now() + CHECK_TIMEOUT);
+        let reply = target.send_control(&ServerOp::Status, limit).await;
+        let status = reply.and_then(|reply| self.dialer.status(&reply));
+        if let Some(status) = status.filter(|status| status.role == Role::Primary) {
+            target.record_led_term(status.term);
+        }
+        admission.permits(target, running_since)
+    }
+}
--- a/crates/siskinhook-gateway/tests/failover.rs
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
-use std::{cell::RefCell, collections::HashSet, rc::Rc, time::Duration};
+use std::{collections::HashSet, time::Duration};
 
-use siskinhook_gateway::{Gateway, GatewaySettings, Instance, Session, watch_group};
+use siskinhook_gateway::Session;
 use siskinhook_types::Role;
 use support::{
-    Entries, FakeDialer, FakeOrders, Table, World, ask, instance, node_knowing, seeded_node, world,
+    ask, instance, seeded_node,
+    site::{Site, write_for},
+    world,
 };
 use tokio::{
     task::{LocalSet, spawn_local},
@@ -17,76 +19,6 @@
 /// Seeds of the nodes' random choices.
 const SEEDS: std::ops::Range<u64> = 0..40;
 
-struct Site {
-    world: World,
-    table: Table,
-    orders: FakeOrders,
-    /// Entries that the nodes read before they replace a primary.
-    entries: Rc<RefCell<Vec<Instance>>>,
-    seed: u64,
-}
-
-impl Site {
-    fn new(seed: u64) -> Self {
-        println!("seed {seed}");
-        let world = world();
-        let orders = FakeOrders::new(&world);
-        Self {
-            world,
-            table: Table::default(),
-            orders,
-            entries: Rc::default(),
-            seed,
-        }
-    }
-
-    fn start(&self, name: &str) -> Rc<Gateway<FakeDialer>> {
-        self.start_knowing(name, &[0, 1, 2])
-    }
-
-    /// Starts a node that knows only some servers.
-    fn start_knowing(&self, name: &str, servers: &[usize]) -> Rc<Gateway<FakeDialer>> {
-        let number = name.bytes().map(u64::from).sum::<u64>();
-        let seed = self.seed * 1000 + number;
-        let settings = GatewaySettings::default();
-        let gateway = node_knowing(name, &self.world, seed, settings, servers);
-        let group = gateway.group(&"svc".into()).expect("the service is known");
-        let entries = Entries {
-            gateway: gateway.clone(),
-            instances: self.entries.clone(),
-        };
-        spawn_local(watch_group(
-            gateway.clone(),
-            group,
-            self.table.clone(),
-            entries,
-            Rc::new(self.orders.clone()),
-        ));
-        gateway
-    }
-
-    fn primaries(&self) -> Vec<usize> {
-        let world = self.world.borrow();
-        (0..3)
-            .filter(|i| world[*i].reachable && world[*i].role == Role::Primary)
-            .collect()
-    }
-}
-
-/// Writes through each node every 100 ms, so that the nodes notice a failure.
-async fn write_for(gateways: &[Rc<Gateway<FakeDialer>>], rounds: u32) {
-    for _ in 0..rounds {
-        for gateway in gateways {
-            let gateway = gateway.clone();
-            spawn_local(async move {
-                let mut session = Session::open(&gateway, "strong").expect("the route is known");
-                ask(&mut session, "WRITE 1 a").await;
-            });
-        }
-        sleep(Duration::from_millis(100)).await;
-    }
-}
-
 /// Guards against a lost primary that is not replaced, against two promotions for one loss, and
 /// against a node that does not look for the new primary while another one holds the lease.
 #[tokio::test(start_paused = true)]
--- a/crates/siskinhook-gateway/tests/leadership.rs
+++ b/crates/siskinhook-gateway/tests/leadership.rs
@@ -21,7 +21,11 @@
 /// Creates a node on a platform that does not demote a replaced primary.
 fn careful_node(world: &World) -> Rc<Gateway<FakeDialer>> {
     let confirm_leader = true;
-    node_with("n1", world, 1, GatewaySettings { confirm_leader })
+    let settings = GatewaySettings {
+        confirm_leader,
+        ..GatewaySettings::default()
+    };
+    node_with("n1", world, 1, settings)
 }
 
 /// Promotes the second server; the first one does not learn of it.
--- /dev/null
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -0,0 +1,240 @@
+//! Tests of servers that restart or start during the replacement of a primary, on tokio's paused
+//! clock.
+//!
+//! From the first pause of a replica until the promotion takes effect, the primary that is replaced
+//! must not acknowledge a commit that the successor lacks.
+
+mod support;
+
+use std::{rc::Rc, time::Duration};
+
+use serde_json::json;
+use siskinhook_gateway::{Gateway, Relay, RelayedRequest, Session, TargetCode};
+use siskinhook_types::Role;
+use support::{FakeDialer, ask, clock, crash, restart, server, site::Site};
+use tokio::{
+    task::{JoinHandle, LocalSet, spawn_local},
+    time::{Instant, sleep},
+};
+
+/// Seeds of the nodes' random choices.
+const SEEDS: std::ops::Range<u64> = 0..40;
+
+/// Time from an order to its effect.
+const PROMOTION_TIME: Duration = Duration::from_secs(1);
+
+/// A site of three nodes with steady writes at each, whose commits need a replica.
+struct Replacement {
+    site: Site,
+    nodes: Vec<Node>,
+}
+
+struct Node {
+    gateway: Rc<Gateway<FakeDialer>>,
+    writer: JoinHandle<()>,
+}
+
+impl Replacement {
+    async fn start(seed: u64) -> Self {
+        let site = Site::new(seed);
+        site.orders.delay.set(PROMOTION_TIME);
+        for server in site.world.borrow_mut().iter_mut() {
+            server.sync_replicas = 1;
+        }
+        let nodes = Vec::new();
+        let mut replacement = Self { site, nodes };
+        for name in ["n1", "n2", "n3"] {
+            replacement.add_node(name);
+        }
+        sleep(Duration::from_secs(1)).await;
+        replacement
+    }
+
+    fn add_node(&mut self, name: &str) {
+        let gateway = self.site.start(name);
+        let writer = spawn_local(write(gateway.clone()));
+        self.nodes.push(Node { gateway, writer });
+    }
+
+    /// Stops a node, as if its process had been killed.
+    fn kill_node(&mut self, name: &str) {
+        self.site.stop_controller(name);
+        for node in self.nodes.extract_if(.., |node| node.gateway.node == name) {
+            node.writer.abort();
+        }
+    }
+
+    /// Takes the primary down until its replacement is ordered. Returns the server that was ordered
+    /// to lead and the other replica.
+    async fn lose_primary(&self) -> (usize, usize) {
+        crash(&self.site.world, 0);
+        let limit = Instant::now() + Duration::from_secs(5);
+        loop {
+            sleep(Duration::from_millis(5)).await;
+            let ordered = self.site.orders.seen.borrow().first().cloned();
+            if let Some(order) = ordered {
+                return if order.server == "s1" { (1, 2) } else { (2, 1) };
+            }
+            assert!(Instant::now() < limit, "no promotion was ordered");
+        }
+    }
+
+    /// Checks that no acknowledged commit is missing at the new primary, and that it serves.
+    async fn check(&self) {
+        sleep(PROMOTION_TIME * 3).await;
+        assert_eq!(self.site.orders.missing.get(), 0, "missing commits");
+        for node in &self.nodes {
+            let mut session = Session::open(&node.gateway, "strong").expect("the route is known");
+            let answer = ask(&mut session, "WRITE 1 a").await;
+            assert!(answer.result.is_ok(), "{answer:?}");
+        }
+    }
+}
+
+/// Writes without end.
+async fn write(gateway: Rc<Gateway<FakeDialer>>) {
+    loop {
+        let mut session = Session::open(&gateway, "strong").expect("the route is known");
+        ask(&mut session, "WRITE 1 a").await;
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Guards against losing commits that a restarted primary acknowledges together with a replica that
+/// restarted after its pause, before the promotion takes effect.
+#[tokio::test(start_paused = true)]
+async fn replica_that_restarts_during_a_replacement_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                let (_, other) = replacement.lose_primary().await;
+                restart(world, 0);
+                sleep(Duration::from_millis(100)).await;
+                crash(world, other);
+                sleep(Duration::from_millis(200)).await;
+                restart(world, other);
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits that a restarted primary acknowledges together with a server that
+/// started after the replicas were paused.
+#[tokio::test(start_paused = true)]
+async fn server_that_starts_during_a_replacement_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                replacement.lose_primary().await;
+                restart(world, 0);
+                sleep(Duration::from_millis(200)).await;
+                world.borrow_mut().push(server(Role::Replica));
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits while an order that got no answer may still be carried out, after
+/// the node that sent it has stopped.
+#[tokio::test(start_paused = true)]
+async fn order_carried_out_after_its_sender_stopped_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let site = &replacement.site;
+                site.orders.unanswered.set(1);
+                site.orders.late.set(Some(Duration::from_secs(8)));
+                let (_, other) = replacement.lose_primary().await;
+                let holder = site.orders.seen.borrow()[0].holder.clone();
+                replacement.kill_node(&holder);
+                let world = &replacement.site.world;
+                crash(world, other);
+                restart(world, other);
+                restart(world, 0);
+                sleep(Duration::from_secs(12)).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against a primary that restarts before its replacement is ordered, and then gets no writes
+/// because the replacement still counts as pending.
+#[tokio::test(start_paused = true)]
+async fn primary_that_is_not_replaced_gets_writes_again() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                crash(world, 0);
+                sleep(Duration::from_millis(10 * seed)).await;
+                restart(world, 0);
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against a group that serves no writes because the node that replaced its primary stopped
+/// before it sent an order.
+#[tokio::test(start_paused = true)]
+async fn replacement_is_completed_after_its_holder_stopped() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                // The replicas refuse to be paused, so no order is sent.
+                for server in &mut world.borrow_mut()[1..] {
+                    server.busy_controls = u32::MAX;
+                }
+                crash(&world, 0);
+                sleep(Duration::from_millis(1200)).await;
+                for name in ["n1", "n2", "n3"] {
+                    replacement.kill_node(name);
+                }
+                replacement.add_node("n4");
+                for server in &mut world.borrow_mut()[1..] {
+                    server.busy_controls = 0;
+                }
+                restart(&world, 0);
+                sleep(Duration::from_secs(8)).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against a node that passes on another node's write to a primary which may be about to be
+/// replaced, also as a prepared statement.
+#[tokio::test(start_paused = true)]
+async fn relayed_write_is_refused_at_a_primary_that_may_be_replaced() {
+    LocalSet::new()
+        .run_until(async {
+            let site = Site::new(1);
+            let gateway = site.start("n1");
+            let row = json!({"holder": "n2", "process": 7, "token": 1, "written": clock(), "replaces": 1});
+            site.table.put("failover/svc", row).await;
+            let mut relay =
+                Relay::open(&gateway, &"svc".into(), &"s0".into()).expect("every node relays");
+            for text in ["WRITE 1 a", "PREPARE p WRITE q", "EXECUTE p 1 a", "READ 1"] {
+                let request = RelayedRequest {
+                    id: "q".into(),
+                    text: text.into(),
+                };
+                let replies = relay.forward(&[request]).await.expect("a reply");
+                let refused = matches!(replies[0].result, Err((TargetCode::Busy, _)));
+                let writes = text.starts_with("WRITE") || text.starts_with("EXECUTE");
+                assert_eq!(refused, writes, "{text}: {replies:?}");
+            }
+        })
+        .await;
+}
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! In-memory model of a group of three servers, behind the traits of the gateway.
 #![allow(dead_code)] // each test file uses only a part of the module
 
+pub mod site;
+
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap, VecDeque},
@@ -20,8 +22,8 @@
     ServerOp, ServerReply, Service, Session, TargetCode, TransactionState,
 };
 use siskinhook_types::{
-    Batch, CommitOutcome, LogPoint, NodeId, Platform, PlatformError, Reading, Role, Row, ServerId,
-    ServiceId, Term, VmRecord,
+    Batch, CommitOutcome, LogPoint, NodeId, Platform, PlatformError, Reading, Role, Row, RowWrite,
+    ServerId, ServiceId, Term, VmRecord,
 };
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::{Instant, sleep};
@@ -39,6 +41,12 @@
     /// End of the received log; a replica applies it only when it is promoted.
     pub received: u64,
     pub paused_term: Term,
+    /// Number of restarts, each of which breaks the server's connections.
+    pub restarts: u32,
+    /// Number of replicas that must have received a commit before it is acknowledged.
+    pub sync_replicas: usize,
+    /// End of the log up to which the server acknowledged commits.
+    pub acknowledged: u64,
     pub reachable: bool,
     /// Time after which a dial fails while the server is not reachable.
     pub dial_time: Duration,
@@ -63,13 +71,17 @@
 
 pub type World = Rc<RefCell<Vec<Server>>>;
 
-pub fn world() -> World {
-    let server = |role| Server {
+/// Returns a server that has just started.
+pub fn server(role: Role) -> Server {
+    Server {
         role,
         term: 1,
         position: 10,
         received: 10,
         paused_term: 0,
+        restarts: 0,
+        sync_replicas: 0,
+        acknowledged: 0,
         reachable: true,
         dial_time: STEP,
         unresponsive: false,
@@ -82,7 +94,10 @@
         dials: 0,
         ran: Vec::new(),
         ran_as_primary: Vec::new(),
-    };
+    }
+}
+
+pub fn world() -> World {
     Rc::new(RefCell::new(vec![
         server(Role::Primary),
         server(Role::Replica),
@@ -90,11 +105,26 @@
     ]))
 }
 
+/// Takes a server down. Its log and role outlast the restart, its connections and pause do not.
+pub fn crash(world: &World, index: usize) {
+    let server = &mut world.borrow_mut()[index];
+    server.reachable = false;
+    server.restarts += 1;
+    server.paused_term = 0;
+}
+
+/// Starts a server that was taken down.
+pub fn restart(world: &World, index: usize) {
+    world.borrow_mut()[index].reachable = true;
+}
+
 pub struct FakeDialer(pub World);
 
 pub struct FakeConnection {
     world: World,
     index: usize,
+    /// Restarts of the server before the connection was opened.
+    restarts: u32,
     queue: VecDeque<String>,
     state: TransactionState,
     values: BTreeMap<SmolStr, SmolStr>,
@@ -162,6 +192,7 @@
         Ok(FakeConnection {
             world: self.0.clone(),
             index,
+            restarts: world[index].restarts,
             queue: VecDeque::new(),
             state: TransactionState::Idle,
             values: BTreeMap::new(),
@@ -203,7 +234,7 @@
     fn handle(&mut self, text: &str) -> Result<ServerReply, ConnectionError> {
         let mut world = self.world.borrow_mut();
         let server = &mut world[self.index];
-        if !server.reachable || self.broken.get() {
+        if !server.reachable || server.restarts != self.restarts || self.broken.get() {
             self.broken.set(true);
             return Err(ConnectionError::Closed("reset".into()));
         }
@@ -278,14 +309,11 @@
             }
         }
         let point = LogPoint::new(server.term, server.position);
-        if let Some((term, end)) = replicated {
-            let receives = |s: &&mut Server| {
-                s.role == Role::Replica && s.reachable && s.paused_term == 0 && s.term == term
-            };
-            world
-                .iter_mut()
-                .filter(receives)
-                .for_each(|replica| replica.received = end);
+        if let Some((term, end)) = replicated
+            && !replicate(&mut world, self.index, term, end)
+        {
+            // The caller would wait for an answer in vain; the model closes the connection.
+            self.broken.set(true);
         }
         if self.broken.get() {
             return Err(ConnectionError::Closed("reset".into()));
@@ -304,6 +332,25 @@
     }
 }
 
+/// Sends a commit of the server at `index` to the replicas that receive. Returns whether the commit
+/// is acknowledged.
+fn replicate(world: &mut [Server], index: usize, term: Term, end: u64) -> bool {
+    let receives = |s: &&mut Server| {
+        s.role == Role::Replica && s.reachable && s.paused_term == 0 && s.term == term
+    };
+    let mut copies = 0;
+    for replica in world.iter_mut().filter(receives) {
+        replica.received = end;
+        copies += 1;
+    }
+    let primary = &mut world[index];
+    let is_acknowledged = copies >= primary.sync_replicas;
+    if is_acknowledged {
+        primary.acknowledged = end;
+    }
+    is_acknowledged
+}
+
 fn after_prefix(after: Option<LogPoint>) -> String {
     after.map_or_else(String::new, |p| format!("AFTER {}.{} ", p.term, p.position))
 }
@@ -498,6 +545,20 @@
 }
 
 impl Table {
+    /// Writes a row.
+    pub async fn put(&self, key: &str, value: serde_json::Value) {
+        let write = RowWrite {
+            key: key.into(),
+            value: Some(value),
+        };
+        let batch = Batch {
+            writes: vec![write],
+            ..Batch::default()
+        };
+        let outcome = self.commit(batch).await;
+        assert_eq!(outcome, Ok(CommitOutcome::Applied));
+    }
+
     /// Comes back from a copy without any row.
     pub fn restore_empty(&self) {
         self.rows.lock().expect("valid in this model").clear();
@@ -620,6 +681,8 @@
     pub seen: Rc<RefCell<Vec<Order>>>,
     /// Number of orders that get no answer and are not executed.
     pub unanswered: Rc<Cell<u32>>,
+    /// Time after which orders without an answer are carried out nevertheless; `None` for never.
+    pub late: Rc<Cell<Option<Duration>>>,
     /// Time from an order to its effect.
     pub delay: Rc<Cell<Duration>>,
     /// Number of commits that the promoted servers had not received when they were promoted.
@@ -632,6 +695,7 @@
             world: world.clone(),
             seen: Rc::default(),
             unanswered: Rc::default(),
+            late: Rc::default(),
             delay: Rc::default(),
             missing: Rc::default(),
         }
@@ -658,8 +722,26 @@
         }
         if self.unanswered.get() > 0 {
             self.unanswered.set(self.unanswered.get() - 1);
+            if let Some(late) = self.late.get() {
+                let (orders, server) = (self.clone(), server.clone());
+                tokio::task::spawn_local(async move {
+                    sleep(late).await;
+                    let newest = orders.seen.borrow().iter().map(|order| order.token).max();
+                    if newest == Some(token) {
+                        orders.accept(&server);
+                    }
+                });
+            }
             return OrderOutcome::Unanswered;
         }
+        self.accept(server);
+        OrderOutcome::Accepted
+    }
+}
+
+impl FakeOrders {
+    /// Promotes a server after the time that a promotion takes.
+    fn accept(&self, server: &ServerId) {
         let index: usize = server[1..].parse().expect("valid in this model");
         let orders = self.clone();
         let delay = self.delay.get();
@@ -671,14 +753,11 @@
                 orders.carry_out(index);
             });
         }
-        OrderOutcome::Accepted
     }
-}
 
-impl FakeOrders {
     fn carry_out(&self, index: usize) {
         let mut world = self.world.borrow_mut();
-        let positions = world.iter().map(|server| server.position);
+        let positions = world.iter().map(|server| server.acknowledged);
         let missing = positions.max().unwrap_or_default();
         let missing = missing.saturating_sub(world[index].received);
         self.missing.set(self.missing.get() + missing);
--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -168,6 +168,9 @@
     PrimarySuperseded = 2123, Info, "primary_superseded",
         "A server claims to lead a term that is over; the node demotes it.",
         "Nothing.";
+    WritesHeld = 2124, Warn, "writes_held",
+        "The primary may have restarted while it was being replaced; writes to it wait for the promotion.",
+        "Follow the service to events 2120 and 2121; if none follows within five seconds, check the store.";
 
     MemberJoined = 3001, Info, "member_joined",
         "A node joined the fleet.",
