Gate relayed statements that are prepared after a reset

Cause: the relay noted a prepared write when it looked through a batch, and forgot it when it passed on a RESET of the same batch, which came before the PREPARE. Nodes send both together when they change the session of a connection.

Evidence: the relaying node refused the statement at 28.69 s and passed it on at 28.83 s, after the caller's node had reset the connection; nothing in the lease row had changed. relayed_write_is_refused_at_a_primary_that_may_be_replaced with a RESET before the PREPARE passes the EXECUTE on before, and refuses it now.

Change: both are noted in the order of the batch.

--- a/crates/siskinhook-gateway/src/relay.rs
+++ b/crates/siskinhook-gateway/src/relay.rs
@@ -119,10 +119,7 @@
             pooled.conn.push(&ServerOp::Forward { id, after, text });
             match text.split(' ').next() {
                 Some("SET" | "PREPARE") => self.has_setup = true,
-                Some("RESET") => {
-                    self.has_setup = false;
-                    self.has_prepared_write = false;
-                }
+                Some("RESET") => self.has_setup = false,
                 _ => {}
             }
         }
@@ -145,7 +142,8 @@
         Ok(replies)
     }
 
-    /// Whether a request may commit a write, alone or later with its transaction.
+    /// Whether a request may commit a write, alone or later with its transaction. Called once for
+    /// each request, in order.
     fn may_write(&mut self, request: &RelayedRequest) -> bool {
         let mut words = request.text.split(' ');
         match words.next() {
@@ -154,6 +152,10 @@
                 self.has_prepared_write |= words.nth(1) == Some("WRITE");
                 false
             }
+            Some("RESET") => {
+                self.has_prepared_write = false;
+                false
+            }
             Some("EXECUTE") => self.has_prepared_write,
             _ => false,
         }
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -225,15 +225,21 @@
             site.table.put("failover/svc", row).await;
             let mut relay =
                 Relay::open(&gateway, &"svc".into(), &"s0".into()).expect("every node relays");
-            for text in ["WRITE 1 a", "PREPARE p WRITE q", "EXECUTE p 1 a", "READ 1"] {
-                let request = RelayedRequest {
+            let batches: [(&[&str], bool); 4] = [
+                (&["WRITE 1 a"], true),
+                (&["RESET", "PREPARE p WRITE q"], false),
+                (&["EXECUTE p 1 a"], true),
+                (&["READ 1"], false),
+            ];
+            for (texts, is_refused) in batches {
+                let request = |text: &&str| RelayedRequest {
                     id: "q".into(),
-                    text: text.into(),
+                    text: (*text).into(),
                 };
-                let replies = relay.forward(&[request]).await.expect("a reply");
+                let requests: Vec<_> = texts.iter().map(request).collect();
+                let replies = relay.forward(&requests).await.expect("a reply");
                 let refused = matches!(replies[0].result, Err((TargetCode::Busy, _)));
-                let writes = text.starts_with("WRITE") || text.starts_with("EXECUTE");
-                assert_eq!(refused, writes, "{text}: {replies:?}");
+                assert_eq!(refused, is_refused, "{texts:?}: {replies:?}");
             }
         })
         .await;
