Replace a primary for held writes only if a replacement was seen

Cause: the time for which writes were held back also counted while the row could not be read, which does not show that anybody began a replacement.

Change: it counts only once a reading showed a pending replacement.

--- a/crates/siskinhook-gateway/src/write_admission.rs
+++ b/crates/siskinhook-gateway/src/write_admission.rs
@@ -32,7 +32,8 @@
     requested: Notify,
     /// Wakes the writes that wait for a reading.
     checked: Notify,
-    /// Since when writes have been held back at a primary that answers; `None` if they are not.
+    /// Since when writes have been held back at a primary that answers, because its replacement is
+    /// pending; `None` if they are not.
     held_since: Cell<Option<Instant>>,
 }
 
@@ -84,7 +85,9 @@
             admission.held_since.set(None);
             return true;
         }
-        if admission.held_since.get().is_none() {
+        // An outage of the table service does not show that a replacement was begun.
+        let is_pending = admission.checks.borrow().needs_term(running_since);
+        if is_pending && admission.held_since.get().is_none() {
             admission.held_since.set(Some(Instant::now()));
             let server = target.instance.borrow().id.clone();
             event!(
