Ask live servers without an entry when a primary is replaced

Callers saw commits acknowledged that the next primary lacked (LOST): the only replica that had received them was left out of the replacement, because its entry had lapsed.

Cause: a server whose entry is missing was taken for one whose process is gone. The list says whom callers may be sent to; the primary decides by itself with which replicas it acknowledges.

Change: a server that is removed although it was reached and did not announce that it leaves is kept apart. A replacement pauses it and counts its log. It is chosen only if no listed server has all commits, and is replaced in turn. The former primary is kept in the same way.

Why it works: the choice of the successor counts each replica that may have acknowledged, or waits for it.

--- a/crates/siskinhook-gateway/src/departures.rs
+++ b/crates/siskinhook-gateway/src/departures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use siskinhook_types::LogPoint;
+use siskinhook_types::{LogPoint, ServerId};
 
 use crate::{BootInstant, Departed, Watermark};
 
@@ -13,8 +13,10 @@
 
 /// Departure of a replica. The start of this process counts as one, because replicas may have
 /// left before it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Departure {
+    /// The replica; `None` for the start of this process.
+    server: Option<ServerId>,
     at: BootInstant,
     /// End of the primary's log at a later time, which includes all that the replica received.
     covered: Option<LogPoint>,
@@ -27,10 +29,28 @@
 }
 
 impl Departures {
+    /// Records that this process started at `at`.
+    pub fn add_start(&mut self, at: BootInstant) {
+        self.push(None, at);
+    }
+
     /// Adds the departure of a replica at `at`.
-    pub fn add(&mut self, at: BootInstant) {
+    pub fn add(&mut self, server: ServerId, at: BootInstant) {
+        self.push(Some(server), at);
+    }
+
+    fn push(&mut self, server: Option<ServerId>, at: BootInstant) {
         let covered = None;
-        self.entries.push(Departure { at, covered });
+        self.entries.push(Departure {
+            server,
+            at,
+            covered,
+        });
+    }
+
+    /// Removes the departure of a replica that is back with the log that it had.
+    pub fn remove(&mut self, server: &ServerId) {
+        self.entries.retain(|d| d.server.as_ref() != Some(server));
     }
 
     /// Records a watermark of the primary's log for the departures before it.
@@ -49,12 +69,17 @@
     }
 
     /// Returns the departures that the choice of a successor must take into account, and removes
-    /// expired ones.
-    pub fn departed(&mut self, now: BootInstant) -> Departed {
+    /// expired ones. The logs of `reporting` servers are known, so their departures do not count.
+    pub fn departed(&mut self, now: BootInstant, reporting: &[ServerId]) -> Departed {
         self.entries
             .retain(|departure| now.elapsed_since(departure.at) < RETENTION);
-        let missing = self.entries.iter().filter(|d| d.covered.is_none()).count();
-        let floor = self.entries.iter().filter_map(|d| d.covered).max();
+        let reports = |departure: &&Departure| {
+            let server = departure.server.as_ref();
+            server.is_some_and(|server| reporting.contains(server))
+        };
+        let silent: Vec<&Departure> = self.entries.iter().filter(|d| !reports(d)).collect();
+        let missing = silent.iter().filter(|d| d.covered.is_none()).count();
+        let floor = silent.iter().filter_map(|d| d.covered).max();
         Departed { missing, floor }
     }
 }
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -293,7 +293,8 @@
                 (is_primary, task)
             })
             .collect();
-        let mut unresponsive = self.group.departed().missing;
+        let reporting = self.reach_unlisted(deadline).await;
+        let mut unresponsive = self.group.departed(&reporting).missing;
         let mut primary = None;
         for (is_primary, task) in probes {
             if is_primary {
@@ -312,6 +313,31 @@
         }
     }
 
+    /// Returns the servers without an entry that reply, and forgets those that cannot be reached.
+    async fn reach_unlisted(&self, deadline: Instant) -> Vec<ServerId> {
+        let check = |target: Rc<Target<D>>| {
+            tokio::task::spawn_local(async move {
+                let responds = target.is_responsive(deadline).await;
+                (target, responds)
+            })
+        };
+        let checks: Vec<_> = self.group.unlisted().into_iter().map(check).collect();
+        let mut reporting = Vec::new();
+        for check in checks {
+            // A task that was cancelled or panicked counts as a server that did not respond.
+            let Ok((target, responds)) = check.await else {
+                continue;
+            };
+            let id = target.instance.borrow().id.clone();
+            if responds {
+                reporting.push(id);
+            } else if target.outage().is_some() || target.is_retired() {
+                self.group.forget_unlisted(&id);
+            }
+        }
+        reporting
+    }
+
     /// Delays the next attempt to start a failover. The delay grows with each consecutive failure,
     /// since every call to the platform's store is charged.
     fn back_off(&self) {
--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -11,7 +11,7 @@
 
 use super::{Controller, Discovery, Orders};
 use crate::{
-    Dialer, Gateway, ReplicationStatus, Report, ServerOp, choose_successor, group::Group,
+    Departed, Dialer, Gateway, ReplicationStatus, Report, ServerOp, choose_successor, group::Group,
     pool::Target,
 };
 
@@ -31,7 +31,9 @@
     /// the primary come first as well, since this node may not know which one leads. Only primaries
     /// that are not reached are replaced without their reply.
     pub(super) async fn stop_servers(&self, leader: Option<&ServerId>) -> Option<ServerId> {
-        let targets: Vec<Rc<Target<D>>> = self.group.targets.borrow().values().cloned().collect();
+        let mut targets: Vec<Rc<Target<D>>> =
+            self.group.targets.borrow().values().cloned().collect();
+        targets.extend(self.group.unlisted());
         let (primaries, replicas): (Vec<_>, Vec<_>) = targets.into_iter().partition(|target| {
             let instance = target.instance.borrow();
             Some(&instance.id) == leader || instance.role == Role::Primary
@@ -46,15 +48,18 @@
         let tasks = self.stop(&replicas, CONTROL_TIMEOUT);
         pending.extend(finish(tasks, CONTROL_TIMEOUT, &mut stopped).await);
         pending = finish(pending, Duration::ZERO, &mut stopped).await;
-        let departed = self.group.departed();
         let sync_replicas = self.group.sync_replicas.get();
-        let choose = |reports: &[Report]| choose_successor(reports, sync_replicas, departed);
+        let choose = |reports: &[Report]| {
+            let departed = self.departed(reports);
+            choose_successor(reports, sync_replicas, departed)
+        };
         let mut chosen = choose(&reports(&stopped, &pending, leader));
         if chosen.is_none() {
             pending = finish(pending, CONTROL_TIMEOUT, &mut stopped).await;
             chosen = choose(&reports(&stopped, &pending, leader));
         }
         let reports = reports(&stopped, &pending, leader);
+        let departed = self.departed(&reports);
         for task in pending {
             task.reply.abort();
         }
@@ -65,7 +70,8 @@
             event!(
                 Event::FailoverOrdered,
                 service = self.group.service.as_str(), server = report.server.as_str(),
-                former = report.former, draining = report.draining, held = paused,
+                former = report.former, listed = report.listed, draining = report.draining,
+                held = paused,
                 term = self.group.term.get(), departed = departed.missing,
                 chosen = (chosen.as_ref() == Some(&report.server));
                 "the server's log ends at {end:?}"
@@ -74,6 +80,13 @@
         chosen
     }
 
+    /// Returns the departed replicas whose logs are not among the reports.
+    fn departed(&self, reports: &[Report]) -> Departed {
+        let replied = reports.iter().filter(|report| report.status.is_some());
+        let reporting: Vec<ServerId> = replied.map(|report| report.server.clone()).collect();
+        self.group.departed(&reporting)
+    }
+
     /// Starts to pause or demote servers, for at most `limit`.
     fn stop(&self, targets: &[Rc<Target<D>>], limit: Duration) -> Vec<StopTask> {
         let term = self.group.term.get() + 1;
@@ -81,6 +94,7 @@
         let start = |target: &Rc<Target<D>>| {
             let server = target.instance.borrow().id.clone();
             let draining = target.is_draining();
+            let listed = self.group.target(&server).is_some();
             let (gateway, group) = (self.gateway.clone(), self.group.clone());
             let target = target.clone();
             let reply = tokio::task::spawn_local(async move {
@@ -88,6 +102,7 @@
             });
             StopTask {
                 server,
+                listed,
                 draining,
                 reply,
             }
@@ -99,6 +114,7 @@
 /// A server that is being stopped.
 struct StopTask {
     server: ServerId,
+    listed: bool,
     draining: bool,
     reply: JoinHandle<Option<Stopped>>,
 }
@@ -118,6 +134,7 @@
         };
         stopped.push(StopReply {
             server: task.server,
+            listed: task.listed,
             draining: task.draining,
             // A task that was cancelled or panicked counts as a server that did not reply.
             stopped: reply.ok().flatten(),
@@ -129,6 +146,7 @@
 /// The reply of a server that was asked to stop.
 struct StopReply {
     server: ServerId,
+    listed: bool,
     draining: bool,
     /// `None` if the server did not reply.
     stopped: Option<Stopped>,
@@ -155,18 +173,19 @@
 /// Returns a report of each server, also of those that have not replied yet.
 fn reports(replies: &[StopReply], pending: &[StopTask], leader: Option<&ServerId>) -> Vec<Report> {
     let former = former_primary(replies, leader);
-    let report = |server: &ServerId, draining, stopped: Option<&Stopped>| Report {
+    let report = |server: &ServerId, listed, draining, stopped: Option<&Stopped>| Report {
         former: Some(server) == former.as_ref(),
         server: server.clone(),
+        listed,
         draining,
         status: stopped.map(|stopped| stopped.status),
     };
     let finished = replies
         .iter()
-        .map(|reply| report(&reply.server, reply.draining, reply.stopped.as_ref()));
+        .map(|r| report(&r.server, r.listed, r.draining, r.stopped.as_ref()));
     let waiting = pending
         .iter()
-        .map(|task| report(&task.server, task.draining, None));
+        .map(|task| report(&task.server, task.listed, task.draining, None));
     finished.chain(waiting).collect()
 }
 
--- a/crates/siskinhook-gateway/src/fleet.rs
+++ b/crates/siskinhook-gateway/src/fleet.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Returns the name of this node.
+    #[must_use]
+    pub const fn node(&self) -> &NodeId {
+        &self.node
+    }
+
     /// Replaces the list of nodes, which includes this one.
     pub fn set_peers(&self, peers: Vec<Peer>) {
         if *self.peers.borrow() != peers {
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -26,11 +26,17 @@
 /// ordered; promotions take up to a second.
 const PROMOTION_GRACE: Duration = Duration::from_secs(2);
 
+/// Servers without an entry that are kept, at most; a group has a few servers.
+const MAX_UNLISTED: usize = 16;
+
 /// The servers of a service.
 pub struct Group<D: Dialer> {
     /// Name of the service.
     pub service: ServiceId,
     pub(crate) targets: RefCell<IndexMap<ServerId, Rc<Target<D>>>>,
+    /// Servers whose entry is missing although they were reached. They receive no statements of
+    /// callers, but may still acknowledge commits with the primary.
+    unlisted: RefCell<IndexMap<ServerId, Rc<Target<D>>>>,
     pub(crate) watermarks: RefCell<Watermarks>,
     departures: RefCell<Departures>,
     /// Claims of the primary; `None` if a replaced primary knows at once that it was replaced.
@@ -72,10 +78,11 @@
         counters: Rc<Counters>,
     ) -> Self {
         let mut departures = Departures::default();
-        departures.add(BootInstant::now());
+        departures.add_start(BootInstant::now());
         Self {
             service,
             targets: RefCell::default(),
+            unlisted: RefCell::default(),
             watermarks: RefCell::default(),
             departures: RefCell::new(departures),
             leadership: gateway.confirm_leader.then(RefCell::default),
@@ -140,14 +147,8 @@
         if let Some(target) = same {
             *target.instance.borrow_mut() = instance;
         } else {
-            let target = Target::new(
-                instance,
-                self.max_connections.get(),
-                self.dialer.clone(),
-                self.fleet.clone(),
-                self.counters.clone(),
-                self.failover_wakeup.clone(),
-            );
+            self.relist(&instance);
+            let target = self.new_target(instance, self.fleet.clone());
             if let Some(old) = self.targets.borrow_mut().insert(id.clone(), target) {
                 old.retire();
             }
@@ -165,10 +166,63 @@
         self.topology_changed.notify_waiters();
     }
 
+    fn new_target(&self, instance: Instance, fleet: Rc<Fleet>) -> Rc<Target<D>> {
+        Target::new(
+            instance,
+            self.max_connections.get(),
+            self.dialer.clone(),
+            fleet,
+            self.counters.clone(),
+            self.failover_wakeup.clone(),
+        )
+    }
+
+    /// Removes the server of a new entry from those without one. The log of a process that was
+    /// known before is as it was.
+    fn relist(&self, instance: &Instance) {
+        let unlisted = self.unlisted.borrow_mut().shift_remove(&instance.id);
+        if unlisted.is_some_and(|target| target.instance.borrow().started == instance.started) {
+            self.departures.borrow_mut().remove(&instance.id);
+        }
+    }
+
+    /// Keeps a server that was removed, if it was reached and did not announce that it leaves. Its
+    /// entry may have lapsed because it does not reach the platform's store.
+    fn keep_unlisted(&self, target: &Target<D>) {
+        if target.is_draining() || target.outage().is_some() {
+            return;
+        }
+        let instance = target.instance.borrow().clone();
+        let id = instance.id.clone();
+        // Other nodes do not relay to a server without an entry, so it is reached directly.
+        let fleet = Fleet::new(self.fleet.node().clone(), instance.zone.clone());
+        let unlisted = self.new_target(instance, Rc::new(fleet));
+        self.add_unlisted(id, unlisted);
+    }
+
+    fn add_unlisted(&self, id: ServerId, target: Rc<Target<D>>) {
+        let mut unlisted = self.unlisted.borrow_mut();
+        if unlisted.len() >= MAX_UNLISTED {
+            unlisted.shift_remove_index(0);
+        }
+        unlisted.insert(id, target);
+    }
+
+    /// Returns the servers without an entry that may be alive.
+    pub(crate) fn unlisted(&self) -> Vec<Rc<Target<D>>> {
+        self.unlisted.borrow().values().cloned().collect()
+    }
+
+    /// Forgets a server without an entry that does not answer.
+    pub(crate) fn forget_unlisted(&self, id: &ServerId) {
+        self.unlisted.borrow_mut().shift_remove(id);
+    }
+
     /// Removes a server that left the service.
     pub(crate) fn remove(&self, id: &ServerId) {
         let removed = self.targets.borrow_mut().shift_remove(id);
         if let Some(target) = removed {
+            self.keep_unlisted(&target);
             target.retire();
             event!(
                 Event::TargetGone,
@@ -184,7 +238,9 @@
             }
             self.set_leader(claimant, "the previous primary was removed");
         } else {
-            self.departures.borrow_mut().add(BootInstant::now());
+            self.departures
+                .borrow_mut()
+                .add(id.clone(), BootInstant::now());
         }
         self.failover_wakeup.notify_one();
     }
@@ -305,16 +361,20 @@
         }
     }
 
-    /// Returns the departed replicas that the choice of a successor must take into account.
-    pub(crate) fn departed(&self) -> Departed {
-        self.departures.borrow_mut().departed(BootInstant::now())
+    /// Returns the departed replicas that the choice of a successor must take into account, apart
+    /// from `reporting` servers, whose logs are known.
+    pub(crate) fn departed(&self, reporting: &[ServerId]) -> Departed {
+        let now = BootInstant::now();
+        self.departures.borrow_mut().departed(now, reporting)
     }
 
     /// Records that a server accepted the order to become the primary.
     pub(crate) fn record_promotion(&self, id: &ServerId) {
         *self.pending_promotion.borrow_mut() = Some((id.clone(), Instant::now() + PROMOTION_GRACE));
         self.set_leader(Some(id.clone()), "its promotion was ordered");
-        self.leaderless_since.set(None);
+        // Callers do not reach a server without an entry, so it is replaced in turn.
+        let is_listed = self.targets.borrow().contains_key(id);
+        self.leaderless_since.set((!is_listed).then(Instant::now));
     }
 
     /// Whether an accepted promotion is so recent that it may not have taken effect yet.
--- a/crates/siskinhook-gateway/src/successor.rs
+++ b/crates/siskinhook-gateway/src/successor.rs
@@ -11,6 +11,8 @@
     pub server: ServerId,
     /// Whether it is the primary that is being replaced.
     pub former: bool,
+    /// Whether its entry is in the list of servers.
+    pub listed: bool,
     /// Whether it announced that it will stop.
     pub draining: bool,
     /// Its reply to the pause or demote request; `None` if it did not reply.
@@ -35,6 +37,10 @@
 /// further commit can be acknowledged, because the reporting replicas are paused. Otherwise only
 /// the log of the former primary, once demoted, bounds the acknowledged commits.
 ///
+/// A server without an entry that replies is alive and may have acknowledged commits with the
+/// primary. Its log counts like those of the others, but it is chosen only if no listed server has
+/// them all, since no caller reaches it. One that does not reply has departed.
+///
 /// A departed replica counts as missing: a primary that is cut off together with a leaving replica
 /// keeps acknowledging commits that no other server has.
 #[must_use]
@@ -47,7 +53,7 @@
     let log_end = |report: &Report| report.status.map_or(LogPoint::default(), |s| s.received);
     let unresponsive = reports
         .iter()
-        .filter(|r| !r.former && r.status.is_none())
+        .filter(|r| r.listed && !r.former && r.status.is_none())
         .count();
     let needed = if unresponsive + departed.missing < sync_replicas.max(1) {
         reports
@@ -66,7 +72,7 @@
         .filter(|report| log_end(report) >= needed)
         .max_by_key(|report| {
             let stays = !report.draining;
-            (stays, !report.former, log_end(report))
+            (report.listed, stays, !report.former, log_end(report))
         })
         .map(|report| report.server.clone())
 }
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -6,12 +6,12 @@
 
 mod support;
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use serde_json::json;
 use siskinhook_gateway::{Gateway, Relay, RelayedRequest, Session, TargetCode};
 use siskinhook_types::Role;
-use support::{FakeDialer, ask, clock, crash, restart, server, site::Site};
+use support::{FakeDialer, ask, clock, crash, instance, restart, server, site::Site};
 use tokio::{
     task::{JoinHandle, LocalSet, spawn_local},
     time::{Instant, sleep},
@@ -27,6 +27,8 @@
 struct Replacement {
     site: Site,
     nodes: Vec<Node>,
+    /// Highest log position of a commit that a caller was told of.
+    told: Rc<Cell<u64>>,
 }
 
 struct Node {
@@ -42,7 +44,11 @@
             server.sync_replicas = 1;
         }
         let nodes = Vec::new();
-        let mut replacement = Self { site, nodes };
+        let mut replacement = Self {
+            site,
+            nodes,
+            told: Rc::default(),
+        };
         for name in ["n1", "n2", "n3"] {
             replacement.add_node(name);
         }
@@ -52,7 +58,7 @@
 
     fn add_node(&mut self, name: &str) {
         let gateway = self.site.start(name);
-        let writer = spawn_local(write(gateway.clone()));
+        let writer = spawn_local(write(gateway.clone(), self.told.clone()));
         self.nodes.push(Node { gateway, writer });
     }
 
@@ -91,11 +97,14 @@
     }
 }
 
-/// Writes without end.
-async fn write(gateway: Rc<Gateway<FakeDialer>>) {
+/// Writes without end, and notes the positions of acknowledged commits.
+async fn write(gateway: Rc<Gateway<FakeDialer>>, told: Rc<Cell<u64>>) {
     loop {
         let mut session = Session::open(&gateway, "strong").expect("the route is known");
-        ask(&mut session, "WRITE 1 a").await;
+        let answer = ask(&mut session, "WRITE 1 a").await;
+        if let (Ok(_), Some(point)) = (answer.result, answer.point) {
+            told.set(told.get().max(point.position));
+        }
         sleep(Duration::from_millis(10)).await;
     }
 }
@@ -244,3 +253,64 @@
         })
         .await;
 }
+
+/// Guards against losing commits that the primary acknowledged with a live replica whose entry is
+/// missing: it is cut off from the table of servers, while the other replica receives nothing.
+#[tokio::test(start_paused = true)]
+async fn live_replica_without_an_entry_takes_part_in_the_replacement() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                for node in &replacement.nodes {
+                    node.gateway.forget(&"s2".into());
+                }
+                sleep(Duration::from_secs(1)).await;
+                // A replica that is paused receives nothing.
+                world.borrow_mut()[1].paused_term = 1;
+                sleep(Duration::from_millis(500)).await;
+                let (chosen, _) = replacement.lose_primary().await;
+                assert_eq!(chosen, 2, "the server that was ordered to lead");
+                world.borrow_mut()[1].paused_term = 0;
+                sleep(PROMOTION_TIME * 2).await;
+                assert_eq!(replacement.site.orders.missing.get(), 0, "missing commits");
+                // The entry is back.
+                for node in &replacement.nodes {
+                    node.gateway.discover(instance(2, Role::Primary));
+                }
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against a group that stays without a primary because the promoted server has no entry, so
+/// that no caller reaches it.
+#[tokio::test(start_paused = true)]
+async fn promoted_server_without_an_entry_is_replaced_in_turn() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                for node in &replacement.nodes {
+                    node.gateway.forget(&"s2".into());
+                }
+                sleep(Duration::from_secs(1)).await;
+                world.borrow_mut()[1].paused_term = 1;
+                sleep(Duration::from_millis(500)).await;
+                replacement.lose_primary().await;
+                sleep(PROMOTION_TIME).await;
+                // The other replica receives the log of the new primary.
+                {
+                    let mut world = world.borrow_mut();
+                    world[1].received = world[2].received;
+                }
+                sleep(PROMOTION_TIME * 6).await;
+                replacement.check().await;
+                assert_eq!(replacement.site.primaries(), [1]);
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/successor.rs
+++ b/crates/siskinhook-gateway/tests/successor.rs
@@ -13,6 +13,7 @@
     Report {
         server: server.into(),
         former,
+        listed: true,
         draining,
         status: end.map(|end| ReplicationStatus {
             role: Role::Replica,
@@ -69,6 +70,28 @@
     );
 }
 
+/// Guards against losing commits that only a live replica without an entry has: its log counts, and
+/// it is chosen only if no listed server has them.
+#[test]
+fn log_of_a_server_without_an_entry_counts() {
+    let unlisted = Report {
+        listed: false,
+        ..report("l", false, false, Some(8))
+    };
+    let mut reports = [
+        report("p", true, false, None),
+        report("a", false, false, Some(7)),
+        unlisted,
+    ];
+    let choose = |reports: &[Report]| choose_successor(reports, 1, Departed::default());
+    assert_eq!(choose(&reports).as_deref(), Some("l"));
+    reports[1] = report("a", false, false, Some(8));
+    assert_eq!(choose(&reports).as_deref(), Some("a"));
+    reports[1] = report("a", false, false, Some(7));
+    reports[2].status = None;
+    assert_eq!(choose(&reports).as_deref(), Some("a"), "it has departed");
+}
+
 /// Guards against preferring a draining server to one that stays.
 #[test]
 fn staying_server_is_preferred_among_equal_logs() {
@@ -164,8 +187,8 @@
     let at = |millis| BootInstant::from_boot(Duration::from_millis(millis));
     let mut departures = Departures::default();
     departures.record_watermark(watermark(500, 1, 815));
-    departures.add(at(1000));
-    let departed = departures.departed(at(1100));
+    departures.add("c".into(), at(1000));
+    let departed = departures.departed(at(1100), &[]);
     assert_eq!(
         departed,
         Departed {
@@ -175,11 +198,16 @@
     );
     assert_eq!(choose_successor(&reports, 1, departed), None);
     departures.record_watermark(watermark(1200, 1, 819));
-    let departed = departures.departed(at(1300));
+    let departed = departures.departed(at(1300), &[]);
     assert_eq!(
         choose_successor(&reports, 1, departed).as_deref(),
         Some("a")
     );
+    assert_eq!(
+        departures.departed(at(1300), &["c".into()]),
+        Departed::default(),
+        "its log is known"
+    );
     departures.clear();
-    assert_eq!(departures.departed(at(1400)), Departed::default());
+    assert_eq!(departures.departed(at(1400), &[]), Departed::default());
 }
