Acknowledge commits only with evidence while a lost server may be back

Cause: the primary acknowledges with any replica, also with one that no replacement can ask because no node knows it.

Change: while more servers were lost without announcing it than have been listed since, a commit is acknowledged to its caller only when a listed replica reports that it holds it, and is of unknown outcome otherwise. A server whose entry was gone for a while does not count as a new one.

Ruled out: asking a replica for each write, which costs a request a write in the steady state as well; asking the addresses of lost servers, which misses a server at a new address.

--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     BootInstant, Counters, Departed, Dialer, GatewaySettings, Instance, Leadership, Service,
-    Watermark, Watermarks, confirmation::Confirmation, departures::Departures, fleet::Fleet,
-    pool::Target, write_admission::WriteAdmission,
+    Watermark, Watermarks, commit_evidence::CommitEvidence, confirmation::Confirmation,
+    departures::Departures, fleet::Fleet, pool::Target, write_admission::WriteAdmission,
 };
 
 /// Cost factor for a server in another zone, since traffic between zones is charged.
@@ -44,6 +44,7 @@
     pub(crate) confirmation: Confirmation,
     /// Admission of writes; `None` if this node replaces no primary.
     pub(crate) admission: Option<WriteAdmission>,
+    pub(crate) evidence: CommitEvidence,
     /// Server that this node regards as the primary.
     leader: RefCell<Option<ServerId>>,
     /// Highest term that any server reported.
@@ -88,6 +89,7 @@
             leadership: gateway.confirm_leader.then(RefCell::default),
             confirmation: Confirmation::default(),
             admission: gateway.replace_primaries.then(WriteAdmission::default),
+            evidence: CommitEvidence::default(),
             leader: RefCell::default(),
             term: Cell::default(),
             proved_term: Cell::default(),
@@ -147,8 +149,12 @@
         if let Some(target) = same {
             *target.instance.borrow_mut() = instance;
         } else {
-            self.relist(&instance);
+            self.evidence.record_return(&id);
+            let former = self.relist(&instance);
             let target = self.new_target(instance, self.fleet.clone());
+            if let Some(former) = former {
+                target.resume(&former);
+            }
             if let Some(old) = self.targets.borrow_mut().insert(id.clone(), target) {
                 old.retire();
             }
@@ -177,13 +183,15 @@
         )
     }
 
-    /// Removes the server of a new entry from those without one. The log of a process that was
-    /// known before is as it was.
-    fn relist(&self, instance: &Instance) {
-        let unlisted = self.unlisted.borrow_mut().shift_remove(&instance.id);
-        if unlisted.is_some_and(|target| target.instance.borrow().started == instance.started) {
-            self.departures.borrow_mut().remove(&instance.id);
+    /// Removes the server of a new entry from those without one. Returns it if it is the same process,
+    /// whose log is as it was.
+    fn relist(&self, instance: &Instance) -> Option<Rc<Target<D>>> {
+        let unlisted = self.unlisted.borrow_mut().shift_remove(&instance.id)?;
+        if unlisted.instance.borrow().started != instance.started {
+            return None;
         }
+        self.departures.borrow_mut().remove(&instance.id);
+        Some(unlisted)
     }
 
     /// Keeps a server that was removed, if it was reached and did not announce that it leaves. Its
@@ -197,6 +205,7 @@
         // Other nodes do not relay to a server without an entry, so it is reached directly.
         let fleet = Fleet::new(self.fleet.node().clone(), instance.zone.clone());
         let unlisted = self.new_target(instance, Rc::new(fleet));
+        unlisted.resume(target);
         self.add_unlisted(id, unlisted);
     }
 
@@ -208,6 +217,16 @@
         unlisted.insert(id, target);
     }
 
+    /// Returns the listed servers that are not regarded as the primary.
+    pub(crate) fn replicas(&self) -> Vec<Rc<Target<D>>> {
+        let leader = self.leader.borrow();
+        let targets = self.targets.borrow();
+        let replicas = targets
+            .iter()
+            .filter(|(id, _)| Some(*id) != leader.as_ref());
+        replicas.map(|(_, target)| target.clone()).collect()
+    }
+
     /// Returns the servers without an entry that may be alive.
     pub(crate) fn unlisted(&self) -> Vec<Rc<Target<D>>> {
         self.unlisted.borrow().values().cloned().collect()
@@ -223,6 +242,11 @@
         let removed = self.targets.borrow_mut().shift_remove(id);
         if let Some(target) = removed {
             self.keep_unlisted(&target);
+            if !target.is_draining() {
+                let unreached = target.outage().map_or(Duration::ZERO, |(time, _)| time);
+                let since = Instant::now() - unreached;
+                self.evidence.record_loss(id.clone(), since);
+            }
             target.retire();
             event!(
                 Event::TargetGone,
--- a/crates/siskinhook-gateway/src/lib.rs
+++ b/crates/siskinhook-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod clock;
+mod commit_evidence;
 mod confirmation;
 mod connection;
 mod counters;
@@ -30,6 +31,7 @@
 mod write_permit;
 
 pub use clock::BootInstant;
+pub use commit_evidence::may_have_unknown_server;
 pub use connection::{
     Connection, ConnectionError, Dialer, ReplicationStatus, ServerOp, ServerReply, TargetCode,
 };
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -108,6 +108,10 @@
     contact: RefCell<Contact>,
     /// Latest term in which the server was seen to lead; 0 if it was not.
     led_term: Cell<Term>,
+    /// End of the log that the server is known to have received as a replica.
+    received: Cell<LogPoint>,
+    /// When the entry of the server's process was first read.
+    listed_at: Cell<Instant>,
     /// When the server was reachable again after its last outage.
     recovered_at: Cell<Option<Instant>>,
     lagging_until: Cell<Option<Instant>>,
@@ -150,6 +154,8 @@
             health: Cell::default(),
             contact: RefCell::default(),
             led_term: Cell::default(),
+            received: Cell::default(),
+            listed_at: Cell::new(Instant::now()),
             recovered_at: Cell::default(),
             lagging_until: Cell::default(),
             mean_latency: Cell::new(INITIAL_LATENCY_MILLIS),
@@ -203,6 +209,27 @@
         self.led_term.get()
     }
 
+    /// Records the end of the log that the server has received as a replica.
+    pub fn record_received(&self, end: LogPoint) {
+        self.received.set(self.received.get().max(end));
+    }
+
+    /// Returns the end of the log that the server is known to have received as a replica.
+    pub fn received(&self) -> LogPoint {
+        self.received.get()
+    }
+
+    /// Returns when the entry of the server's process was first read.
+    pub fn listed_at(&self) -> Instant {
+        self.listed_at.get()
+    }
+
+    /// Continues the record of the same process, whose entry was gone for some time.
+    pub fn resume(&self, former: &Self) {
+        self.listed_at.set(former.listed_at.get());
+        self.record_led_term(former.led_term());
+    }
+
     /// Whether the server may receive new statements.
     pub fn is_usable(&self) -> bool {
         !self.retired.get() && !self.is_draining() && self.health.get().failing_since.is_none()
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -27,6 +27,9 @@
 /// tried.
 const FIRST_ATTEMPT_SHARE: f64 = 0.4;
 
+/// Text of the answer to a commit that only servers without an entry may hold.
+const NOT_REPLICATED: &str = "no listed replica shows that it received the commit";
+
 /// How fresh the data must be that a statement reads.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadBounds {
@@ -124,6 +127,9 @@
                             if let (Ok(_), Some(point)) = (result, reply.point) {
                                 self.group.unanswered_writes.set(0);
                                 self.group.record_commit(&plan.target, sent_at, point);
+                                if !self.group.is_replicated(point, self.deadline).await {
+                                    return (self.unknown(NOT_REPLICATED), None);
+                                }
                             }
                             return (self.answer(reply), None);
                         }
@@ -222,6 +228,9 @@
                 ) {
                     self.group.unanswered_writes.set(0);
                     self.group.record_commit(target, sent_at, point);
+                    if !self.group.is_replicated(point, self.deadline).await {
+                        return (self.unknown(NOT_REPLICATED), None);
+                    }
                 }
                 let may_have_committed = matches!(&reply.result, Err((code, _)) if !code.not_run());
                 if may_have_committed && !self.statement.writes {
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -314,3 +314,35 @@
             .await;
     }
 }
+
+/// Guards against an acknowledged commit that only a server without an entry holds: a lost server is
+/// back under a new id, and no node can read its entry.
+#[tokio::test(start_paused = true)]
+async fn commit_on_an_unknown_server_alone_is_not_acknowledged() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                crash(world, 2);
+                sleep(Duration::from_millis(500)).await;
+                for node in &replacement.nodes {
+                    node.gateway.forget(&"s2".into());
+                    // An entry that was gone for a moment replaces no lost server.
+                    node.gateway.forget(&"s1".into());
+                    node.gateway.discover(instance(1, Role::Replica));
+                }
+                world.borrow_mut().push(server(Role::Replica));
+                // A replica that is paused receives nothing.
+                world.borrow_mut()[1].paused_term = 1;
+                sleep(Duration::from_secs(1)).await;
+                let held = world.borrow()[1].received;
+                let told = replacement.told.get();
+                assert!(told <= held, "{told} told, the listed replica has {held}");
+                world.borrow_mut()[1].paused_term = 0;
+                replacement.check().await;
+                assert!(replacement.told.get() > held, "commits are told again");
+            })
+            .await;
+    }
+}
