Demote a primary that anybody reaches before it is replaced

Cause: a replacement went on without the primary's reply in two cases: when the replacing node does not reach the primary although other nodes do, and when the primary refuses its demotion for longer than 600 ms because of load. Both are one assumption, that a primary which does not reply acknowledges nothing.

Change: after the lease is taken, the nodes that hold connections to the primary are asked whether they reach it, beside the reading of the list, and the demotion goes through one that does. A primary that is reached and not demoted stops the attempt before any replica is paused; after three such attempts it is replaced without its reply, since one that answers nothing acknowledges nothing.

Why it works: every primary that can receive a write from a node that the replacing node reaches is a replica before the replicas are paused.

Ruled out: asking after the replicas are paused.

--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -9,6 +9,7 @@
 
 mod check;
 mod lease;
+mod peers;
 mod stop;
 
 use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
@@ -108,6 +109,7 @@
         orders,
         failures: Cell::default(),
         retry_at: Cell::new(Instant::now()),
+        undemoted: Cell::default(),
         is_unfinished: Cell::default(),
     };
     let watch = async {
@@ -133,6 +135,8 @@
     failures: Cell<u32>,
     /// Time of the next permitted attempt.
     retry_at: Cell<Instant>,
+    /// Consecutive attempts in which a primary that is reached was not demoted.
+    undemoted: Cell<u32>,
     /// Whether the lease row may say that this process replaces the primary although it has sent no
     /// order that could still be carried out.
     is_unfinished: Cell<bool>,
@@ -218,7 +222,11 @@
         // A node that was cut off knows the state from before: a server that started since may lead
         // or hold acknowledged commits, and the primary may be alive. Only the holder of the lease
         // reads the list of servers, which is large in a large fleet.
-        let (refreshed, ()) = tokio::join!(self.discovery.refresh(), self.recheck_servers());
+        let (refreshed, (), relayed) = tokio::join!(
+            self.discovery.refresh(),
+            self.recheck_servers(),
+            self.find_relayed_primaries()
+        );
         if let Err(error) = refreshed {
             self.log_failure(&format!("cannot read the list of servers: {error}"));
             self.back_off();
@@ -236,7 +244,7 @@
             stuck = self.group.unanswered_writes.get();
             "replacing the primary: {reason}"
         );
-        let Some(chosen) = self.stop_servers(leader.as_ref()).await else {
+        let Some(chosen) = self.stop_servers(leader.as_ref(), &relayed).await else {
             self.log_failure("no server is certain to hold every acknowledged commit");
             sleep(RETRY_DELAY).await;
             return;
--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -9,7 +9,10 @@
     time::{Instant, sleep, timeout},
 };
 
-use super::{Controller, Discovery, Orders};
+use super::{
+    Controller, Discovery, Orders,
+    peers::{RelayedTarget, demote_relayed},
+};
 use crate::{
     Departed, Dialer, Gateway, ReplicationStatus, Report, ServerOp, choose_successor, group::Group,
     pool::Target,
@@ -19,9 +22,12 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time limit for demoting a primary that is reached, before the replicas are paused. It serves
 /// callers meanwhile, and under load it refuses requests for many times the latency between zones.
-const DEMOTION_TIMEOUT: Duration = Duration::from_millis(600);
+pub(super) const DEMOTION_TIMEOUT: Duration = Duration::from_millis(600);
+/// Attempts in which a primary that is reached has to be demoted. After them it is replaced without
+/// its reply, since a primary that answers nothing acknowledges nothing either.
+const MAX_UNDEMOTED: u32 = 3;
 /// Delay before a pause or demote request without a usable reply is repeated.
-const CONTROL_RETRY_DELAY: Duration = Duration::from_millis(25);
+pub(super) const CONTROL_RETRY_DELAY: Duration = Duration::from_millis(25);
 
 impl<D: Dialer, P: Platform, S: Discovery, O: Orders> Controller<D, P, S, O> {
     /// Demotes the primary, pauses the replicas, and chooses a successor from their replies.
@@ -29,8 +35,12 @@
     /// The primary comes first, so that the replicas still receive all that it acknowledges: a new
     /// server receives commits before this node knows it. Servers whose entry says that they are
     /// the primary come first as well, since this node may not know which one leads. Only primaries
-    /// that are not reached are replaced without their reply.
-    pub(super) async fn stop_servers(&self, leader: Option<&ServerId>) -> Option<ServerId> {
+    /// that neither this node nor other nodes reach are replaced without their reply.
+    pub(super) async fn stop_servers(
+        &self,
+        leader: Option<&ServerId>,
+        relayed: &[RelayedTarget<D>],
+    ) -> Option<ServerId> {
         let mut targets: Vec<Rc<Target<D>>> =
             self.group.targets.borrow().values().cloned().collect();
         targets.extend(self.group.unlisted());
@@ -44,7 +54,16 @@
         let mut stopped = Vec::new();
         let mut pending = self.stop(&failing, DEMOTION_TIMEOUT + CONTROL_TIMEOUT);
         let demotions = self.stop(&reached, DEMOTION_TIMEOUT + CONTROL_TIMEOUT);
+        let term = self.group.term.get() + 1;
+        for relayed in relayed {
+            let status = demote_relayed(&self.group, relayed, term).await;
+            add_relayed(&relayed.target, status, &mut pending, &mut stopped);
+        }
         pending.extend(finish(demotions, DEMOTION_TIMEOUT, &mut stopped).await);
+        if self.has_undemoted_primary(&reached, relayed, &stopped) {
+            self.log_failure("a primary that is reached was not demoted");
+            return None;
+        }
         let tasks = self.stop(&replicas, CONTROL_TIMEOUT);
         pending.extend(finish(tasks, CONTROL_TIMEOUT, &mut stopped).await);
         pending = finish(pending, Duration::ZERO, &mut stopped).await;
@@ -59,11 +78,40 @@
             chosen = choose(&reports(&stopped, &pending, leader));
         }
         let reports = reports(&stopped, &pending, leader);
-        let departed = self.departed(&reports);
         for task in pending {
             task.reply.abort();
         }
-        for report in &reports {
+        self.log_reports(&reports, chosen.as_ref());
+        chosen
+    }
+
+    /// Whether a primary answers this node or another one, but was not demoted. It could acknowledge
+    /// commits until the promotion takes effect.
+    fn has_undemoted_primary(
+        &self,
+        reached: &[Rc<Target<D>>],
+        relayed: &[RelayedTarget<D>],
+        stopped: &[StopReply],
+    ) -> bool {
+        let is_stopped = |target: &Target<D>| {
+            let server = &target.instance.borrow().id;
+            let mut replies = stopped.iter().filter(|reply| reply.server == *server);
+            replies.any(|reply| reply.stopped.is_some())
+        };
+        let is_running = |target: &Target<D>| target.outage().is_none() && !is_stopped(target);
+        let reached_here = reached.iter().any(|target| is_running(target));
+        let reached_elsewhere = relayed.iter().any(|r| !is_stopped(&r.target));
+        if !reached_here && !reached_elsewhere {
+            self.undemoted.set(0);
+            return false;
+        }
+        self.undemoted.set(self.undemoted.get() + 1);
+        self.undemoted.get() <= MAX_UNDEMOTED
+    }
+
+    fn log_reports(&self, reports: &[Report], chosen: Option<&ServerId>) {
+        let departed = self.departed(reports);
+        for report in reports {
             let (end, paused) = report
                 .status
                 .map_or((None, 0), |s| (Some(s.received), s.paused_term));
@@ -73,11 +121,10 @@
                 former = report.former, listed = report.listed, draining = report.draining,
                 held = paused,
                 term = self.group.term.get(), departed = departed.missing,
-                chosen = (chosen.as_ref() == Some(&report.server));
+                chosen = (chosen == Some(&report.server));
                 "the server's log ends at {end:?}"
             );
         }
-        chosen
     }
 
     /// Returns the departed replicas whose logs are not among the reports.
@@ -143,6 +190,31 @@
     pending
 }
 
+/// Adds a server that was demoted through another node to those that replied.
+fn add_relayed<D: Dialer>(
+    target: &Target<D>,
+    status: Option<ReplicationStatus>,
+    pending: &mut Vec<StopTask>,
+    stopped: &mut Vec<StopReply>,
+) {
+    let Some(status) = status else { return };
+    let server = &target.instance.borrow().id;
+    let Some(index) = pending.iter().position(|task| task.server == *server) else {
+        return;
+    };
+    let task = pending.swap_remove(index);
+    task.reply.abort();
+    stopped.push(StopReply {
+        server: task.server,
+        listed: task.listed,
+        draining: task.draining,
+        stopped: Some(Stopped {
+            status,
+            was_primary: None,
+        }),
+    });
+}
+
 /// The reply of a server that was asked to stop.
 struct StopReply {
     server: ServerId,
--- a/crates/siskinhook-gateway/src/fleet.rs
+++ b/crates/siskinhook-gateway/src/fleet.rs
@@ -192,6 +192,24 @@
             .is_none_or(|holders| holders.iter().any(|peer| peer.name == self.node))
     }
 
+    /// Returns up to `count` other nodes that hold connections to a server with the given connection
+    /// limit, spread over the zones.
+    #[must_use]
+    pub fn relays(
+        &self,
+        server: &ServerId,
+        zone: &Zone,
+        max_connections: usize,
+        count: usize,
+    ) -> Vec<Peer> {
+        let holders = self.holders(server, zone, max_connections);
+        let mut relays = holders.unwrap_or_else(|| self.peers.borrow().clone());
+        relays.retain(|peer| peer.name != self.node);
+        // The list of nodes is sorted by name, so a stride spreads the choice over the zones.
+        let stride = relays.len().div_ceil(count.max(1)).max(1);
+        relays.into_iter().step_by(stride).collect()
+    }
+
     /// Returns how this node reaches a server with the given connection limit.
     #[must_use]
     pub fn path(&self, server: &ServerId, zone: &Zone, max_connections: usize) -> Path {
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     Connection, ConnectionError, Counters, Dialer, Instance, ServerOp, ServerReply, TargetCode,
-    fleet::{Fleet, Path},
+    fleet::{Fleet, Path, Peer},
 };
 
 /// Delay before the next dial after the server refused a connection because of its connection limit
@@ -341,6 +341,17 @@
             .path(&instance.id, &instance.zone, self.max_connections.get())
     }
 
+    /// Returns up to `count` other nodes that may reach the server.
+    pub fn relays(&self, count: usize) -> Vec<Peer> {
+        let instance = self.instance.borrow();
+        self.fleet.relays(
+            &instance.id,
+            &instance.zone,
+            self.max_connections.get(),
+            count,
+        )
+    }
+
     /// Whether this node holds connections of its own to the server.
     pub fn is_holder(&self) -> bool {
         let version = self.fleet.version();
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -9,9 +9,9 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use serde_json::json;
-use siskinhook_gateway::{Gateway, Relay, RelayedRequest, Session, TargetCode};
+use siskinhook_gateway::{Gateway, Peer, Relay, RelayedRequest, Session, TargetCode};
 use siskinhook_types::Role;
-use support::{FakeDialer, ask, clock, crash, instance, restart, server, site::Site};
+use support::{FakeDialer, RELAY_PORTS, ask, clock, crash, instance, restart, server, site::Site};
 use tokio::{
     task::{JoinHandle, LocalSet, spawn_local},
     time::{Instant, sleep},
@@ -346,3 +346,66 @@
             .await;
     }
 }
+
+/// Guards against losing commits of a primary that the replacing node does not reach, but others do:
+/// it acknowledges with a server that started after the replicas were paused.
+#[tokio::test(start_paused = true)]
+async fn primary_that_only_other_nodes_reach_is_demoted_through_them() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                let peer = |(index, node): (u16, &Node)| Peer {
+                    name: node.gateway.node.clone(),
+                    zone: "z".into(),
+                    address: ([127, 0, 0, 1], RELAY_PORTS + index).into(),
+                };
+                let peers: Vec<Peer> = (0_u16..).zip(&replacement.nodes).map(peer).collect();
+                for node in &replacement.nodes {
+                    node.gateway.fleet.set_peers(peers.clone());
+                }
+                let cut_off = &replacement.nodes[0].gateway;
+                cut_off.dialer.hidden.borrow_mut().insert(0);
+                let limit = Instant::now() + Duration::from_secs(5);
+                while replacement.site.orders.seen.borrow().is_empty() {
+                    sleep(Duration::from_millis(1)).await;
+                    let is_paused = world.borrow()[1].paused_term > 0;
+                    if is_paused && world.borrow().len() == 3 {
+                        world.borrow_mut().push(server(Role::Replica));
+                    }
+                    assert!(Instant::now() < limit, "no promotion was ordered");
+                }
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits of a primary that is reached, but refuses its demotion because of
+/// load: it acknowledges with a server that started after the replicas were paused.
+#[tokio::test(start_paused = true)]
+async fn primary_that_refuses_its_demotion_is_not_replaced_without_it() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                world.borrow_mut()[0].busy_controls = 50;
+                let mut leaving = instance(0, Role::Primary);
+                leaving.draining = true;
+                replacement.nodes[0].gateway.discover(leaving);
+                let limit = Instant::now() + Duration::from_secs(8);
+                while replacement.site.orders.seen.borrow().is_empty() {
+                    sleep(Duration::from_millis(1)).await;
+                    let is_paused = world.borrow()[1].paused_term > 0;
+                    if is_paused && world.borrow().len() == 3 {
+                        world.borrow_mut().push(server(Role::Replica));
+                    }
+                    assert!(Instant::now() < limit, "no promotion was ordered");
+                }
+                replacement.check().await;
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     net::SocketAddr,
     rc::Rc,
     sync::{
@@ -118,13 +118,24 @@
     world.borrow_mut()[index].reachable = true;
 }
 
-pub struct FakeDialer(pub World);
+/// First port of the addresses at which nodes relay to the servers.
+pub const RELAY_PORTS: u16 = 100;
+
+/// Servers that one node does not reach.
+pub type Hidden = Rc<RefCell<HashSet<usize>>>;
+
+pub struct FakeDialer {
+    pub world: World,
+    pub hidden: Hidden,
+}
 
 pub struct FakeConnection {
     world: World,
     index: usize,
     /// Restarts of the server before the connection was opened.
     restarts: u32,
+    /// Servers that the node does not reach; empty for a connection through another node.
+    hidden: Hidden,
     queue: VecDeque<String>,
     state: TransactionState,
     values: BTreeMap<SmolStr, SmolStr>,
@@ -170,29 +181,37 @@
     async fn dial(
         &self,
         _service: &ServiceId,
-        _server: &ServerId,
+        server: &ServerId,
         address: SocketAddr,
     ) -> Result<FakeConnection, ConnectionError> {
-        let index = usize::from(address.port()) - 1;
-        self.0.borrow_mut()[index].dials += 1;
+        let relayed = address.port() >= RELAY_PORTS;
+        let (index, hidden) = if relayed {
+            let index = server[1..].parse().expect("valid in this model");
+            (index, Hidden::default())
+        } else {
+            (usize::from(address.port()) - 1, self.hidden.clone())
+        };
+        self.world.borrow_mut()[index].dials += 1;
         let (reachable, dial_time) = {
-            let world = self.0.borrow();
-            (world[index].reachable, world[index].dial_time)
+            let world = self.world.borrow();
+            let reachable = world[index].reachable && !hidden.borrow().contains(&index);
+            (reachable, world[index].dial_time)
         };
         if !reachable {
             sleep(dial_time).await;
             return Err(ConnectionError::Unreachable("refused".into()));
         }
         sleep(STEP).await;
-        let mut world = self.0.borrow_mut();
+        let mut world = self.world.borrow_mut();
         if world[index].open >= world[index].cap {
             return Err(ConnectionError::Refused(TargetCode::TooMany));
         }
         world[index].open += 1;
         Ok(FakeConnection {
-            world: self.0.clone(),
+            world: self.world.clone(),
             index,
             restarts: world[index].restarts,
+            hidden,
             queue: VecDeque::new(),
             state: TransactionState::Idle,
             values: BTreeMap::new(),
@@ -202,10 +221,15 @@
     }
 
     async fn reaches(&self, address: SocketAddr) -> bool {
+        if address.port() >= RELAY_PORTS {
+            sleep(STEP).await;
+            return true;
+        }
         let index = usize::from(address.port()) - 1;
         let (reachable, dial_time) = {
-            let world = self.0.borrow();
-            (world[index].reachable, world[index].dial_time)
+            let world = self.world.borrow();
+            let reachable = world[index].reachable && !self.hidden.borrow().contains(&index);
+            (reachable, world[index].dial_time)
         };
         sleep(if reachable { STEP } else { dial_time }).await;
         reachable
@@ -234,7 +258,8 @@
     fn handle(&mut self, text: &str) -> Result<ServerReply, ConnectionError> {
         let mut world = self.world.borrow_mut();
         let server = &mut world[self.index];
-        if !server.reachable || server.restarts != self.restarts || self.broken.get() {
+        let hidden = self.hidden.borrow().contains(&self.index);
+        if hidden || !server.reachable || server.restarts != self.restarts || self.broken.get() {
             self.broken.set(true);
             return Err(ConnectionError::Closed("reset".into()));
         }
@@ -486,7 +511,10 @@
     settings: GatewaySettings,
     servers: &[usize],
 ) -> Rc<Gateway<FakeDialer>> {
-    let dialer = FakeDialer(world.clone());
+    let dialer = FakeDialer {
+        world: world.clone(),
+        hidden: Hidden::default(),
+    };
     let gateway = Gateway::new(name.into(), "z".into(), dialer, seed, settings);
     gateway.configure(configuration(1, &DATABASES), "test");
     for &index in servers {
