Do not acknowledge commits without a listed replica while cut off

A zone that is cut off with its primary went on acknowledging commits when all listed replicas are in other zones. The primary needs a replica, so it can only be one that no node knows yet, and the other zones may replace the primary without it.

Change: a node that is cut off from the other zones and reaches no listed replica tells the caller that the outcome of the commit is unknown. The state of isolation moved to the fleet, which the groups see.

commit_without_a_listed_replica_is_not_acknowledged_while_cut_off gets an acknowledgement before and the unknown outcome now.

--- a/crates/siskinhook-gateway/src/commit_evidence.rs
+++ b/crates/siskinhook-gateway/src/commit_evidence.rs
@@ -89,10 +89,11 @@
     /// Waits until enough listed replicas hold a commit that the primary acknowledged. Returns
     /// whether they do before the deadline.
     pub(crate) async fn is_replicated(&self, point: LogPoint, deadline: Instant) -> bool {
-        // A node that reaches no replica is itself cut off from them, which shows nothing about them.
+        // A node that reaches no replica cannot ask one. The primary may reach them, unless all are
+        // in zones that it is cut off from together with this node.
         let reaches_replica = self.replicas().iter().any(|t| t.outage().is_none());
         if !reaches_replica {
-            return true;
+            return !self.fleet.is_cut_off();
         }
         loop {
             if !self.may_have_unknown_server() || self.is_known_replicated(point) {
--- a/crates/siskinhook-gateway/src/fleet.rs
+++ b/crates/siskinhook-gateway/src/fleet.rs
@@ -14,7 +14,7 @@
 };
 
 use siskinhook_types::{NodeId, ServerId, Zone};
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 
 /// Connections of one holder to one server. Fewer holders use their connections better, because
 /// each queue sees a larger share of the statements.
@@ -61,6 +61,8 @@
     version: Cell<u64>,
     /// Time of the last contact with a server or node of another zone.
     last_contact: Cell<Instant>,
+    /// Whether this node is cut off from the other zones.
+    cut_off: watch::Sender<bool>,
 }
 
 impl Fleet {
@@ -75,6 +77,7 @@
             blocked: RefCell::default(),
             version: Cell::new(1),
             last_contact: Cell::new(Instant::now()),
+            cut_off: watch::Sender::new(false),
         }
     }
 
@@ -111,6 +114,23 @@
         self.last_contact.get()
     }
 
+    /// Sets whether this node is cut off from the other zones. Returns whether the value changed.
+    pub(crate) fn set_cut_off(&self, cut_off: bool) -> bool {
+        self.cut_off
+            .send_if_modified(|known| std::mem::replace(known, cut_off) != cut_off)
+    }
+
+    /// Whether this node is cut off from the other zones.
+    #[must_use]
+    pub fn is_cut_off(&self) -> bool {
+        *self.cut_off.borrow()
+    }
+
+    /// Returns a receiver that tracks whether this node is cut off from the other zones.
+    pub(crate) fn isolation(&self) -> watch::Receiver<bool> {
+        self.cut_off.subscribe()
+    }
+
     /// Records a contact with another zone.
     pub fn record_contact(&self) {
         self.last_contact.set(Instant::now());
--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -65,8 +65,6 @@
     /// When the node stops to serve callers; `None` until it is told to stop.
     stop_time: watch::Sender<Option<Instant>>,
     discovered: Cell<bool>,
-    /// Whether the node is cut off from the other zones.
-    cut_off: watch::Sender<bool>,
     /// When the platform's store last answered about each table that the node follows.
     store_answers: RefCell<IndexMap<&'static str, BootInstant>>,
     random: RefCell<SmallRng>,
@@ -100,7 +98,6 @@
             configured: Notify::new(),
             stop_time: watch::Sender::default(),
             discovered: Cell::default(),
-            cut_off: watch::Sender::new(false),
             store_answers: RefCell::default(),
         })
     }
@@ -289,18 +286,17 @@
 
     /// Sets whether the node is cut off from the other zones. Returns whether the value changed.
     pub(crate) fn set_cut_off(&self, cut_off: bool) -> bool {
-        self.cut_off
-            .send_if_modified(|known| std::mem::replace(known, cut_off) != cut_off)
+        self.fleet.set_cut_off(cut_off)
     }
 
     /// Whether the node is cut off from the other zones.
     pub fn is_cut_off(&self) -> bool {
-        *self.cut_off.borrow()
+        self.fleet.is_cut_off()
     }
 
     /// Returns a receiver that tracks whether the node is cut off from the other zones.
     pub fn isolation(&self) -> watch::Receiver<bool> {
-        self.cut_off.subscribe()
+        self.fleet.isolation()
     }
 
     /// Whether the node leaves the load balancer's rotation: it is cut off, and its zone cannot
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -65,7 +65,7 @@
     /// Wakes statements that wait for a primary.
     pub(crate) topology_changed: Notify,
     pub(crate) dialer: Rc<D>,
-    fleet: Rc<Fleet>,
+    pub(crate) fleet: Rc<Fleet>,
     counters: Rc<Counters>,
 }
 
--- a/crates/siskinhook-gateway/tests/isolation.rs
+++ b/crates/siskinhook-gateway/tests/isolation.rs
@@ -85,6 +85,24 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against an acknowledged commit that only an unknown server holds: the primary is cut off
+/// together with this node from all replicas that are listed, and the other zones may replace it.
+#[tokio::test(start_paused = true)]
+async fn commit_without_a_listed_replica_is_not_acknowledged_while_cut_off() {
+    let test = async {
+        let world = world();
+        let gateway = start(&world, 1);
+        sleep(Duration::from_secs(2)).await;
+        reach(&world, &[1, 2], false);
+        sleep(Duration::from_millis(1500)).await;
+        assert!(gateway.is_cut_off());
+        let mut session = Session::open(&gateway, "strong").expect("the route is known");
+        let answer = ask(&mut session, "WRITE 1 a").await;
+        assert_matches!(answer.result, Err((Refusal::Unknown, _)));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against a node leaving the rotation because it reaches no other node, although it reaches
 /// the servers.
 #[tokio::test(start_paused = true)]
