--- a/crates/siskinhook-gateway/src/commit_evidence.rs
+++ b/crates/siskinhook-gateway/src/commit_evidence.rs
@@ -76,7 +76,7 @@
         let mut listed = Vec::new();
         for target in self.targets.borrow().values() {
             match target.outage() {
-                Some((duration, _)) if !target.is_draining() => {
+                Some((duration, _)) if target.has_answered() && !target.is_draining() => {
                     losses.push(Instant::now() - duration);
                 }
                 Some(_) => {}
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -145,7 +145,7 @@
 impl<D: Dialer, P: Platform, S: Discovery, O: Orders> Controller<D, P, S, O> {
     /// Waits for a wake-up or the next check, and probes servers that are failing.
     async fn wait(&self) {
-        let failing: Vec<Rc<Target<D>>> = self
+        let unreached: Vec<Rc<Target<D>>> = self
             .group
             .targets
             .borrow()
@@ -153,14 +153,22 @@
             .filter(|target| target.outage().is_some() && !target.is_retired())
             .cloned()
             .collect();
+        let (failing, absent): (Vec<_>, Vec<_>) =
+            unreached.into_iter().partition(|target| target.may_exist());
         if failing.is_empty() {
             let limit = if self.replacement_reason().is_some() {
                 PROBE_INTERVAL
             } else {
                 IDLE_CHECK_INTERVAL
             };
-            // On a timeout the group is checked as well.
-            let _ = timeout(limit, self.group.failover_wakeup.notified()).await;
+            let wakeup = timeout(limit, self.group.failover_wakeup.notified());
+            // On a timeout the group is checked as well. A failed probe wakes the controller, so
+            // entries without a server are probed on timeouts only.
+            if wakeup.await.is_err() {
+                for target in absent {
+                    tokio::task::spawn_local(async move { target.probe().await });
+                }
+            }
             return;
         }
         for target in failing {
@@ -290,7 +298,7 @@
     /// servers without one would only stop commits on a primary that other nodes may still reach.
     async fn is_feasible(&self) -> bool {
         let leader = self.group.leader_id();
-        let targets: Vec<Rc<Target<D>>> = self.group.targets.borrow().values().cloned().collect();
+        let targets = self.group.existing_targets();
         let deadline = Instant::now() + REACHABILITY_TIMEOUT;
         let probes: Vec<_> = targets
             .into_iter()
--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -41,8 +41,7 @@
         leader: Option<&ServerId>,
         relayed: &[RelayedTarget<D>],
     ) -> Option<ServerId> {
-        let mut targets: Vec<Rc<Target<D>>> =
-            self.group.targets.borrow().values().cloned().collect();
+        let mut targets = self.group.existing_targets();
         targets.extend(self.group.unlisted());
         let (primaries, replicas): (Vec<_>, Vec<_>) = targets.into_iter().partition(|target| {
             let instance = target.instance.borrow();
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -159,7 +159,10 @@
                 old.retire();
             }
         }
-        if is_primary && !was_primary {
+        // An entry behind which nobody has answered yet may be of another writer.
+        let is_credible =
+            self.leader().is_none() || self.target(&id).is_some_and(|target| target.has_answered());
+        if is_primary && !was_primary && is_credible {
             self.leaderless_since.set(None);
             self.set_leader(
                 Some(id.clone()),
@@ -227,6 +230,13 @@
         replicas.map(|(_, target)| target.clone()).collect()
     }
 
+    /// Returns the listed servers that a replacement has to count on.
+    pub(crate) fn existing_targets(&self) -> Vec<Rc<Target<D>>> {
+        let targets = self.targets.borrow();
+        let existing = targets.values().filter(|target| target.may_exist());
+        existing.cloned().collect()
+    }
+
     /// Returns the servers without an entry that may be alive.
     pub(crate) fn unlisted(&self) -> Vec<Rc<Target<D>>> {
         self.unlisted.borrow().values().cloned().collect()
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -57,6 +57,9 @@
 pub const CONTROL_PRIORITY: u8 = 0;
 /// Idle time after which a direct connection is closed, unless it is the last one.
 const SPARE_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time without an answer after which an entry whose server never answered this node is taken for
+/// one without a server; longer than outages of a path.
+const FIRST_ANSWER_LIMIT: Duration = Duration::from_secs(15);
 /// Weight of a new measurement in the moving average of the latency.
 const LATENCY_WEIGHT: f64 = 0.1;
 /// Assumed latency of a statement before the first measurement.
@@ -112,6 +115,8 @@
     received: Cell<LogPoint>,
     /// When the entry of the server's process was first read.
     listed_at: Cell<Instant>,
+    /// Whether the server ever answered this node.
+    answered: Cell<bool>,
     /// When the server was reachable again after its last outage.
     recovered_at: Cell<Option<Instant>>,
     lagging_until: Cell<Option<Instant>>,
@@ -156,6 +161,7 @@
             led_term: Cell::default(),
             received: Cell::default(),
             listed_at: Cell::new(Instant::now()),
+            answered: Cell::new(false),
             recovered_at: Cell::default(),
             lagging_until: Cell::default(),
             mean_latency: Cell::new(INITIAL_LATENCY_MILLIS),
@@ -224,9 +230,22 @@
         self.listed_at.get()
     }
 
+    /// Whether the server ever answered this node.
+    pub fn has_answered(&self) -> bool {
+        self.answered.get()
+    }
+
+    /// Whether a replacement has to count on the server. An entry behind which nobody ever answered
+    /// may be of another writer, and must not stop replacements for good.
+    pub fn may_exist(&self) -> bool {
+        let unreached = self.outage().map_or(Duration::ZERO, |(time, _)| time);
+        self.has_answered() || unreached < FIRST_ANSWER_LIMIT
+    }
+
     /// Continues the record of the same process, whose entry was gone for some time.
     pub fn resume(&self, former: &Self) {
         self.listed_at.set(former.listed_at.get());
+        self.answered.set(former.answered.get());
         self.record_led_term(former.led_term());
     }
 
@@ -542,9 +561,11 @@
     pub async fn log_end(&self, deadline: Instant) -> Option<LogPoint> {
         // Outside a transaction the server refuses a rollback, and reports the end of its log. A
         // reply that a relay creates by itself has no log position.
-        self.send_control(&ServerOp::Rollback, deadline)
-            .await?
-            .point
+        let reply = self.send_control(&ServerOp::Rollback, deadline).await?;
+        if reply.point.is_some() {
+            self.answered.set(true);
+        }
+        reply.point
     }
 
     /// Sends a control request, ahead of callers' statements. Returns `None` if there is no reply
@@ -577,6 +598,7 @@
 
     /// Records that the server replied.
     pub fn record_success(&self) {
+        self.answered.set(true);
         self.fleet.record_reply_from(&self.instance.borrow().zone);
         let mut health = self.health.get();
         if health.failing_since.take().is_some() {
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -409,3 +409,32 @@
             .await;
     }
 }
+
+/// Guards against a lost primary that is never replaced, because an entry of another writer among
+/// those of the servers names one that does not exist.
+#[tokio::test(start_paused = true)]
+async fn entry_without_a_server_does_not_stop_replacements() {
+    for (seed, role) in SEEDS.zip([Role::Primary, Role::Replica].into_iter().cycle()) {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                world.borrow_mut().push(server(role));
+                world.borrow_mut()[3].reachable = false;
+                let odd = instance(3, role);
+                for node in &replacement.nodes {
+                    node.gateway.discover(odd.clone());
+                    spawn_local(node.gateway.clone().sweep());
+                }
+                sleep(Duration::from_secs(20)).await;
+                assert_eq!(
+                    *replacement.site.orders.seen.borrow(),
+                    [],
+                    "nothing is lost"
+                );
+                replacement.lose_primary().await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
