Let no former process of a server stand in the way of a replacement

Cause: servers restart under new ids. The server that was ordered to lead restarted, so the promotion never took effect. Then the entry of the former primary's process, whose address belongs to another process, counted as a primary that is reached but not demoted, and ended each attempt; its departure and the listed entries of other former processes counted as replicas without a reply (event 2122, 233 times in 30 s). An entry's claim to lead was also ignored although the known primary was gone.

Change: a server whose address belongs to another process is no primary to be demoted. A server that replies has the log that was at its address, so it stands for listed and departed servers there. A claim to lead is ignored only while the known primary answers; if that one is gone, the servers are asked. Writes that wait for an unfinished replacement lead to the next one after two seconds instead of three.

--- a/crates/siskinhook-gateway/src/departures.rs
+++ b/crates/siskinhook-gateway/src/departures.rs
@@ -1,8 +1,8 @@
 //! Replicas that left the group but may have acknowledged commits that are not yet accounted for.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
-use siskinhook_types::{LogPoint, ServerId};
+use siskinhook_types::LogPoint;
 
 use crate::{BootInstant, Departed, Watermark};
 
@@ -15,8 +15,8 @@
 /// left before it.
 #[derive(Clone, Debug)]
 struct Departure {
-    /// The replica; `None` for the start of this process.
-    server: Option<ServerId>,
+    /// Address of the replica; `None` for the start of this process.
+    address: Option<SocketAddr>,
     at: BootInstant,
     /// End of the primary's log at a later time, which includes all that the replica received.
     covered: Option<LogPoint>,
@@ -34,23 +34,23 @@
         self.push(None, at);
     }
 
-    /// Adds the departure of a replica at `at`.
-    pub fn add(&mut self, server: ServerId, at: BootInstant) {
-        self.push(Some(server), at);
+    /// Adds the departure at `at` of the replica at an address.
+    pub fn add(&mut self, address: SocketAddr, at: BootInstant) {
+        self.push(Some(address), at);
     }
 
-    fn push(&mut self, server: Option<ServerId>, at: BootInstant) {
+    fn push(&mut self, address: Option<SocketAddr>, at: BootInstant) {
         let covered = None;
         self.entries.push(Departure {
-            server,
+            address,
             at,
             covered,
         });
     }
 
     /// Removes the departure of a replica that is back with the log that it had.
-    pub fn remove(&mut self, server: &ServerId) {
-        self.entries.retain(|d| d.server.as_ref() != Some(server));
+    pub fn remove(&mut self, address: SocketAddr) {
+        self.entries.retain(|d| d.address != Some(address));
     }
 
     /// Records a watermark of the primary's log for the departures before it.
@@ -69,13 +69,15 @@
     }
 
     /// Returns the departures that the choice of a successor must take into account, and removes
-    /// expired ones. The logs of `reporting` servers are known, so their departures do not count.
-    pub fn departed(&mut self, now: BootInstant, reporting: &[ServerId]) -> Departed {
+    /// expired ones. The logs at `reporting` addresses are known, so departures there do not count: a
+    /// server that restarts under a new id, or takes the place of another, has the log that was at
+    /// its address.
+    pub fn departed(&mut self, now: BootInstant, reporting: &[SocketAddr]) -> Departed {
         self.entries
             .retain(|departure| now.elapsed_since(departure.at) < RETENTION);
         let reports = |departure: &&Departure| {
-            let server = departure.server.as_ref();
-            server.is_some_and(|server| reporting.contains(server))
+            let address = departure.address.as_ref();
+            address.is_some_and(|address| reporting.contains(address))
         };
         let silent: Vec<&Departure> = self.entries.iter().filter(|d| !reports(d)).collect();
         let missing = silent.iter().filter(|d| d.covered.is_none()).count();
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -12,7 +12,7 @@
 mod peers;
 mod stop;
 
-use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use check::answer_checks;
 use lease::Lease;
@@ -55,7 +55,7 @@
 const MAX_ORDER_ATTEMPTS: u32 = 6;
 /// Time for which writes are held back at a primary that answers, after which it is replaced: the
 /// node that had begun to replace it has stopped. A replacement takes less.
-const HELD_LIMIT: Duration = Duration::from_secs(3);
+const HELD_LIMIT: Duration = Duration::from_secs(2);
 /// Time without a known primary after which a server is promoted.
 const LEADERLESS_LIMIT: Duration = Duration::from_millis(1500);
 
@@ -155,7 +155,11 @@
             .collect();
         let (failing, absent): (Vec<_>, Vec<_>) =
             unreached.into_iter().partition(|target| target.may_exist());
-        if failing.is_empty() {
+        let retired_leader = self
+            .group
+            .leader()
+            .is_some_and(|leader| leader.is_retired());
+        if failing.is_empty() && !retired_leader {
             let limit = if self.replacement_reason().is_some() {
                 PROBE_INTERVAL
             } else {
@@ -174,11 +178,7 @@
         for target in failing {
             tokio::task::spawn_local(async move { target.probe().await });
         }
-        if self
-            .group
-            .leader()
-            .is_none_or(|leader| leader.outage().is_some())
-        {
+        if self.group.has_lost_leader() {
             tokio::task::spawn_local(find_leader(self.group.clone()));
         }
         sleep(PROBE_INTERVAL).await;
@@ -300,26 +300,32 @@
         let leader = self.group.leader_id();
         let targets = self.group.existing_targets();
         let deadline = Instant::now() + REACHABILITY_TIMEOUT;
-        let probes: Vec<_> = targets
-            .into_iter()
-            .map(|target| {
-                let is_primary = leader.as_ref() == Some(&target.instance.borrow().id);
-                let task =
-                    tokio::task::spawn_local(async move { target.is_responsive(deadline).await });
-                (is_primary, task)
-            })
-            .collect();
-        let reporting = self.reach_unlisted(deadline).await;
-        let mut unresponsive = self.group.departed(&reporting).missing;
+        let probe = |target: Rc<Target<D>>| {
+            let (is_primary, address) = {
+                let instance = target.instance.borrow();
+                (leader.as_ref() == Some(&instance.id), instance.address)
+            };
+            let task =
+                tokio::task::spawn_local(async move { target.is_responsive(deadline).await });
+            (is_primary, address, task)
+        };
+        let probes: Vec<_> = targets.into_iter().map(probe).collect();
+        let mut reporting = self.reach_unlisted(deadline).await;
+        let mut silent = Vec::new();
         let mut primary = None;
-        for (is_primary, task) in probes {
+        for (is_primary, address, task) in probes {
             if is_primary {
                 primary = Some(task);
+            } else if task.await.unwrap_or(false) {
+                reporting.push(address);
             } else {
                 // A task that was cancelled or panicked counts as a server that did not respond.
-                unresponsive += usize::from(!task.await.unwrap_or(false));
+                silent.push(address);
             }
         }
+        // A server that restarted under a new id has the log that was at its address.
+        silent.retain(|address| !reporting.contains(address));
+        let unresponsive = silent.len() + self.group.departed(&reporting).missing;
         if unresponsive < self.group.sync_replicas.get().max(1) {
             return true;
         }
@@ -329,8 +335,9 @@
         }
     }
 
-    /// Returns the servers without an entry that reply, and forgets those that cannot be reached.
-    async fn reach_unlisted(&self, deadline: Instant) -> Vec<ServerId> {
+    /// Returns the addresses of the servers without an entry that reply, and forgets those that
+    /// cannot be reached.
+    async fn reach_unlisted(&self, deadline: Instant) -> Vec<SocketAddr> {
         let check = |target: Rc<Target<D>>| {
             tokio::task::spawn_local(async move {
                 let responds = target.is_responsive(deadline).await;
@@ -344,9 +351,12 @@
             let Ok((target, responds)) = check.await else {
                 continue;
             };
-            let id = target.instance.borrow().id.clone();
+            let (id, address) = {
+                let instance = target.instance.borrow();
+                (instance.id.clone(), instance.address)
+            };
             if responds {
-                reporting.push(id);
+                reporting.push(address);
             } else if target.outage().is_some() || target.is_retired() {
                 self.group.forget_unlisted(&id);
             }
--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -1,6 +1,6 @@
 //! Pausing of replicas and demotion of the primary before a server is promoted.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{Platform, Role, ServerId, Term};
@@ -97,7 +97,10 @@
             let mut replies = stopped.iter().filter(|reply| reply.server == *server);
             replies.any(|reply| reply.stopped.is_some())
         };
-        let is_running = |target: &Target<D>| target.outage().is_none() && !is_stopped(target);
+        // The address of a retired server belongs to another process.
+        let is_running = |target: &Target<D>| {
+            target.outage().is_none() && !target.is_retired() && !is_stopped(target)
+        };
         let reached_here = reached.iter().any(|target| is_running(target));
         let reached_elsewhere = relayed.iter().any(|r| !is_stopped(&r.target));
         if !reached_here && !reached_elsewhere {
@@ -129,7 +132,7 @@
     /// Returns the departed replicas whose logs are not among the reports.
     fn departed(&self, reports: &[Report]) -> Departed {
         let replied = reports.iter().filter(|report| report.status.is_some());
-        let reporting: Vec<ServerId> = replied.map(|report| report.server.clone()).collect();
+        let reporting: Vec<SocketAddr> = replied.map(|report| report.address).collect();
         self.group.departed(&reporting)
     }
 
@@ -138,7 +141,10 @@
         let term = self.group.term.get() + 1;
         let deadline = Instant::now() + limit;
         let start = |target: &Rc<Target<D>>| {
-            let server = target.instance.borrow().id.clone();
+            let (server, address) = {
+                let instance = target.instance.borrow();
+                (instance.id.clone(), instance.address)
+            };
             let draining = target.is_draining();
             let listed = self.group.target(&server).is_some();
             let (gateway, group) = (self.gateway.clone(), self.group.clone());
@@ -148,6 +154,7 @@
             });
             StopTask {
                 server,
+                address,
                 listed,
                 draining,
                 reply,
@@ -160,6 +167,7 @@
 /// A server that is being stopped.
 struct StopTask {
     server: ServerId,
+    address: SocketAddr,
     listed: bool,
     draining: bool,
     reply: JoinHandle<Option<Stopped>>,
@@ -180,6 +188,7 @@
         };
         stopped.push(StopReply {
             server: task.server,
+            address: task.address,
             listed: task.listed,
             draining: task.draining,
             // A task that was cancelled or panicked counts as a server that did not reply.
@@ -205,6 +214,7 @@
     task.reply.abort();
     stopped.push(StopReply {
         server: task.server,
+        address: task.address,
         listed: task.listed,
         draining: task.draining,
         stopped: Some(Stopped {
@@ -217,6 +227,7 @@
 /// The reply of a server that was asked to stop.
 struct StopReply {
     server: ServerId,
+    address: SocketAddr,
     listed: bool,
     draining: bool,
     /// `None` if the server did not reply.
@@ -244,19 +255,23 @@
 /// Returns a report of each server, also of those that have not replied yet.
 fn reports(replies: &[StopReply], pending: &[StopTask], leader: Option<&ServerId>) -> Vec<Report> {
     let former = former_primary(replies, leader);
-    let report = |server: &ServerId, listed, draining, stopped: Option<&Stopped>| Report {
-        former: Some(server) == former.as_ref(),
-        server: server.clone(),
-        listed,
-        draining,
-        status: stopped.map(|stopped| stopped.status),
-    };
-    let finished = replies
-        .iter()
-        .map(|r| report(&r.server, r.listed, r.draining, r.stopped.as_ref()));
-    let waiting = pending
-        .iter()
-        .map(|task| report(&task.server, task.listed, task.draining, None));
+    let is_former = |server: &ServerId| Some(server) == former.as_ref();
+    let finished = replies.iter().map(|reply| Report {
+        former: is_former(&reply.server),
+        server: reply.server.clone(),
+        address: reply.address,
+        listed: reply.listed,
+        draining: reply.draining,
+        status: reply.stopped.as_ref().map(|stopped| stopped.status),
+    });
+    let waiting = pending.iter().map(|task| Report {
+        former: is_former(&task.server),
+        server: task.server.clone(),
+        address: task.address,
+        listed: task.listed,
+        draining: task.draining,
+        status: None,
+    });
     finished.chain(waiting).collect()
 }
 
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -3,6 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -159,9 +160,10 @@
                 old.retire();
             }
         }
-        // An entry behind which nobody has answered yet may be of another writer.
-        let is_credible =
-            self.leader().is_none() || self.target(&id).is_some_and(|target| target.has_answered());
+        // An entry behind which nobody has answered yet may be of another writer, so it does not
+        // take the place of a primary that answers.
+        let has_answered = self.target(&id).is_some_and(|target| target.has_answered());
+        let is_credible = has_answered || self.has_lost_leader();
         if is_primary && !was_primary && is_credible {
             self.leaderless_since.set(None);
             self.set_leader(
@@ -193,7 +195,7 @@
         if unlisted.instance.borrow().started != instance.started {
             return None;
         }
-        self.departures.borrow_mut().remove(&instance.id);
+        self.departures.borrow_mut().remove(instance.address);
         Some(unlisted)
     }
 
@@ -250,6 +252,7 @@
     /// Removes a server that left the service.
     pub(crate) fn remove(&self, id: &ServerId) {
         let removed = self.targets.borrow_mut().shift_remove(id);
+        let address = removed.as_ref().map(|t| t.instance.borrow().address);
         if let Some(target) = removed {
             self.keep_unlisted(&target);
             if !target.is_draining() {
@@ -271,10 +274,10 @@
                 self.leaderless_since.set(Some(Instant::now()));
             }
             self.set_leader(claimant, "the previous primary was removed");
-        } else {
+        } else if let Some(address) = address {
             self.departures
                 .borrow_mut()
-                .add(id.clone(), BootInstant::now());
+                .add(address, BootInstant::now());
         }
         self.failover_wakeup.notify_one();
     }
@@ -315,6 +318,12 @@
             && targets.values().filter(usable).count() > self.sync_replicas.get()
     }
 
+    /// Whether no primary is known, or the known one is not reached or no longer exists.
+    pub(crate) fn has_lost_leader(&self) -> bool {
+        self.leader()
+            .is_none_or(|leader| leader.outage().is_some() || leader.is_retired())
+    }
+
     /// Returns the id of the server that this node regards as the primary.
     #[must_use]
     pub fn leader_id(&self) -> Option<ServerId> {
@@ -396,8 +405,8 @@
     }
 
     /// Returns the departed replicas that the choice of a successor must take into account, apart
-    /// from `reporting` servers, whose logs are known.
-    pub(crate) fn departed(&self, reporting: &[ServerId]) -> Departed {
+    /// from those at `reporting` addresses, where the logs are known.
+    pub(crate) fn departed(&self, reporting: &[SocketAddr]) -> Departed {
         let now = BootInstant::now();
         self.departures.borrow_mut().departed(now, reporting)
     }
--- a/crates/siskinhook-gateway/src/successor.rs
+++ b/crates/siskinhook-gateway/src/successor.rs
@@ -1,5 +1,7 @@
 //! Choice of the server that succeeds a primary.
 
+use std::net::SocketAddr;
+
 use siskinhook_types::{LogPoint, ServerId};
 
 use crate::ReplicationStatus;
@@ -9,6 +11,8 @@
 pub struct Report {
     /// Id of the server.
     pub server: ServerId,
+    /// Address of the server.
+    pub address: SocketAddr,
     /// Whether it is the primary that is being replaced.
     pub former: bool,
     /// Whether its entry is in the list of servers.
@@ -41,6 +45,9 @@
 /// primary. Its log counts like those of the others, but it is chosen only if no listed server has
 /// them all, since no caller reaches it. One that does not reply has departed.
 ///
+/// A server that does not reply does not count as missing if another one replies at its address: a
+/// server that restarted under a new id has the log that was there.
+///
 /// A departed replica counts as missing: a primary that is cut off together with a leaving replica
 /// keeps acknowledging commits that no other server has.
 #[must_use]
@@ -51,9 +58,13 @@
 ) -> Option<ServerId> {
     let responded = |report: &&Report| report.status.is_some();
     let log_end = |report: &Report| report.status.map_or(LogPoint::default(), |s| s.received);
+    let is_replaced = |report: &Report| {
+        let mut responding = reports.iter().filter(responded);
+        responding.any(|other| other.address == report.address)
+    };
     let unresponsive = reports
         .iter()
-        .filter(|r| r.listed && !r.former && r.status.is_none())
+        .filter(|r| r.listed && !r.former && r.status.is_none() && !is_replaced(r))
         .count();
     let needed = if unresponsive + departed.missing < sync_replicas.max(1) {
         reports
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -9,7 +9,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use serde_json::json;
-use siskinhook_gateway::{Gateway, Peer, Relay, RelayedRequest, Session, TargetCode};
+use siskinhook_gateway::{Gateway, Instance, Peer, Relay, RelayedRequest, Session, TargetCode};
 use siskinhook_types::Role;
 use support::{FakeDialer, RELAY_PORTS, ask, clock, crash, instance, restart, server, site::Site};
 use tokio::{
@@ -438,3 +438,40 @@
             .await;
     }
 }
+
+/// Guards against a replacement that waits for the demotion of a server which no longer exists: the
+/// primary restarted under a new id, and its entry under the old one says that it leads.
+#[tokio::test(start_paused = true)]
+async fn former_entry_of_a_restarted_primary_does_not_delay_its_replacement() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                crash(world, 0);
+                world.borrow_mut()[0].id = Some("s0b".into());
+                restart(world, 0);
+                let restarted = Instance {
+                    id: "s0b".into(),
+                    started: 2,
+                    ..instance(0, Role::Primary)
+                };
+                for node in &replacement.nodes {
+                    node.gateway.discover(restarted.clone());
+                }
+                sleep(Duration::from_secs(1)).await;
+                let leaving = Instance {
+                    draining: true,
+                    sequence: 2,
+                    ..restarted
+                };
+                for node in &replacement.nodes {
+                    node.gateway.discover(leaving.clone());
+                }
+                sleep(Duration::from_millis(1500)).await;
+                assert_eq!(replacement.site.orders.seen.borrow().len(), 1);
+                replacement.check().await;
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/successor.rs
+++ b/crates/siskinhook-gateway/tests/successor.rs
@@ -1,6 +1,6 @@
 //! Tests of the pure functions: choice of a successor, and log watermarks.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use proptest::prelude::*;
 use siskinhook_gateway::{
@@ -9,9 +9,16 @@
 };
 use siskinhook_types::{LogPoint, Role};
 
+/// Returns an address that differs between names of one letter.
+fn address(name: &str) -> SocketAddr {
+    let port = name.bytes().map(u16::from).sum();
+    ([127, 0, 0, 1], port).into()
+}
+
 fn report(server: &str, former: bool, draining: bool, end: Option<u64>) -> Report {
     Report {
         server: server.into(),
+        address: address(server),
         former,
         listed: true,
         draining,
@@ -92,6 +99,22 @@
     assert_eq!(choose(&reports).as_deref(), Some("a"), "it has departed");
 }
 
+/// Guards against a replacement that waits for a server which has restarted under a new id, until the
+/// entry under the old id is gone.
+#[test]
+fn restarted_server_replaces_its_former_process() {
+    let mut reports = [
+        report("p", true, false, None),
+        report("a", false, false, Some(7)),
+        report("b", false, false, None),
+        report("c", false, false, Some(8)),
+    ];
+    let choose = |reports: &[Report]| choose_successor(reports, 1, Departed::default());
+    assert_eq!(choose(&reports), None, "another address");
+    reports[3].address = reports[2].address;
+    assert_eq!(choose(&reports).as_deref(), Some("c"));
+}
+
 /// Guards against preferring a draining server to one that stays.
 #[test]
 fn staying_server_is_preferred_among_equal_logs() {
@@ -187,7 +210,7 @@
     let at = |millis| BootInstant::from_boot(Duration::from_millis(millis));
     let mut departures = Departures::default();
     departures.record_watermark(watermark(500, 1, 815));
-    departures.add("c".into(), at(1000));
+    departures.add(address("c"), at(1000));
     let departed = departures.departed(at(1100), &[]);
     assert_eq!(
         departed,
@@ -204,7 +227,7 @@
         Some("a")
     );
     assert_eq!(
-        departures.departed(at(1300), &["c".into()]),
+        departures.departed(at(1300), &[address("c")]),
         Departed::default(),
         "its log is known"
     );
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -41,6 +41,8 @@
     /// End of the received log; a replica applies it only when it is promoted.
     pub received: u64,
     pub paused_term: Term,
+    /// Id under which the server restarted; `None` for the one that its number gives.
+    pub id: Option<ServerId>,
     /// Number of restarts, each of which breaks the server's connections.
     pub restarts: u32,
     /// Number of replicas that must have received a commit before it is acknowledged.
@@ -79,6 +81,7 @@
         position: 10,
         received: 10,
         paused_term: 0,
+        id: None,
         restarts: 0,
         sync_replicas: 0,
         acknowledged: 0,
@@ -203,6 +206,9 @@
         }
         sleep(STEP).await;
         let mut world = self.world.borrow_mut();
+        if world[index].id.as_ref().is_some_and(|id| id != server) {
+            return Err(ConnectionError::Refused(TargetCode::Misrouted));
+        }
         if world[index].open >= world[index].cap {
             return Err(ConnectionError::Refused(TargetCode::TooMany));
         }
