--- a/crates/siskinhook-gateway/src/counters.rs
+++ b/crates/siskinhook-gateway/src/counters.rs
@@ -62,7 +62,7 @@
     retries, "siskinhook_gateway_retries_total", "Attempts after the first one of a statement.";
     lagging, "siskinhook_gateway_lagging_total", "Attempts at a replica that lacked the position.";
     primary_checks, "siskinhook_gateway_proofs_total", "Questions to a primary whether it still leads.";
-    confirmations, "siskinhook_gateway_confirmations_total", "Questions to a replica whether it was paused for a promotion.";
+    confirmations, "siskinhook_gateway_confirmations_total", "Questions to a replica whether it was paused for a promotion, or holds a commit.";
     dials, "siskinhook_gateway_dials_total", "Connections to servers that were opened.";
     promotions, "siskinhook_gateway_promotions_total", "Promotions that this node ordered.";
     store_calls, "siskinhook_gateway_store_calls_total", "Calls to the platform's store.";
