Ask older connections before the lease row is read for a write

Cause: under load a holder opens connections one after another, and the first write on each had the row read, although an older connection proves a moment later that the process has been running all the time.

Change: such a write waits up to 40 ms for an answer on an older connection before the row is read.

The rest of the calls are readings after restarts of nodes.

--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -205,6 +205,12 @@
         self.retired.get()
     }
 
+    /// Whether this node has more than one open connection to the server.
+    pub fn is_shared(&self) -> bool {
+        let pool = self.pool.borrow();
+        pool.open - pool.dialing > 1
+    }
+
     /// Records that the server led `term`.
     pub fn record_led_term(&self, term: Term) {
         self.led_term.set(self.led_term.get().max(term));
--- a/crates/siskinhook-gateway/src/write_admission.rs
+++ b/crates/siskinhook-gateway/src/write_admission.rs
@@ -10,7 +10,7 @@
 use siskinhook_types::Role;
 use tokio::{
     sync::Notify,
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
 use crate::{
@@ -24,6 +24,12 @@
 /// waits; many times their usual latency.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time for which a write on a new connection waits for an answer on an older one; the time of a few
+/// statements.
+const CONTACT_WAIT: Duration = Duration::from_millis(40);
+/// Interval at which such a write looks for the answer.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(8);
+
 /// State of a group's admission of writes.
 #[derive(Default)]
 pub struct WriteAdmission {
@@ -77,6 +83,17 @@
         let Some(target) = leased.target() else {
             return true;
         };
+        let mut running_since = running_since;
+        let contact_limit = deadline.min(Instant::now() + CONTACT_WAIT);
+        // An older connection that answers shows that the process has been running for longer. That
+        // spares a reading of the row for each connection opened under load.
+        while !admission.permits(target, running_since)
+            && target.is_shared()
+            && Instant::now() + CONTACT_INTERVAL < contact_limit
+        {
+            sleep(CONTACT_INTERVAL).await;
+            running_since = leased.running_since().unwrap_or(running_since);
+        }
         let permitted = admission.permits(target, running_since)
             || self
                 .check_replacement(admission, target, running_since, deadline)
