--- a/crates/siskinhook-gateway/tests/failover.rs
+++ b/crates/siskinhook-gateway/tests/failover.rs
@@ -301,7 +301,7 @@
 
 /// Guards against a draining primary that is not replaced before it stops.
 #[tokio::test(start_paused = true)]
-async fn leaving_primary_is_replaced() {
+async fn draining_primary_is_replaced() {
     for seed in SEEDS {
         LocalSet::new()
             .run_until(async {
