Log why an answer of the store is late

Event 1009 and a gauge show how late the event loop wakes its tasks; the tick that closes idle connections measures it, so no wake-up is added. No decision changes.

--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -28,6 +28,9 @@
 /// 690 databases replaces far fewer servers in the seconds that a restore goes back.
 const MAX_REPORTS: usize = 8192;
 
+/// Delay of the event loop from which it is logged: a quarter of the shortest call timeout.
+const LATE_LOOP: Duration = Duration::from_millis(200);
+
 /// Settings of a gateway.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct GatewaySettings {
@@ -67,6 +70,8 @@
     discovered: Cell<bool>,
     /// When the platform's store last answered about each table that the node follows.
     store_answers: RefCell<IndexMap<&'static str, BootInstant>>,
+    /// How late the event loop last woke a task whose time had come.
+    loop_delay: Cell<Duration>,
     random: RefCell<SmallRng>,
 }
 
@@ -99,6 +104,7 @@
             stop_time: watch::Sender::default(),
             discovered: Cell::default(),
             store_answers: RefCell::default(),
+            loop_delay: Cell::default(),
         })
     }
 
@@ -259,6 +265,7 @@
     /// Returns all metrics of the node in the text format of Prometheus.
     pub fn metrics(&self) -> String {
         const NAME: &str = "siskinhook_gateway_store_silence_seconds";
+        const DELAY: &str = "siskinhook_gateway_loop_delay_seconds";
         let mut text = self.counters.text();
         // Writing to a String cannot fail.
         let _ = writeln!(
@@ -269,6 +276,11 @@
             let seconds = self.store_silence(table).as_secs_f64();
             let _ = writeln!(text, "{NAME}{{table=\"{table}\"}} {seconds:.3}");
         }
+        let _ = writeln!(
+            text,
+            "# HELP {DELAY} How late the event loop last woke a task.\n# TYPE {DELAY} gauge\n{DELAY} {:.3}",
+            self.loop_delay.get().as_secs_f64()
+        );
         text
     }
 
@@ -360,12 +372,24 @@
         }
     }
 
+    /// Records how late a task was woken.
+    fn record_loop_delay(&self, delay: Duration) {
+        self.loop_delay.set(delay);
+        if delay >= LATE_LOOP {
+            event!(
+                Event::LoopLate, delay = delay.as_millis();
+                "a task was woken late: the process did not run, or another task kept the thread"
+            );
+        }
+    }
+
     /// Closes idle connections periodically; runs until dropped.
     pub async fn sweep(self: Rc<Self>) {
         let mut ticks = interval(SWEEP_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
+            let due = ticks.tick().await;
+            self.record_loop_delay(due.elapsed());
             for group in self.groups() {
                 for target in group.targets.borrow().values() {
                     target.sweep();
--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -92,6 +92,9 @@
     NodePaused = 1008, Warn, "node_paused",
         "The node did not run for longer than the suspicion timeout, or others held it dead; it gave up its servers.",
         "Nothing; it takes servers again once it has heard from others. Look for overload or migration of the VM if it repeats.";
+    LoopLate = 1009, Warn, "loop_late",
+        "The event loop woke a task late; answers that arrived meanwhile were not read.",
+        "Look for a suspended or overloaded VM; timeouts logged at the same time may have the same cause.";
     EndpointEnded = 1010, Error, "endpoint_ended",
         "The endpoint of metrics and readiness ended.",
         "Restart the node; the load balancer takes it for not ready.";
@@ -265,6 +268,9 @@
     StoreRestored = 5012, Warn, "store_restored",
         "The platform's store came back from an older copy; what was written since the copy is gone.",
         "Check who restored it and why.";
+    AnswerSlow = 5013, Info, "answer_slow",
+        "The platform's store answered slowly, or repeated a row that later changes replace.",
+        "A late first byte points at the store, a long transfer at the link, `superseded` at a node that is behind.";
     EditAccepted = 6001, Info, "edit_accepted",
         "An edit of the catalogue was accepted.",
         "Nothing.";
