Soak: deliver large configurations from a slow store

The soak's store answered every read at once and returned only the latest change of each row, so no run met nodes that give up answers that are under way, or that read every version between.

The store now has a pace: answers to reads take turns, which are used up even if nobody reads them, and pass a link of limited bandwidth. Its feed returns every change after a version, in order. It counts answers and bytes for each node and table. The configuration may have further routes. A second test starts 24 nodes against the paced store, adds 1,400 routes, then one route every 2 s, then a storm beside an outage, and checks that each node serves each route in time. The two tests run one after another.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -318,12 +318,35 @@
     session.query(history, id, "WRITE 3 z").await == CallerOutcome::Done
 }
 
+/// A node's answer to the start of a session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StartAnswer {
+    Ready,
+    /// The node has no route for the database.
+    UnknownDatabase,
+    /// The node refuses the session for another reason.
+    Refused,
+    /// The node closed the connection or did not answer in time.
+    Missing,
+}
+
+/// Starts a session and returns the node's answer.
+pub async fn start_session(node: SocketAddr, database: &Database) -> StartAnswer {
+    let Some((_, answer)) = Session::start(node, database).await else {
+        return StartAnswer::Missing;
+    };
+    match answer.split(' ').nth(1) {
+        Some("I") => StartAnswer::Ready,
+        Some("NODB") => StartAnswer::UnknownDatabase,
+        _ => StartAnswer::Refused,
+    }
+}
+
 /// Returns whether a node has a route for a database; `None` if it gives no answer or does not know.
 pub async fn knows_route(node: SocketAddr, database: &Database) -> Option<bool> {
-    let (_, answer) = Session::start(node, database).await?;
-    match answer.split(' ').nth(1) {
-        Some("I") => Some(true),
-        Some("NODB") => Some(false),
-        _ => None,
+    match start_session(node, database).await {
+        StartAnswer::Ready => Some(true),
+        StartAnswer::UnknownDatabase => Some(false),
+        StartAnswer::Refused | StartAnswer::Missing => None,
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,13 +3,17 @@
 //! guarantees to callers against what callers and servers observe.
 //!
 //! `SOAK_SEEDS=100-149 SOAK_SECONDS=20 SOAK_NODES=6 cargo test --release --test soak` runs
-//! other seeds. The logs of the nodes stay in `target/tmp/soak/SEED`.
+//! other seeds. The logs of the nodes stay in `target/tmp/soak/SEED`. `SOAK_ROUTES=1400` makes the
+//! configuration large. `SOAK_NODES=72 SOAK_ANSWER_MS=14` sets the number of nodes and the time that
+//! the store takes for an answer where large configurations are delivered.
 
 mod callers;
+mod configuration_delivery;
 mod faults;
 mod history;
 mod nodes;
 mod operator;
+mod pace;
 mod proxy;
 mod servers;
 mod store;
@@ -17,7 +21,7 @@
 use std::{
     fs,
     path::{Path, PathBuf},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
     time::Duration,
 };
 
@@ -26,6 +30,7 @@
 use history::{Freshness, History};
 use nodes::Node;
 use operator::{FIRST_VERSION, configuration};
+use pace::PaceSettings;
 use proxy::{FaultProxy, Link};
 use rustix::process::Signal;
 use servers::Servers;
@@ -57,6 +62,27 @@
 /// Time for which the store answers no node before the faults end.
 const FINAL_SILENCE: Duration = Duration::from_millis(1500);
 
+/// Held while a test runs its site, as the sites would disturb each other.
+static SITE: Mutex<()> = Mutex::new(());
+
+/// Settings of the site under test.
+struct SoakSettings {
+    nodes: usize,
+    /// Number of routes beside those that callers use.
+    routes: usize,
+    pace: PaceSettings,
+}
+
+impl Default for SoakSettings {
+    fn default() -> Self {
+        Self {
+            nodes: 4,
+            routes: 0,
+            pace: PaceSettings::default(),
+        }
+    }
+}
+
 /// The site under test in one run.
 struct Soak {
     seed: u64,
@@ -70,15 +96,21 @@
     databases: Vec<Database>,
     /// Version of the configuration that was written last.
     config_version: Mutex<u64>,
+    /// Number of routes of the next configuration beside those that callers use.
+    further_routes: AtomicUsize,
 }
 
 fn env_number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
 
-fn seeds() -> Vec<u64> {
+fn env_size(name: &str) -> Option<usize> {
+    env_number(name).and_then(|number| usize::try_from(number).ok())
+}
+
+fn seeds(default: &[u64]) -> Vec<u64> {
     let Ok(text) = std::env::var("SOAK_SEEDS") else {
-        return DEFAULT_SEEDS.to_vec();
+        return default.to_vec();
     };
     let (first, last) = text.split_once('-').unwrap_or((&text, &text));
     let parse = |text: &str| text.parse().expect("SOAK_SEEDS is FIRST-LAST");
@@ -108,14 +140,15 @@
 }
 
 impl Soak {
-    async fn start(seed: u64, directory: &Path) -> Arc<Self> {
-        let nodes = env_number("SOAK_NODES").map_or(4, |n| usize::try_from(n).unwrap_or(4));
+    async fn start(seed: u64, directory: &Path, settings: SoakSettings) -> Arc<Self> {
+        let nodes = settings.nodes;
         let history = Arc::new(History::default());
         let store = Store::new(nodes);
+        store.pace.set(settings.pace);
         let names = service_names();
         let servers = Servers::start(&names, &ZONES, history.clone(), store.clone()).await;
         let databases = databases();
-        let first = configuration(FIRST_VERSION, &databases);
+        let first = configuration(FIRST_VERSION, &databases, settings.routes);
         store.put("op", "config", Some(first));
         let mut node_proxies = Vec::new();
         let mut started = Vec::new();
@@ -147,6 +180,7 @@
             node_proxies,
             databases,
             config_version: Mutex::new(FIRST_VERSION),
+            further_routes: AtomicUsize::new(settings.routes),
         })
     }
 
@@ -313,13 +347,25 @@
     }
 }
 
-/// Runs one seed and returns the violations.
-async fn run(seed: u64, fault_window: Duration) -> Vec<String> {
-    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak/{seed}"));
+/// Returns an empty directory for the logs of a run.
+fn log_directory(name: &str) -> PathBuf {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     // Removes the logs of an earlier run, if there are any.
     let _ = fs::remove_dir_all(&directory);
     fs::create_dir_all(&directory).expect("the target directory is writable");
-    let soak = Soak::start(seed, &directory).await;
+    directory
+}
+
+/// Runs one seed and returns the violations.
+async fn run(seed: u64, fault_window: Duration) -> Vec<String> {
+    let directory = log_directory(&format!("soak/{seed}"));
+    let defaults = SoakSettings::default();
+    let settings = SoakSettings {
+        nodes: env_size("SOAK_NODES").unwrap_or(defaults.nodes),
+        routes: env_size("SOAK_ROUTES").unwrap_or(defaults.routes),
+        ..defaults
+    };
+    let soak = Soak::start(seed, &directory, settings).await;
     soak.await_service("start").await;
     let (stop, stop_receiver) = watch::channel(false);
     let mut callers = JoinSet::new();
@@ -367,18 +413,18 @@
     soak.history.violations()
 }
 
-/// Guards against violations of any guarantee to callers when faults overlap.
-#[test]
-fn guarantees_hold_under_faults() {
+/// Runs seeds one after another and fails if one finds a violation.
+fn run_seeds<F: Future<Output = Vec<String>>>(default: &[u64], run: impl Fn(u64) -> F) {
+    // Poisoned if another test failed.
+    let _site = SITE.lock().unwrap_or_else(PoisonError::into_inner);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
         .build()
         .expect("a runtime");
-    let fault_window = env_number("SOAK_SECONDS").map_or(DEFAULT_FAULT_WINDOW, Duration::from_secs);
     let mut violations = Vec::new();
-    for seed in seeds() {
-        let found = runtime.block_on(run(seed, fault_window));
+    for seed in seeds(default) {
+        let found = runtime.block_on(run(seed));
         for text in &found {
             println!("seed {seed}: {text}");
         }
@@ -390,3 +436,20 @@
         violations.len()
     );
 }
+
+/// Guards against violations of any guarantee to callers when faults overlap.
+#[test]
+fn guarantees_hold_under_faults() {
+    let fault_window = env_number("SOAK_SECONDS").map_or(DEFAULT_FAULT_WINDOW, Duration::from_secs);
+    run_seeds(&DEFAULT_SEEDS, |seed| run(seed, fault_window));
+}
+
+/// Guards against nodes that never receive a large configuration, or never become ready, because
+/// they give up calls whose answers are under way.
+#[test]
+fn large_configuration_is_served_at_every_node_by_a_slow_store() {
+    run_seeds(
+        &configuration_delivery::DEFAULT_SEEDS,
+        configuration_delivery::run,
+    );
+}
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -1,7 +1,11 @@
 //! The operator: writes configurations, each with one more route than the one before, and checks
 //! that the nodes follow.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use tokio::{
     sync::watch,
@@ -9,7 +13,7 @@
 };
 
 use crate::{
-    Soak,
+    GROUP_COUNT, Soak,
     callers::{Database, MAX_STALENESS, knows_route},
     history::Freshness,
     servers::MAX_CONNECTIONS,
@@ -29,7 +33,7 @@
 const CONFIGURATION_BOUND: Duration = Duration::from_secs(15);
 
 /// Returns the database whose route the configuration of a version adds.
-fn added_database(version: u64) -> Database {
+pub fn added_database(version: u64) -> Database {
     Database {
         name: format!("added{version}"),
         group: 0,
@@ -37,8 +41,17 @@
     }
 }
 
-/// Encodes the configuration of a version.
-pub fn configuration(version: u64, databases: &[Database]) -> String {
+/// Returns a database of a site with many routes, to which no caller connects.
+fn further_database(number: usize) -> Database {
+    Database {
+        name: format!("tenant-{number:04}.reporting.site.internal"),
+        group: number % GROUP_COUNT,
+        freshness: Freshness::Own(MAX_STALENESS),
+    }
+}
+
+/// Encodes the configuration of a version, with `routes` routes beside those that callers use.
+pub fn configuration(version: u64, databases: &[Database], routes: usize) -> String {
     let services = service_names();
     let step = usize::try_from(VERSION_STEP).expect("a small step");
     let added = (FIRST_VERSION..=version).step_by(step).map(added_database);
@@ -49,13 +62,15 @@
             Freshness::Own(_) => "read_your_writes",
         };
         serde_json::json!({
-            "name": database.name, "host": database.name, "kind": kind, "timeout_ms": 1500,
+            "name": format!("route-{}", database.name), "host": database.name,
+            "kind": kind, "timeout_ms": 1500,
             "latency_slo_ms": 100, "priority": 1, "service": services[database.group],
             "max_staleness_ms": MAX_STALENESS.as_millis(),
         })
     };
     let service = |name: &String| serde_json::json!({"name": name, "max_conns": MAX_CONNECTIONS, "sync_replicas": 1});
-    let databases = databases.iter().cloned().chain(added);
+    let further = (0..routes).map(further_database);
+    let databases = databases.iter().cloned().chain(added).chain(further);
     serde_json::json!({
         "version": version, "limits": {"tx_idle_ms": 2000},
         "routes": databases.map(route).collect::<Vec<_>>(),
@@ -69,7 +84,8 @@
     pub fn reconfigure(&self) -> u64 {
         let mut version = self.config_version();
         *version += VERSION_STEP;
-        let text = configuration(*version, &self.databases);
+        let routes = self.further_routes.load(Ordering::Relaxed);
+        let text = configuration(*version, &self.databases, routes);
         self.store.put("op", "config", Some(text));
         *version
     }
@@ -129,7 +145,7 @@
     }
 
     /// Returns the address of a node for callers, and the number of its process.
-    fn process(&self, node: usize) -> (SocketAddr, u32) {
+    pub fn process(&self, node: usize) -> (SocketAddr, u32) {
         let mut process = None;
         self.with_node(node, |node| {
             process = Some((node.caller_address, node.starts));
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -2,7 +2,7 @@
 //! port of its own, so that faults can affect single nodes.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     convert::Infallible,
     net::SocketAddr,
     sync::{
@@ -13,10 +13,9 @@
 };
 
 use base64::{Engine as _, prelude::BASE64_STANDARD};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, header::HeaderValue, server::conn::http1,
+    Request, StatusCode, body::Incoming, header::HeaderValue, server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
@@ -28,7 +27,10 @@
     time::{sleep, timeout},
 };
 
-use crate::servers::Servers;
+use crate::{
+    pace::{HttpResponse, Pace, response},
+    servers::Servers,
+};
 
 /// Number of changes that are kept for feeds.
 const MAX_CHANGES: usize = 500;
@@ -52,16 +54,26 @@
 
 #[derive(Clone)]
 struct Row {
-    value: String,
+    value: Arc<str>,
+    version: u64,
+}
+
+/// A change of a row.
+#[derive(Clone)]
+struct Change {
+    table: String,
+    key: String,
     version: u64,
+    /// The row as of this change; `None` if the change removed it.
+    row: Option<Row>,
 }
 
 #[derive(Clone, Default)]
 struct Tables {
     rows: BTreeMap<(String, String), Row>,
     version: u64,
-    /// Version, table and key of each change, oldest first.
-    changes: Vec<(u64, String, String)>,
+    /// Oldest first.
+    changes: VecDeque<Change>,
     /// Feeds that continue from a version below this one are refused, as changes after it are gone.
     truncated_version: u64,
 }
@@ -80,14 +92,8 @@
     /// Notified when a row changes or the change history is dropped.
     changed: Notify,
     started: Instant,
-}
-
-type HttpResponse = Response<Full<Bytes>>;
-
-fn response(status: StatusCode, body: &Value) -> HttpResponse {
-    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
-    *response.status_mut() = status;
-    response
+    /// Speed of the answers to reads.
+    pub pace: Arc<Pace>,
 }
 
 fn query_parameters(query: &str) -> HashMap<String, String> {
@@ -106,6 +112,7 @@
             proxy_addresses: Mutex::new(vec![HashMap::new(); nodes]),
             changed: Notify::new(),
             started: Instant::now(),
+            pace: Pace::new(nodes),
         })
     }
 
@@ -145,9 +152,9 @@
             .cloned()
             .collect();
         for key in keys.into_iter().filter(is_foreign) {
-            let value = lost.rows.get(&key).map(|row| row.value.clone());
-            if value.as_ref() != tables.rows.get(&key).map(|row| &row.value) {
-                tables.put(&key.0, &key.1, value);
+            let value = lost.rows.get(&key).map(|row| &row.value);
+            if value != tables.rows.get(&key).map(|row| &row.value) {
+                tables.put(&key.0, &key.1, value.map(ToString::to_string));
             }
         }
         self.era.fetch_add(1, Ordering::Relaxed);
@@ -201,7 +208,7 @@
     /// Answers a request of a node in the current history. A call that waits while the store goes
     /// back to a copy is lost.
     async fn call(
-        &self,
+        self: &Arc<Self>,
         node: usize,
         servers: &Arc<Servers>,
         request: Request<Incoming>,
@@ -218,7 +225,7 @@
 
     /// Answers a request of a node, subject to the current fault.
     async fn answer(
-        &self,
+        self: &Arc<Self>,
         node: usize,
         servers: &Arc<Servers>,
         request: Request<Incoming>,
@@ -246,7 +253,12 @@
             _ => {}
         }
         let result = match path.as_str() {
-            "/rows-get" => self.read_rows(node, &query),
+            "/rows-get" => {
+                let store = self.clone();
+                let table = query.get("table").cloned().unwrap_or_default();
+                let read = move || store.read_rows(node, &query);
+                self.pace.serve(node, table, read).await
+            }
             "/rows-feed" => self.feed(node, &query).await,
             "/rows-tx" => self.write_rows(&body),
             "/promote" => self.promote(node, servers, &body, &holder, &token).await,
@@ -333,7 +345,7 @@
         let Some(row) = row else {
             return json!({"table": table, "part": "", "key": key, "row_version": version, "tombstone": true});
         };
-        let mut value = row.value.clone();
+        let mut value = row.value.to_string();
         if table == "servers" {
             let proxy_addresses = self
                 .proxy_addresses
@@ -349,8 +361,9 @@
         json!({"table": table, "part": "", "key": key, "value": value, "row_version": version})
     }
 
-    /// Waits until rows of a table change after a version, and returns them.
-    async fn feed(&self, node: usize, query: &HashMap<String, String>) -> HttpResponse {
+    /// Waits until rows of a table change after a version, and returns the changes. An answer
+    /// without changes takes no turn.
+    async fn feed(self: &Arc<Self>, node: usize, query: &HashMap<String, String>) -> HttpResponse {
         let parameter = |name: &str| query.get(name).cloned().unwrap_or_default();
         let table = parameter("table");
         let after: u64 = parameter("after").parse().unwrap_or_default();
@@ -358,28 +371,33 @@
         let deadline = Instant::now() + wait;
         loop {
             let change = self.changed.notified();
-            {
-                let tables = self.tables();
-                if after < tables.truncated_version || after > tables.version {
-                    return response(StatusCode::GONE, &Value::Null);
-                }
-                let changed = tables.changed_since(&table, after);
-                let left = deadline.saturating_duration_since(Instant::now());
-                if !changed.is_empty() || left.is_zero() {
-                    let encode = |(key, version): (&String, u64)| {
-                        let row = tables.rows.get(&(table.clone(), key.clone()));
-                        self.encode_row(node, &table, key, row, version)
-                    };
-                    let rows: Vec<Value> = changed.into_iter().map(encode).collect();
-                    let version = tables.version;
-                    let body =
-                        json!({"rows": rows, "row_version": version, "now_ms": self.now_ms()});
-                    return response(StatusCode::OK, &body);
-                }
+            if self.tables().has_changed(&table, after) {
+                let (store, name) = (self.clone(), table.clone());
+                let read = move || store.read_changes(node, &name, after);
+                return self.pace.serve(node, table, read).await;
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return self.read_changes(node, &table, after);
             }
             // When the wait times out, the deadline is checked again.
-            let _ = timeout(deadline.saturating_duration_since(Instant::now()), change).await;
+            let _ = timeout(left, change).await;
+        }
+    }
+
+    /// Returns every change of a table after a version, in order.
+    fn read_changes(&self, node: usize, table: &str, after: u64) -> HttpResponse {
+        let tables = self.tables();
+        if !tables.is_known(after) {
+            return response(StatusCode::GONE, &Value::Null);
         }
+        let encode = |change: &Change| {
+            let row = change.row.as_ref();
+            self.encode_row(node, table, &change.key, row, change.version)
+        };
+        let rows: Vec<Value> = tables.changes_since(table, after).map(encode).collect();
+        let body = json!({"rows": rows, "row_version": tables.version, "now_ms": self.now_ms()});
+        response(StatusCode::OK, &body)
     }
 
     /// Carries out a transaction if all rows have the expected versions.
@@ -423,25 +441,40 @@
         self.version += 1;
         let version = self.version;
         let row_key = (table.to_string(), key.to_string());
-        match value {
-            Some(value) => {
-                self.rows.insert(row_key, Row { value, version });
-            }
-            None => {
-                self.rows.remove(&row_key);
-            }
-        }
-        self.changes.push((version, table.into(), key.into()));
-        if self.changes.len() > MAX_CHANGES {
-            self.truncated_version = self.changes.remove(0).0;
+        let row = value.map(|value| Row {
+            value: value.into(),
+            version,
+        });
+        match &row {
+            Some(row) => self.rows.insert(row_key, row.clone()),
+            None => self.rows.remove(&row_key),
+        };
+        self.changes.push_back(Change {
+            table: table.into(),
+            key: key.into(),
+            version,
+            row,
+        });
+        if self.changes.len() > MAX_CHANGES
+            && let Some(dropped) = self.changes.pop_front()
+        {
+            self.truncated_version = dropped.version;
         }
     }
 
-    /// Returns the keys of a table that changed after a version, each with the version of its last
-    /// change.
-    fn changed_since(&self, table: &str, after: u64) -> BTreeMap<&String, u64> {
+    /// Returns whether all changes after a version are still kept.
+    fn is_known(&self, version: u64) -> bool {
+        (self.truncated_version..=self.version).contains(&version)
+    }
+
+    /// Returns the changes of a table after a version, oldest first.
+    fn changes_since(&self, table: &str, after: u64) -> impl Iterator<Item = &Change> {
         let changes = self.changes.iter();
-        let later = changes.filter(|(version, t, _)| *version > after && t == table);
-        later.map(|(version, _, key)| (key, *version)).collect()
+        changes.filter(move |change| change.version > after && change.table == table)
+    }
+
+    /// Returns whether a feed that continues from a version has something to return.
+    fn has_changed(&self, table: &str, after: u64) -> bool {
+        !self.is_known(after) || self.changes_since(table, after).next().is_some()
     }
 }
