--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -244,17 +244,18 @@
         self.configuration.borrow().routes.get(database).cloned()
     }
 
-    /// Records that the platform's store answered about a table. Returns for how long it had not.
-    pub fn record_store_answer(&self, table: &'static str) -> Duration {
+    /// Records an answer of the platform's store that tells the state of a table at `as_of` or
+    /// later. Returns for how long there was none before.
+    pub fn record_store_answer(&self, table: &'static str, as_of: BootInstant) -> Duration {
         let silence = self.store_silence(table);
-        self.store_answers
-            .borrow_mut()
-            .insert(table, BootInstant::now());
+        let mut answers = self.store_answers.borrow_mut();
+        let latest = answers.entry(table).or_insert(as_of);
+        *latest = as_of.max(*latest);
         silence
     }
 
-    /// Returns for how long the platform's store has not answered about a table, or zero before its
-    /// first answer.
+    /// Returns the age of what this node knows about a table of the platform's store, or zero before
+    /// the first answer.
     pub fn store_silence(&self, table: &str) -> Duration {
         let answers = self.store_answers.borrow();
         answers.get(table).map_or(Duration::ZERO, |answered| {
--- a/crates/siskinhook-gateway/tests/sessions.rs
+++ b/crates/siskinhook-gateway/tests/sessions.rs
@@ -2,8 +2,12 @@
 
 mod support;
 
+use std::time::Duration;
+
 use assert_matches::assert_matches;
-use siskinhook_gateway::{Consistency, Instance, Refusal, Session, TargetCode, TransactionState};
+use siskinhook_gateway::{
+    BootInstant, Consistency, Instance, Refusal, Session, TargetCode, TransactionState,
+};
 use siskinhook_types::Role;
 use support::{DATABASES, ask, configuration, instance, node, world};
 use tokio::{task::LocalSet, time::Instant};
@@ -392,3 +396,14 @@
     })
     .await;
 }
+
+/// Guards against a late answer that makes the node look up to date, or takes back what it knows.
+#[test]
+fn silence_of_the_store_counts_from_the_state_that_it_told() {
+    let gateway = node("n1", &world());
+    let ago = |seconds| BootInstant::now().minus(Duration::from_secs(seconds));
+    gateway.record_store_answer("op", ago(5));
+    assert!(gateway.store_silence("op") >= Duration::from_secs(5));
+    gateway.record_store_answer("op", ago(100));
+    assert!(gateway.store_silence("op") < Duration::from_secs(100));
+}
