Read the latest configuration when a node is behind

Callers saw NODB for routes that had been acknowledged 20 s before. After an outage of the store the changes since a node's version were dozens of configurations of several hundred KB each, of which only the last counts. A link of 10 Mbit/s needs seconds for them, and more versions came meanwhile.

The feed of the servers reads each change as before.

--- a/crates/siskinhook-gateway/src/feed.rs
+++ b/crates/siskinhook-gateway/src/feed.rs
@@ -3,6 +3,10 @@
 //! A call that waits for changes and is lost cannot be told from one that has nothing to report.
 //! The wait is therefore so short that the node hears from the store within a bound, and after a
 //! failure the node first asks without waiting, until the store has answered again.
+//!
+//! The changes since a version include every version of a row. Of a table whose rows replace each
+//! other completely a node that is behind reads the rows themselves, so that what it has missed does
+//! not delay the latest version.
 
 use std::time::Duration;
 
@@ -12,6 +16,9 @@
 /// platform, so a node hears from the store soon after an outage.
 const MAX_BACKOFF: Duration = Duration::from_millis(1200);
 
+/// Number of consecutive failed calls after which a node counts as behind.
+const BEHIND_FAILURES: u32 = 2;
+
 /// Settings of a feed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FeedSettings {
@@ -19,6 +26,8 @@
     pub silence_limit: Duration,
     /// Time after which a call that does not wait for changes has failed.
     pub call_timeout: Duration,
+    /// Whether only the latest version of a row matters.
+    pub latest_only: bool,
 }
 
 impl Default for FeedSettings {
@@ -26,6 +35,7 @@
         Self {
             silence_limit: Duration::from_secs(4),
             call_timeout: Duration::from_millis(800),
+            latest_only: false,
         }
     }
 }
@@ -50,6 +60,10 @@
     settings: FeedSettings,
     /// Version up to which the node knows the table; `None` if it has to read the whole table.
     version: Option<u64>,
+    /// Version of the newest row that the node knows, which is not above `version`.
+    newest: u64,
+    /// Whether later versions may have replaced the next changes.
+    behind: bool,
     /// Consecutive failed calls.
     failures: u32,
 }
@@ -61,6 +75,8 @@
         Self {
             settings,
             version: None,
+            newest: 0,
+            behind: false,
             failures: 0,
         }
     }
@@ -69,7 +85,7 @@
     /// case.
     #[must_use]
     pub fn next_call(&self, limit: Duration) -> FeedCall {
-        let Some(after) = self.version else {
+        let Some(after) = self.version.filter(|_| !self.behind) else {
             return FeedCall::ReadTable;
         };
         let wait = if self.failures > 0 {
@@ -88,13 +104,40 @@
             .saturating_sub(self.settings.call_timeout * 2)
     }
 
-    /// Records an answer that brings the node up to a version. Returns the number of failed calls
-    /// before it.
-    pub fn record_answer(&mut self, version: u64) -> u32 {
+    /// Records the table as read at a version of the store. `newest` is the version of its newest
+    /// row. Returns the number of failed calls before it.
+    pub fn record_table(&mut self, version: u64, newest: u64) -> u32 {
+        let failures = std::mem::take(&mut self.failures);
+        // While versions follow each other quickly, the next changes would be several again. New
+        // versions after failed calls do not show that they do, and a call that waits for changes
+        // costs less.
+        self.behind &= failures == 0 && newest > self.newest;
+        self.version = Some(version);
+        self.newest = newest;
+        failures
+    }
+
+    /// Records changes that bring the node up to a version of the store. `newest` is the version of
+    /// the newest changed row, if any; `superseded` tells whether they contain several versions of a
+    /// row. Returns the number of failed calls before it.
+    pub fn record_changes(&mut self, version: u64, newest: Option<u64>, superseded: bool) -> u32 {
+        self.behind = superseded && self.settings.latest_only;
         self.version = Some(version);
+        self.newest = newest.unwrap_or(self.newest);
         std::mem::take(&mut self.failures)
     }
 
+    /// Records that an answer with changes is too long to wait for its end.
+    pub const fn record_long_answer(&mut self) {
+        self.behind = self.settings.latest_only;
+    }
+
+    /// Whether later versions may have replaced the next changes, so that the node reads the table.
+    #[must_use]
+    pub const fn is_behind(&self) -> bool {
+        self.behind
+    }
+
     /// Records that the store answered but no longer keeps the changes since the known version.
     /// Returns the number of failed calls before it.
     pub fn record_expiry(&mut self) -> u32 {
@@ -106,6 +149,7 @@
     /// next call.
     pub fn record_failure(&mut self) -> (u32, Duration) {
         self.failures += 1;
+        self.behind |= self.settings.latest_only && self.failures >= BEHIND_FAILURES;
         let doubled = BASE_BACKOFF.saturating_mul(1 << self.failures.min(6));
         (self.failures, doubled.min(MAX_BACKOFF))
     }
--- a/crates/siskinhook-gateway/tests/feed.rs
+++ b/crates/siskinhook-gateway/tests/feed.rs
@@ -8,6 +8,11 @@
 const SETTINGS: FeedSettings = FeedSettings {
     silence_limit: Duration::from_secs(4),
     call_timeout: Duration::from_millis(800),
+    latest_only: false,
+};
+const LATEST_ONLY: FeedSettings = FeedSettings {
+    latest_only: true,
+    ..SETTINGS
 };
 /// Time that the store takes for an answer.
 const LATENCY: Duration = Duration::from_millis(4);
@@ -22,14 +27,15 @@
 }
 
 /// Returns the times of all answers until `end`, and the number of calls.
-fn play(outages: &[Outage], end: Duration) -> (Vec<Duration>, usize) {
-    let mut feed = Feed::new(SETTINGS);
+fn play(settings: FeedSettings, outages: &[Outage], end: Duration) -> (Vec<Duration>, usize) {
+    let mut feed = Feed::new(settings);
     let mut now = Duration::ZERO;
     let mut answers = Vec::new();
     let mut calls = 0;
     while now < end {
         calls += 1;
-        let wait = match feed.next_call(Duration::MAX) {
+        let call = feed.next_call(Duration::MAX);
+        let wait = match call {
             FeedCall::ReadTable => Duration::ZERO,
             FeedCall::ReadChanges { wait, .. } => wait,
         };
@@ -41,7 +47,10 @@
         match lost {
             None => {
                 now = answered;
-                feed.record_answer(1);
+                match call {
+                    FeedCall::ReadTable => feed.record_table(1, 1),
+                    FeedCall::ReadChanges { .. } => feed.record_changes(1, None, false),
+                };
                 answers.push(now);
             }
             Some(outage) => {
@@ -71,18 +80,110 @@
 proptest! {
     /// Guards against a feed that stays without news of a store that works again.
     #[test]
-    fn store_is_heard_within_the_limit_after_every_outage(outages in outages()) {
+    fn store_is_heard_within_the_limit_after_every_outage(
+        outages in outages(),
+        latest_only in any::<bool>(),
+    ) {
+        let settings = if latest_only { LATEST_ONLY } else { SETTINGS };
         let end = outages.iter().map(|outage| outage.end).max().unwrap_or_default();
-        let (answers, _) = play(&outages, end + SETTINGS.silence_limit * 2);
+        let (answers, _) = play(settings, &outages, end + SETTINGS.silence_limit * 2);
         let first = answers.iter().find(|answered| **answered >= end);
         prop_assert!(first.is_some_and(|first| *first <= end + SETTINGS.silence_limit), "{first:?}");
     }
+
+    /// Guards against a node that reads versions which later ones have replaced, and against one that
+    /// does not reach the latest version, or reads the table when it has.
+    #[test]
+    fn node_that_is_behind_reads_the_latest_version(gaps in gaps()) {
+        let mut feed = Feed::new(LATEST_ONLY);
+        let (mut latest, mut known) = (1_u64, 0_u64);
+        let mut was_superseded = false;
+        for gap in gaps {
+            latest += gap;
+            let failures = gap % 4;
+            for _ in 0..failures {
+                feed.record_failure();
+            }
+            let call = feed.next_call(Duration::MAX);
+            if was_superseded || known == 0 || failures >= 2 {
+                prop_assert_eq!(call, FeedCall::ReadTable);
+            }
+            answer(&mut feed, call, known, latest);
+            was_superseded = matches!(call, FeedCall::ReadChanges { .. }) && latest - known > 1;
+            known = latest;
+        }
+        // The versions no longer change. At most two more calls find out, without changes.
+        for _ in 0..2 {
+            let call = feed.next_call(Duration::MAX);
+            answer(&mut feed, call, latest, latest);
+        }
+        let wait = SETTINGS.silence_limit.saturating_sub(SETTINGS.call_timeout * 2);
+        let expected = FeedCall::ReadChanges { after: latest, wait };
+        prop_assert_eq!(feed.next_call(Duration::MAX), expected);
+    }
+}
+
+/// Returns the numbers of versions written between the calls of a feed.
+fn gaps() -> impl Strategy<Value = Vec<u64>> {
+    prop::collection::vec(0_u64..12, 1..40)
+}
+
+/// Answers a call about a table of one row, whose versions are those of the store.
+fn answer(feed: &mut Feed, call: FeedCall, known: u64, latest: u64) {
+    match call {
+        FeedCall::ReadTable => feed.record_table(latest, latest),
+        FeedCall::ReadChanges { after, .. } => {
+            assert_eq!(after, known, "no change is missed");
+            let newest = (latest > known).then_some(latest);
+            feed.record_changes(latest, newest, latest - known > 1)
+        }
+    };
+}
+
+/// Guards against a feed that reads the table for good, although versions come one at a time again.
+#[test]
+fn table_is_read_until_a_reading_brings_nothing_new() {
+    let mut feed = Feed::new(LATEST_ONLY);
+    feed.record_table(1, 1);
+    feed.record_changes(4, Some(4), true);
+    assert!(feed.is_behind(), "after several versions of a row");
+    feed.record_table(7, 7);
+    assert!(feed.is_behind(), "while readings bring new versions");
+    // The version of the store also rises with changes of other tables.
+    feed.record_table(9, 7);
+    assert!(
+        !feed.is_behind(),
+        "after a reading that brought nothing new"
+    );
+    feed.record_failure();
+    assert!(!feed.is_behind(), "after one failed call");
+    feed.record_failure();
+    assert!(feed.is_behind(), "after two failed calls");
+    feed.record_table(12, 11);
+    assert!(
+        !feed.is_behind(),
+        "after the reading that follows failed calls"
+    );
+    feed.record_long_answer();
+    assert!(feed.is_behind(), "after an answer that was too long");
+}
+
+/// Guards against a feed that reads the table although each change of it matters.
+#[test]
+fn table_is_not_read_again_if_each_change_matters() {
+    let mut feed = Feed::new(SETTINGS);
+    feed.record_table(1, 1);
+    feed.record_changes(4, Some(4), true);
+    feed.record_long_answer();
+    feed.record_failure();
+    feed.record_failure();
+    assert!(!feed.is_behind());
 }
 
 /// Guards against a feed that calls the store more often than its limit requires.
 #[test]
 fn quiet_table_costs_one_call_per_wait() {
-    let (_, calls) = play(&[], Duration::from_mins(4));
+    let (_, calls) = play(SETTINGS, &[], Duration::from_mins(4));
     assert!(calls <= 102, "{calls} calls in 240 s");
 }
 
@@ -94,6 +195,6 @@
         end: Duration::from_mins(1),
         refuses: true,
     };
-    let (_, calls) = play(&[outage], Duration::from_mins(1));
+    let (_, calls) = play(SETTINGS, &[outage], Duration::from_mins(1));
     assert!(calls <= 55, "{calls} calls in 60 s");
 }
