--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     fmt::Write as _,
     rc::Rc,
     time::Duration,
@@ -70,6 +70,9 @@
     discovered: Cell<bool>,
     /// When the platform's store last answered about each table that the node follows.
     store_answers: RefCell<IndexMap<&'static str, BootInstant>>,
+    /// Tables about which the latest call to the store failed or is overdue, so that this node may be
+    /// behind.
+    unanswered: RefCell<HashSet<&'static str>>,
     /// How late the event loop last woke a task whose time had come.
     loop_delay: Cell<Duration>,
     random: RefCell<SmallRng>,
@@ -104,6 +107,7 @@
             stop_time: watch::Sender::default(),
             discovered: Cell::default(),
             store_answers: RefCell::default(),
+            unanswered: RefCell::default(),
             loop_delay: Cell::default(),
         })
     }
@@ -251,9 +255,21 @@
         let mut answers = self.store_answers.borrow_mut();
         let latest = answers.entry(table).or_insert(as_of);
         *latest = as_of.max(*latest);
+        self.unanswered.borrow_mut().remove(table);
         silence
     }
 
+    /// Records that a call to the platform's store about a table failed or is overdue.
+    pub fn record_store_failure(&self, table: &'static str) {
+        self.unanswered.borrow_mut().insert(table);
+    }
+
+    /// Whether the store may have changed a table since this node last knew it, because the latest
+    /// call about it failed or is overdue.
+    pub fn may_be_behind(&self, table: &str) -> bool {
+        self.unanswered.borrow().contains(table)
+    }
+
     /// Returns the age of what this node knows about a table of the platform's store, or zero before
     /// the first answer.
     pub fn store_silence(&self, table: &str) -> Duration {
