Let the time limit of calls follow the store's response times

Callers' writes failed and nodes stayed without news while each answer of the store took 900 ms: every read of the lease row, the nodes' rows and the list of servers ended after 800 ms, and feeds repeated every other call.

The limit is now twice the recent peak of the response times, from 800 ms to 2 s; each faster answer halves the peak. A feed uses at most three eighths of its silence limit, and waits at the store for what two limits leave of it.

With limits above 800 ms an answer may tell a state older than that.

--- a/crates/siskinhook-gateway/src/feed.rs
+++ b/crates/siskinhook-gateway/src/feed.rs
@@ -68,6 +68,12 @@
     failures: u32,
 }
 
+/// Returns the longest call timeout that fits a silence limit: an answer may be late by one, the
+/// call after a lost one takes another, and the rest is for the wait and the backoff.
+fn max_call_timeout(silence_limit: Duration) -> Duration {
+    silence_limit * 3 / 8
+}
+
 impl Feed {
     /// Creates a feed that has read nothing yet.
     #[must_use]
@@ -96,6 +102,18 @@
         FeedCall::ReadChanges { after, wait }
     }
 
+    /// Sets the time after which a call has failed, as far as the silence limit allows. Applies from
+    /// the next call.
+    pub fn set_call_timeout(&mut self, timeout: Duration) {
+        self.settings.call_timeout = timeout.min(max_call_timeout(self.settings.silence_limit));
+    }
+
+    /// Returns the time after which a call that does not wait for changes has failed.
+    #[must_use]
+    pub const fn call_timeout(&self) -> Duration {
+        self.settings.call_timeout
+    }
+
     /// Returns the maximum time to wait at the store. It leaves a call timeout for an answer that
     /// comes late, and one for the call after a lost one.
     fn max_wait(&self) -> Duration {
--- a/crates/siskinhook-gateway/src/lib.rs
+++ b/crates/siskinhook-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! `Orders` and `siskinhook_types::Platform`.
 
 mod attempt;
+mod call_limit;
 mod clock;
 mod commit_evidence;
 mod confirmation;
@@ -30,6 +31,7 @@
 mod write_admission;
 mod write_permit;
 
+pub use call_limit::AdaptiveLimit;
 pub use clock::BootInstant;
 pub use commit_evidence::may_have_unknown_server;
 pub use connection::{
