Do not load a slow store further by the feeds of many nodes

The wait of a feed no longer depends on the time limit, which may rise to 1.5 times the usual 800 ms: that is what the silence limit bears beside the wait, the backoff and the call after a lost one. A node reads the row in place of the changes after an answer with three versions of it or more.

configuration_is_in_force_although_the_store_is_busy_with_other_reads (20 ms an answer, 16 other reads a second): before, 9 of 72 nodes are behind the sixth change after 5 s and 60 the next one; now none is. The storm over a slow link still ends with the last version in force.

--- a/crates/siskinhook-gateway/src/feed.rs
+++ b/crates/siskinhook-gateway/src/feed.rs
@@ -16,8 +16,15 @@
 /// platform, so a node hears from the store soon after an outage.
 const MAX_BACKOFF: Duration = Duration::from_millis(1200);
 
+/// Longest call timeout as a multiple of the usual one. The wait at the store leaves two usual ones:
+/// the rest of the second one is for the backoff and the call after a lost one.
+const MAX_TIMEOUT_FACTOR: f64 = 1.5;
+
 /// Number of consecutive failed calls after which a node counts as behind.
 const BEHIND_FAILURES: u32 = 2;
+/// Number of superseded versions in an answer after which a node counts as behind. With fewer, the
+/// additional reading of the table costs more than it saves.
+const BEHIND_VERSIONS: usize = 2;
 
 /// Settings of a feed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,12 +75,6 @@
     failures: u32,
 }
 
-/// Returns the longest call timeout that fits a silence limit: an answer may be late by one, the
-/// call after a lost one takes another, and the rest is for the wait and the backoff.
-fn max_call_timeout(silence_limit: Duration) -> Duration {
-    silence_limit * 3 / 8
-}
-
 impl Feed {
     /// Creates a feed that has read nothing yet.
     #[must_use]
@@ -102,16 +103,12 @@
         FeedCall::ReadChanges { after, wait }
     }
 
-    /// Sets the time after which a call has failed, as far as the silence limit allows. Applies from
-    /// the next call.
-    pub fn set_call_timeout(&mut self, timeout: Duration) {
-        self.settings.call_timeout = timeout.min(max_call_timeout(self.settings.silence_limit));
-    }
-
-    /// Returns the time after which a call that does not wait for changes has failed.
+    /// Returns the time after which a call has failed, without its wait, if the store needs `limit`.
+    /// The wait does not depend on it: shorter waits would load a store that is slow already.
     #[must_use]
-    pub const fn call_timeout(&self) -> Duration {
-        self.settings.call_timeout
+    pub fn call_timeout(&self, limit: Duration) -> Duration {
+        let usual = self.settings.call_timeout;
+        limit.clamp(usual, usual.mul_f64(MAX_TIMEOUT_FACTOR))
     }
 
     /// Returns the maximum time to wait at the store. It leaves a call timeout for an answer that
@@ -136,10 +133,10 @@
     }
 
     /// Records changes that bring the node up to a version of the store. `newest` is the version of
-    /// the newest changed row, if any; `superseded` tells whether they contain several versions of a
-    /// row. Returns the number of failed calls before it.
-    pub fn record_changes(&mut self, version: u64, newest: Option<u64>, superseded: bool) -> u32 {
-        self.behind = superseded && self.settings.latest_only;
+    /// the newest changed row, if any; `superseded` is the number of them that later ones
+    /// replace. Returns the number of failed calls before it.
+    pub fn record_changes(&mut self, version: u64, newest: Option<u64>, superseded: usize) -> u32 {
+        self.behind = self.settings.latest_only && superseded >= BEHIND_VERSIONS;
         self.version = Some(version);
         self.newest = newest.unwrap_or(self.newest);
         std::mem::take(&mut self.failures)
