Soak: keep the store within its pace and count unread answers

The store encoded every row for every answer. After a storm an answer has about 14 MB, so encoding could take longer than a turn, above all in debug builds. Answers that a node stopped reading on a slow link were not counted.

Rows are encoded once, when they are written. An answer counts as unread if its node closes the connection before it has received all of it.

--- a/tests/soak/configuration_delivery.rs
+++ b/tests/soak/configuration_delivery.rs
@@ -196,6 +196,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let pace = PaceSettings {
         turn: Duration::from_millis(env_number("SOAK_ANSWER_MS").unwrap_or(ANSWER_MS)),
+        empty_turns: env_number("SOAK_EMPTY_TURNS") == Some(1),
         ..PaceSettings::default()
     };
     let settings = SoakSettings {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -5,7 +5,8 @@
 //! `SOAK_SEEDS=100-149 SOAK_SECONDS=20 SOAK_NODES=6 cargo test --release --test soak` runs
 //! other seeds. The logs of the nodes stay in `target/tmp/soak/SEED`. `SOAK_ROUTES=1400` makes the
 //! configuration large. `SOAK_NODES=72 SOAK_ANSWER_MS=14` sets the number of nodes and the time that
-//! the store takes for an answer where large configurations are delivered.
+//! the store takes for an answer where large configurations are delivered; with
+//! `SOAK_EMPTY_TURNS=1`, answers of feeds without changes take that time as well.
 
 mod callers;
 mod configuration_delivery;
--- a/tests/soak/pace.rs
+++ b/tests/soak/pace.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     convert::Infallible,
+    fmt::Display,
     ops::AddAssign,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -12,7 +13,6 @@
 use futures::stream;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{Response, StatusCode, body::Frame};
-use serde_json::Value;
 use tokio::{
     sync::{Mutex as FairMutex, oneshot},
     time::{Instant, sleep, sleep_until},
@@ -27,7 +27,7 @@
 type TableName = String;
 
 /// Builds a response with a complete body.
-pub fn response(status: StatusCode, body: &Value) -> HttpResponse {
+pub fn response(status: StatusCode, body: impl Display) -> HttpResponse {
     let body = Full::new(Bytes::from(body.to_string()));
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = status;
@@ -39,6 +39,8 @@
 pub struct PaceSettings {
     /// Time that one answer to a read takes. Answers to all nodes take turns.
     pub turn: Duration,
+    /// Whether an answer to a feed takes a turn even if it carries no changes.
+    pub empty_turns: bool,
     /// Bytes per second that reach one node; `None` without a limit.
     pub bandwidth: Option<u32>,
 }
@@ -48,7 +50,7 @@
 pub struct Traffic {
     pub answers: u64,
     pub bytes: u64,
-    /// Answers whose node had closed its connection before its turn ended.
+    /// Answers whose node closed its connection before it had received all of them.
     pub unread: u64,
 }
 
@@ -66,7 +68,7 @@
     /// Held during a turn. Waiting answers get it in the order of their requests.
     turn: FairMutex<()>,
     /// For each node, held while a piece of an answer passes its link.
-    links: Vec<Arc<FairMutex<()>>>,
+    links: Vec<FairMutex<()>>,
     /// Traffic to each node, by table.
     traffic: Mutex<BTreeMap<TableName, Vec<Traffic>>>,
 }
@@ -76,7 +78,7 @@
         Arc::new(Self {
             settings: Mutex::default(),
             turn: FairMutex::default(),
-            links: (0..nodes).map(|_| Arc::default()).collect(),
+            links: (0..nodes).map(|_| FairMutex::default()).collect(),
             traffic: Mutex::default(),
         })
     }
@@ -89,6 +91,11 @@
         *self.settings.lock().unwrap_or_else(PoisonError::into_inner) = settings;
     }
 
+    /// Returns whether answers without changes take turns.
+    pub fn has_empty_turns(&self) -> bool {
+        self.settings().empty_turns
+    }
+
     fn traffic(&self) -> MutexGuard<'_, BTreeMap<TableName, Vec<Traffic>>> {
         self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -117,42 +124,73 @@
             let body = body.to_bytes();
             sleep_until(end).await;
             drop(guard);
-            pace.count(node, table, body.len(), sender.is_closed());
-            let body = pace.limit(node, body);
+            let sent = Traffic {
+                answers: 1,
+                bytes: body.len() as u64,
+                unread: 0,
+            };
+            pace.count(node, &table, sent);
+            let transfer = Transfer {
+                pace,
+                node,
+                table,
+                body,
+            };
             // The receiver is gone when the node has closed its connection.
-            let _ = sender.send(Response::from_parts(head, body));
+            let _ = sender.send(Response::from_parts(head, transfer.into_body()));
         });
         receiver.await.expect("the turn ends with an answer")
     }
 
-    fn count(&self, node: usize, table: TableName, bytes: usize, is_unread: bool) {
-        let mut traffic = self.traffic();
-        let nodes = traffic.entry(table).or_default();
+    fn count(&self, node: usize, table: &str, traffic: Traffic) {
+        let mut tables = self.traffic();
+        let nodes = tables.entry(table.to_string()).or_default();
         nodes.resize(self.links.len(), Traffic::default());
-        nodes[node] += Traffic {
-            answers: 1,
-            bytes: bytes as u64,
-            unread: u64::from(is_unread),
-        };
+        nodes[node] += traffic;
     }
+}
 
-    /// Limits a body to the bandwidth of the node's link, which concurrent answers share.
-    fn limit(&self, node: usize, body: Bytes) -> UnsyncBoxBody<Bytes, Infallible> {
-        let Some(bandwidth) = self.settings().bandwidth else {
-            return Full::new(body).boxed_unsync();
-        };
-        let link = self.links[node].clone();
-        let chunks = stream::unfold((link, body), move |(link, mut body)| async move {
-            if body.is_empty() {
-                return None;
-            }
-            let chunk = body.split_to(CHUNK_BYTES.min(body.len()));
-            let guard = link.lock().await;
-            let share = f64::from(u32::try_from(chunk.len()).unwrap_or(u32::MAX));
-            sleep(Duration::from_secs_f64(share / f64::from(bandwidth))).await;
-            drop(guard);
-            Some((Ok(Frame::data(chunk)), (link, body)))
+/// The rest of an answer on its way to a node.
+struct Transfer {
+    pace: Arc<Pace>,
+    node: usize,
+    table: TableName,
+    body: Bytes,
+}
+
+impl Transfer {
+    fn into_body(self) -> UnsyncBoxBody<Bytes, Infallible> {
+        let chunks = stream::unfold(self, |mut transfer| async move {
+            let chunk = transfer.next_chunk().await?;
+            Some((Ok(Frame::data(chunk)), transfer))
         });
         StreamBody::new(chunks).boxed_unsync()
     }
+
+    /// Waits until the next piece has passed the node's link, which concurrent answers share.
+    async fn next_chunk(&mut self) -> Option<Bytes> {
+        if self.body.is_empty() {
+            return None;
+        }
+        let Some(bandwidth) = self.pace.settings().bandwidth else {
+            return Some(std::mem::take(&mut self.body));
+        };
+        let size = CHUNK_BYTES.min(self.body.len());
+        let seconds = f64::from(u32::try_from(size).unwrap_or(u32::MAX)) / f64::from(bandwidth);
+        let _guard = self.pace.links[self.node].lock().await;
+        sleep(Duration::from_secs_f64(seconds)).await;
+        Some(self.body.split_to(size))
+    }
+}
+
+impl Drop for Transfer {
+    fn drop(&mut self) {
+        if !self.body.is_empty() {
+            let unread = Traffic {
+                unread: 1,
+                ..Traffic::default()
+            };
+            self.pace.count(self.node, &self.table, unread);
+        }
+    }
 }
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -55,6 +55,9 @@
 #[derive(Clone)]
 struct Row {
     value: Arc<str>,
+    /// The row as it stands in answers. Encoding large rows for each answer would make the store
+    /// slower than its pace.
+    encoded: Arc<str>,
     version: u64,
 }
 
@@ -103,6 +106,12 @@
         .collect()
 }
 
+fn encode_value(table: &str, key: &str, value: &str, version: u64) -> String {
+    let value = BASE64_STANDARD.encode(value);
+    json!({"table": table, "part": "", "key": key, "value": value, "row_version": version})
+        .to_string()
+}
+
 impl Store {
     pub fn new(nodes: usize) -> Arc<Self> {
         Arc::new(Self {
@@ -242,12 +251,12 @@
         let (holder, token) = (header("Lease-Holder"), header("Fencing-Token"));
         let body = match request.into_body().collect().await {
             Ok(body) => body.to_bytes(),
-            Err(_) => return response(StatusCode::BAD_REQUEST, &Value::Null),
+            Err(_) => return response(StatusCode::BAD_REQUEST, Value::Null),
         };
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
         let is_write = path == "/rows-tx" || path == "/promote";
         match self.fault(node) {
-            StoreFault::Busy => return response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
+            StoreFault::Busy => return response(StatusCode::SERVICE_UNAVAILABLE, Value::Null),
             StoreFault::Unresponsive => std::future::pending().await,
             StoreFault::Slow(latency) => sleep(latency).await,
             _ => {}
@@ -262,7 +271,7 @@
             "/rows-feed" => self.feed(node, &query).await,
             "/rows-tx" => self.write_rows(&body),
             "/promote" => self.promote(node, servers, &body, &holder, &token).await,
-            _ => response(StatusCode::NOT_FOUND, &Value::Null),
+            _ => response(StatusCode::NOT_FOUND, Value::Null),
         };
         match self.fault(node) {
             StoreFault::Unresponsive => std::future::pending().await,
@@ -299,7 +308,7 @@
         }
         let status = servers.promote(&service, &id, holder, token);
         let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
-        response(status, &Value::Null)
+        response(status, Value::Null)
     }
 
     fn read_rows(&self, node: usize, query: &HashMap<String, String>) -> HttpResponse {
@@ -321,17 +330,21 @@
             }
             rows.push(self.encode_row(node, &table, key, Some(row), row.version));
         }
-        let body = json!({
-            "rows": rows, "row_version": tables.version, "has_more": has_more,
-            "now_ms": self.now_ms(),
-        });
-        response(StatusCode::OK, &body)
+        self.rows_response(&rows, tables.version, has_more)
     }
 
     fn now_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX) + 1_000_000
     }
 
+    fn rows_response(&self, rows: &[String], version: u64, has_more: bool) -> HttpResponse {
+        let (rows, now) = (rows.join(","), self.now_ms());
+        let body = format!(
+            r#"{{"rows":[{rows}],"row_version":{version},"has_more":{has_more},"now_ms":{now}}}"#
+        );
+        response(StatusCode::OK, body)
+    }
+
     /// Encodes a row, or a tombstone when `row` is `None`. The address of a server is replaced by
     /// that of the proxy between it and the node.
     fn encode_row(
@@ -341,28 +354,26 @@
         key: &str,
         row: Option<&Row>,
         version: u64,
-    ) -> Value {
+    ) -> String {
         let Some(row) = row else {
-            return json!({"table": table, "part": "", "key": key, "row_version": version, "tombstone": true});
+            return json!({"table": table, "part": "", "key": key, "row_version": version, "tombstone": true})
+                .to_string();
         };
-        let mut value = row.value.to_string();
         if table == "servers" {
             let proxy_addresses = self
                 .proxy_addresses
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner);
-            let mut record: Value = serde_json::from_str(&value).unwrap_or_default();
+            let mut record: Value = serde_json::from_str(&row.value).unwrap_or_default();
             if let Some(proxy_address) = proxy_addresses[node].get(key) {
                 record["addr"] = json!(proxy_address);
             }
-            value = record.to_string();
+            return encode_value(table, key, &record.to_string(), version);
         }
-        let value = BASE64_STANDARD.encode(value);
-        json!({"table": table, "part": "", "key": key, "value": value, "row_version": version})
+        row.encoded.to_string()
     }
 
-    /// Waits until rows of a table change after a version, and returns the changes. An answer
-    /// without changes takes no turn.
+    /// Waits until rows of a table change after a version, and returns the changes.
     async fn feed(self: &Arc<Self>, node: usize, query: &HashMap<String, String>) -> HttpResponse {
         let parameter = |name: &str| query.get(name).cloned().unwrap_or_default();
         let table = parameter("table");
@@ -371,12 +382,13 @@
         let deadline = Instant::now() + wait;
         loop {
             let change = self.changed.notified();
-            if self.tables().has_changed(&table, after) {
+            let has_changed = self.tables().has_changed(&table, after);
+            let left = deadline.saturating_duration_since(Instant::now());
+            if has_changed || left.is_zero() && self.pace.has_empty_turns() {
                 let (store, name) = (self.clone(), table.clone());
                 let read = move || store.read_changes(node, &name, after);
                 return self.pace.serve(node, table, read).await;
             }
-            let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return self.read_changes(node, &table, after);
             }
@@ -389,15 +401,14 @@
     fn read_changes(&self, node: usize, table: &str, after: u64) -> HttpResponse {
         let tables = self.tables();
         if !tables.is_known(after) {
-            return response(StatusCode::GONE, &Value::Null);
+            return response(StatusCode::GONE, Value::Null);
         }
         let encode = |change: &Change| {
             let row = change.row.as_ref();
             self.encode_row(node, table, &change.key, row, change.version)
         };
-        let rows: Vec<Value> = tables.changes_since(table, after).map(encode).collect();
-        let body = json!({"rows": rows, "row_version": tables.version, "now_ms": self.now_ms()});
-        response(StatusCode::OK, &body)
+        let rows: Vec<String> = tables.changes_since(table, after).map(encode).collect();
+        self.rows_response(&rows, tables.version, false)
     }
 
     /// Carries out a transaction if all rows have the expected versions.
@@ -417,7 +428,8 @@
             }
         }
         if conflict {
-            return response(StatusCode::PRECONDITION_FAILED, &json!({"rows": current}));
+            let body = format!(r#"{{"rows":[{}]}}"#, current.join(","));
+            return response(StatusCode::PRECONDITION_FAILED, body);
         }
         for entry in entries("set_keys") {
             let bytes = BASE64_STANDARD
@@ -432,7 +444,7 @@
         let version = tables.version;
         drop(tables);
         self.changed.notify_waiters();
-        response(StatusCode::OK, &json!({"row_version": version}))
+        response(StatusCode::OK, json!({"row_version": version}))
     }
 }
 
@@ -442,6 +454,7 @@
         let version = self.version;
         let row_key = (table.to_string(), key.to_string());
         let row = value.map(|value| Row {
+            encoded: encode_value(table, key, &value, version).into(),
             value: value.into(),
             version,
         });
