--- a/crates/siskinhook-gateway/src/failover/check.rs
+++ b/crates/siskinhook-gateway/src/failover/check.rs
@@ -6,10 +6,7 @@
 use siskinhook_types::{Platform, Reading};
 use tokio::time::{Instant, sleep};
 
-use super::{
-    Controller, Discovery, Orders,
-    lease::{LeaseRecord, read_record},
-};
+use super::{Controller, Discovery, Orders, lease::LeaseRecord};
 use crate::{
     Dialer,
     write_permit::{PendingReplacement, REPLACEMENT_LIFETIME},
@@ -30,7 +27,7 @@
         admission.wait_requested().await;
         let at = Instant::now();
         controller.gateway.counters.store_calls.add(1);
-        match read_record(&controller.platform, &controller.group.service).await {
+        match controller.read_record().await {
             Ok((reading, record)) => {
                 let first = first_era.get().unwrap_or(reading.era);
                 first_era.set(Some(first));
--- a/crates/siskinhook-gateway/src/failover/lease.rs
+++ b/crates/siskinhook-gateway/src/failover/lease.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{
     Batch, CommitOutcome, Condition, Platform, PlatformError, Reading, RowWrite, ServiceId, Term,
 };
@@ -27,6 +28,10 @@
 /// million times in one.
 const TOKENS_PER_ERA: u64 = 1 << 20;
 
+/// Number of tokens that are skipped when the row's token cannot be read. It is more than a group
+/// uses between two readings of the row by one node, and leaves room for a thousand such rows.
+const SKIPPED_TOKENS: u64 = 1 << 10;
+
 /// The stored lease row.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct LeaseRecord {
@@ -74,11 +79,52 @@
     /// milliseconds.
     pub(super) fn pending_at(&self, now: u64) -> Option<PendingReplacement> {
         let latest = self.latest_replacement()?;
-        let age = age(latest.written, now);
+        // No replacement is later than the row that names it.
+        let age = age(latest.written.min(self.written), now);
         (age < REPLACEMENT_LIFETIME).then_some(PendingReplacement { term: latest.term })
     }
 }
 
+impl LeaseRecord {
+    /// Returns the row that replaces one which cannot be decoded. Nobody holds its lease.
+    ///
+    /// The lost row may have named a holder that is still acting, a replacement of any term whose
+    /// order may still be carried out, and a token above `token`. So the lease stays unavailable,
+    /// and the replacement pending, until nothing that was begun before can take effect.
+    fn unowned(reading: &Reading, token: u64) -> Self {
+        let written = reading.clock.unwrap_or_default();
+        let term = Term::MAX;
+        Self {
+            token,
+            written,
+            era: reading.era,
+            former: Some(FormerReplacement { term, written }),
+            ..Self::default()
+        }
+    }
+
+    /// Whether a node can have written the row, as of a reading of it.
+    fn is_credible(&self, reading: &Reading) -> bool {
+        let now = reading.clock.unwrap_or_default();
+        let is_past = self.era < reading.era || self.era == reading.era && self.written <= now;
+        is_past && self.token < first_token(self.era.saturating_add(1))
+    }
+
+    /// Returns the age of the row after which its lease may be taken over.
+    fn takeover_age(&self) -> Duration {
+        if self.holder.is_empty() {
+            REPLACEMENT_LIFETIME
+        } else {
+            TAKEOVER_AGE
+        }
+    }
+}
+
+/// Returns the lowest token of an era.
+const fn first_token(era: u64) -> u64 {
+    era.saturating_mul(TOKENS_PER_ERA)
+}
+
 /// Returns the age at `now` of something written at `written`, both in milliseconds.
 const fn age(written: u64, now: u64) -> Duration {
     Duration::from_millis(now.saturating_sub(written))
@@ -88,23 +134,6 @@
     format_smolstr!("failover/{service}")
 }
 
-/// Reads the lease row of a service. A row that is absent is returned as the default.
-///
-/// # Errors
-/// The table service does not answer, or the row cannot be decoded.
-pub(super) async fn read_record<P: Platform>(
-    platform: &P,
-    service: &ServiceId,
-) -> Result<(Reading, LeaseRecord), PlatformError> {
-    let mut reading = platform.read(&key(service)).await?;
-    let value = reading.row.take().map(|row| row.value);
-    let record = value.map(serde_json::from_value).transpose();
-    let record = record.map_err(|error| {
-        PlatformError::NotDone(format!("cannot decode the failover lease row: {error}"))
-    })?;
-    Ok((reading, record.unwrap_or_default()))
-}
-
 /// The lease row as read, with its version.
 struct StoredLease {
     version: u64,
@@ -130,13 +159,18 @@
             return self.era_age >= TAKEOVER_AGE;
         }
         let age = age(record.written, self.now);
-        record.token == 0 || record.process == process || age >= TAKEOVER_AGE
+        record.token == 0 || record.process == process || age >= record.takeover_age()
+    }
+
+    /// Whether the row shows that no replacement is pending. One of a former era does not: the row of
+    /// a later replacement may be lost.
+    fn is_settled(&self) -> bool {
+        self.record.era == self.era && self.record.pending_at(self.now).is_none()
     }
 
     /// Returns a token above all that were given out before, in this era and in former ones.
     fn next_token(&self) -> u64 {
-        let floor = self.era.saturating_mul(TOKENS_PER_ERA);
-        self.record.token.max(floor) + 1
+        self.record.token.max(first_token(self.era)) + 1
     }
 }
 
@@ -156,6 +190,13 @@
     /// primary.
     pub(super) async fn acquire_lease(&self) -> Option<Lease> {
         let stored = self.read_lease().await?;
+        if let Some(admission) = &self.group.admission
+            && stored.is_settled()
+        {
+            // Writes that were held back are admitted by now, so they are no reason any more.
+            admission.reset_held();
+            self.replacement_reason()?;
+        }
         if stored.is_available_to(self.gateway.process) {
             let record = self.next_record(&stored, Some(self.group.term.get()));
             // The row names this node also if only the answer to the write is lost.
@@ -185,9 +226,60 @@
         }
     }
 
+    /// Reads the lease row. A row that is absent is returned as the default. One that no node can
+    /// have written is replaced, so that the nodes go on after a time without two holders.
+    ///
+    /// # Errors
+    /// The table service does not answer.
+    pub(super) async fn read_record(&self) -> Result<(Reading, LeaseRecord), PlatformError> {
+        let key = key(&self.group.service);
+        let mut reading = self.platform.read(&key).await?;
+        let Some(row) = reading.row.take() else {
+            return Ok((reading, LeaseRecord::default()));
+        };
+        let record: Option<LeaseRecord> = serde_json::from_value(row.value).ok();
+        if let Some(record) = record.filter(|record| record.is_credible(&reading)) {
+            self.highest_token
+                .set(self.highest_token.get().max(record.token));
+            return Ok((reading, record));
+        }
+        event!(
+            Event::EntryUnreadable, row = key.as_str();
+            "no node wrote this row; replacing it, and no primary until it is {} s old",
+            REPLACEMENT_LIFETIME.as_secs()
+        );
+        let latest = self.highest_token.get().max(first_token(reading.era));
+        let record = LeaseRecord::unowned(&reading, latest + SKIPPED_TOKENS);
+        // If the write fails, the next reading shows the same row, or that of another node.
+        let _ = self.write_record(reading.version, &record).await;
+        Ok((reading, record))
+    }
+
+    /// Writes the lease row if it has the expected version.
+    async fn write_record(
+        &self,
+        version: u64,
+        record: &LeaseRecord,
+    ) -> Result<CommitOutcome, PlatformError> {
+        let key = key(&self.group.service);
+        let value = serde_json::to_value(record)
+            .map_err(|error| PlatformError::NotDone(error.to_string()))?;
+        let batch = Batch {
+            conditions: vec![Condition {
+                key: key.clone(),
+                version,
+            }],
+            writes: vec![RowWrite {
+                key,
+                value: Some(value),
+            }],
+        };
+        self.platform.commit(batch).await
+    }
+
     async fn read_lease(&self) -> Option<StoredLease> {
         let sent_at = BootInstant::now();
-        match read_record(&self.platform, &self.group.service).await {
+        match self.read_record().await {
             Ok((reading, record)) => Some(StoredLease {
                 version: reading.version,
                 record,
@@ -207,19 +299,7 @@
     async fn claim(&self, stored: &StoredLease, record: LeaseRecord) -> Option<Lease> {
         // The row is dated by the read, so calls that take long shorten the lease.
         let until = stored.sent_at.plus(LEASE_DURATION);
-        let value = serde_json::to_value(&record).ok()?;
-        let key = key(&self.group.service);
-        let batch = Batch {
-            conditions: vec![Condition {
-                key: key.clone(),
-                version: stored.version,
-            }],
-            writes: vec![RowWrite {
-                key,
-                value: Some(value),
-            }],
-        };
-        match self.platform.commit(batch).await {
+        match self.write_record(stored.version, &record).await {
             Ok(CommitOutcome::Applied) => Some(Lease {
                 token: record.token,
                 term: record.replaces.unwrap_or_default(),
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -111,6 +111,7 @@
         retry_at: Cell::new(Instant::now()),
         undemoted: Cell::default(),
         is_unfinished: Cell::default(),
+        highest_token: Cell::default(),
     };
     let watch = async {
         loop {
@@ -140,6 +141,8 @@
     /// Whether the lease row may say that this process replaces the primary although it has sent no
     /// order that could still be carried out.
     is_unfinished: Cell<bool>,
+    /// Highest token that this process read in the lease row.
+    highest_token: Cell<u64>,
 }
 
 impl<D: Dialer, P: Platform, S: Discovery, O: Orders> Controller<D, P, S, O> {
