Send a write that a demoted primary refused to the next one

Callers got 25006 "this server is a read-only replica" with the verdict "ran" while a primary was replaced, although the write had not run and no caller had asked for a read-only transaction. leaving_primary_is_replaced showed it once beside load, for three of 432 writes.

The owner of the former primary learns of the demotion at its next poll, up to 250 ms later (a second in an idle group), and later still beside load. Until then map_read_only_error took the refusal for that of a read-only transaction at a live primary, since the group still named this server. It now asks the server for its role. Unless that confirms that the server is the primary, the failure becomes "not the primary", not run, and the entry node sends the write to the next one; the answer also updates the state of the group.

write_refused_by_a_demoted_primary_is_sent_to_the_next_one demotes the primary behind the owner's back on a paused clock.

--- a/crates/siskinhook-engine/src/owner/execute.rs
+++ b/crates/siskinhook-engine/src/owner/execute.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use siskinhook_types::{
-    Failure, FailureKind, Kind, LogPoint, Part, Request, Statement, TargetSession, Targets,
+    Failure, FailureKind, Kind, LogPoint, Part, Request, Role, Statement, TargetSession, Targets,
     Verdict, sqlstate,
 };
 use smol_str::SmolStr;
@@ -52,7 +52,7 @@
         let done = owner
             .read_answer(&mut connection, Rows::Forward(&self.reply))
             .await;
-        let done = owner.return_connection(connection, done)?;
+        let done = owner.return_connection(connection, done).await?;
         slot.finish();
         if request.kind == Kind::Read {
             let primary = owner.group.is_primary(&owner.server.name);
@@ -74,7 +74,7 @@
         let done = owner
             .read_answer(&mut connection, Rows::Forward(&self.reply))
             .await;
-        let (tag, point) = owner.return_connection(connection, done)?;
+        let (tag, point) = owner.return_connection(connection, done).await?;
         slot.finish();
         owner.confirm(&self.core, point).await?;
         self.reply.send_done(tag, point).await;
@@ -150,7 +150,7 @@
 
     /// Returns a connection to the pool after its statement, or closes it if its state is
     /// unknown. Passes the statement's result through.
-    pub fn return_connection(
+    pub async fn return_connection(
         &self,
         connection: DataConnection<T>,
         result: Result<Completion, Failure>,
@@ -164,20 +164,38 @@
                 if failure.verdict == Verdict::Ran {
                     connection.release();
                 }
-                Err(self.map_read_only_error(failure))
+                Err(self.map_read_only_error(failure).await)
             }
         }
     }
 
     /// Maps the target's read-only error for a write on a replica to `NotPrimary` and requests a
     /// poll of the group, because the known primary may be out of date.
-    pub fn map_read_only_error(&self, failure: Failure) -> Failure {
+    pub async fn map_read_only_error(&self, failure: Failure) -> Failure {
         let refused = failure.verdict == Verdict::Ran && failure.code == sqlstate::READ_ONLY;
-        if refused && !self.group.is_primary(&self.server.name) {
-            self.group.request_poll();
-            return not_primary(&self.server);
+        // A primary refuses writes only in a read-only transaction.
+        if !refused || self.is_still_primary().await {
+            return failure;
         }
-        failure
+        self.group.request_poll();
+        not_primary(&self.server)
+    }
+
+    /// Asks the server whether it is the primary, unless the group is already known to have another
+    /// one. A promotion may have demoted it since the last poll.
+    async fn is_still_primary(&self) -> bool {
+        let name = &self.server.name;
+        if !self.group.is_primary(name) {
+            return false;
+        }
+        let started = now();
+        // Without an answer nothing shows that it is still the primary.
+        let Ok(status) = self.group.status(name).await else {
+            return false;
+        };
+        let is_primary = status.role == Role::Primary;
+        self.group.record_status(name, started, status);
+        is_primary
     }
 
     /// Runs a statement that the owner itself issues and discards its rows.
--- a/crates/siskinhook-engine/src/owner/outcome.rs
+++ b/crates/siskinhook-engine/src/owner/outcome.rs
@@ -37,12 +37,15 @@
             ..request.clone()
         };
         let mut connection = owner.send(&begin).await.map_err(not_started)?;
-        owner
-            .read_answer(&mut connection, Rows::Discard)
-            .await
-            .map_err(|failure| owner.map_read_only_error(not_started(failure)))?;
-        let recorded = owner.insert_record(&mut connection, &id, "").await;
-        if !recorded.map_err(|failure| owner.map_read_only_error(failure))? {
+        let opened = owner.read_answer(&mut connection, Rows::Discard).await;
+        if let Err(failure) = opened {
+            return Err(owner.map_read_only_error(not_started(failure)).await);
+        }
+        let recorded = match owner.insert_record(&mut connection, &id, "").await {
+            Ok(recorded) => recorded,
+            Err(failure) => return Err(owner.map_read_only_error(failure).await),
+        };
+        if !recorded {
             slot.finish();
             return self.answer_from_record(owner, connection, &id).await;
         }
@@ -56,7 +59,7 @@
                 if failure.verdict == Verdict::Ran {
                     owner.roll_back(connection).await;
                 }
-                return Err(owner.map_read_only_error(failure));
+                return Err(owner.map_read_only_error(failure).await);
             }
         };
         let commit = Statement::simple("COMMIT");
@@ -68,7 +71,7 @@
                 slot.finish();
                 return self.answer_from_record(owner, connection, &id).await;
             }
-            Err(failure) => return Err(owner.map_read_only_error(failure)),
+            Err(failure) => return Err(owner.map_read_only_error(failure).await),
         };
         connection.release();
         slot.finish();
--- a/crates/siskinhook-engine/src/owner/transaction.rs
+++ b/crates/siskinhook-engine/src/owner/transaction.rs
@@ -50,7 +50,7 @@
             .await;
         let (tag, _) = match done {
             Ok(done) => done,
-            Err(failure) => return Err(owner.map_read_only_error(failure)),
+            Err(failure) => return Err(owner.map_read_only_error(failure).await),
         };
         slot.finish();
         let point = owner.group.last_position(&owner.server.name);
@@ -97,7 +97,7 @@
             // After any other failure the connection is dropped, which rolls back.
             Err(failure) if failure.verdict == Verdict::Ran => {
                 self.transaction = Some(transaction);
-                Err(owner.map_read_only_error(failure))
+                Err(owner.map_read_only_error(failure).await)
             }
             Err(failure) => Err(failure),
         }
@@ -140,7 +140,9 @@
             }
         }
         let done = self.run_statement(&mut transaction, &request).await;
-        let (tag, point) = owner.return_connection(transaction.connection, done)?;
+        let (tag, point) = owner
+            .return_connection(transaction.connection, done)
+            .await?;
         owner.confirm(&self.core, point).await?;
         self.reply.send_done(tag, point).await;
         Ok(())
--- a/crates/siskinhook-engine/tests/failover.rs
+++ b/crates/siskinhook-engine/tests/failover.rs
@@ -5,10 +5,11 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use siskinhook_standin::{Cut, PlatformState};
-use siskinhook_types::Verdict;
+use siskinhook_types::{Control, Purpose, Role, TargetSession, Targets, Verdict};
 use support::{
-    Cluster, NodeSession, claims, plan,
+    Cluster, NodeSession, claim, claims, plan,
     write_load::{WriteLoad, end_watch, watch_terms},
 };
 use tokio::{
@@ -234,3 +235,38 @@
     println!("{seen:?} reads");
     assert!(seen.iter().all(|seen| *seen > 100), "{seen:?} reads");
 }
+
+/// Demotes the primary, as the node that promotes another server does.
+async fn demote(cluster: &Cluster, name: &str) {
+    let term = cluster.site.server(name).unwrap().status().term + 1;
+    let entry = cluster.site.entry();
+    let mut servers = entry.databases["claims"].servers.iter();
+    let server = servers.find(|server| server.name == name).unwrap();
+    let targets = cluster.site.targets(&cluster.site.nodes()[0]);
+    let mut session = targets.connect(server, Purpose::Control).await.unwrap();
+    let promoter = "promoter".into();
+    let status = session.control(&Control::Fence { term, promoter }).await;
+    assert_eq!(status.unwrap().role, Role::Replica);
+}
+
+/// Guards against a write that is reported as run because a primary that was just demoted refused it,
+/// while the node that sent it does not know of the demotion yet.
+#[tokio::test(start_paused = true)]
+async fn write_refused_by_a_demoted_primary_is_sent_to_the_next_one() {
+    for seed in 90..100 {
+        let cluster = Cluster::start(seed, plan(3)).await;
+        let mut sessions = NODES.map(|node| cluster.session(node));
+        let mut identified = cluster.session(NODES[0]);
+        identified.options_mut().request = Some("payroll-1".into());
+        claim(&mut sessions[0], 1).await.unwrap();
+        sleep(Duration::from_millis(37 * (seed - 90))).await;
+        demote(&cluster, &cluster.primary()).await;
+        let callers = sessions.iter_mut().chain([&mut identified]);
+        let writes = (2..)
+            .zip(callers)
+            .map(|(shift, session)| claim(session, shift));
+        for written in join_all(writes).await {
+            assert!(written.is_ok(), "{written:?}");
+        }
+    }
+}
