Soak: keep late timers from slowing the limited links

Each piece of an answer slept for its own time, and timers fire up to a millisecond or two late, so fast links carried much less than stated.

A link now stores the time at which it has passed all pieces so far, and a busy link continues from that time.

--- a/tests/soak/pace.rs
+++ b/tests/soak/pace.rs
@@ -15,12 +15,15 @@
 use hyper::{Response, StatusCode, body::Frame};
 use tokio::{
     sync::{Mutex as FairMutex, oneshot},
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep_until},
 };
 
 /// Size of the pieces in which a body passes a link of limited bandwidth.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// Delay of timers within which a link counts as busy without a break.
+const TIMER_SLACK: Duration = Duration::from_millis(20);
+
 pub type HttpResponse = Response<UnsyncBoxBody<Bytes, Infallible>>;
 
 /// Name of a table of the store.
@@ -67,8 +70,9 @@
     settings: Mutex<PaceSettings>,
     /// Held during a turn. Waiting answers get it in the order of their requests.
     turn: FairMutex<()>,
-    /// For each node, held while a piece of an answer passes its link.
-    links: Vec<FairMutex<()>>,
+    /// For each node, the time at which its link has passed all pieces so far. Held while a piece
+    /// passes.
+    links: Vec<FairMutex<Instant>>,
     /// Traffic to each node, by table.
     traffic: Mutex<BTreeMap<TableName, Vec<Traffic>>>,
 }
@@ -78,7 +82,7 @@
         Arc::new(Self {
             settings: Mutex::default(),
             turn: FairMutex::default(),
-            links: (0..nodes).map(|_| FairMutex::default()).collect(),
+            links: (0..nodes).map(|_| FairMutex::new(Instant::now())).collect(),
             traffic: Mutex::default(),
         })
     }
@@ -177,8 +181,14 @@
         };
         let size = CHUNK_BYTES.min(self.body.len());
         let seconds = f64::from(u32::try_from(size).unwrap_or(u32::MAX)) / f64::from(bandwidth);
-        let _guard = self.pace.links[self.node].lock().await;
-        sleep(Duration::from_secs_f64(seconds)).await;
+        let mut passed_at = self.pace.links[self.node].lock().await;
+        // A busy link continues from the planned time, so that late timers do not add up.
+        if *passed_at + TIMER_SLACK < Instant::now() {
+            *passed_at = Instant::now();
+        }
+        *passed_at += Duration::from_secs_f64(seconds);
+        sleep_until(*passed_at).await;
+        drop(passed_at);
         Some(self.body.split_to(size))
     }
 }
