--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -287,7 +287,7 @@
         // Writing to a String cannot fail.
         let _ = writeln!(
             text,
-            "# HELP {NAME} Time since the platform's store last answered about a table.\n# TYPE {NAME} gauge"
+            "# HELP {NAME} Age of what the node knows about a table of the platform's store.\n# TYPE {NAME} gauge"
         );
         for table in self.store_answers.borrow().keys() {
             let seconds = self.store_silence(table).as_secs_f64();
