--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -70,7 +70,7 @@
     discovered: Cell<bool>,
     /// When the platform's store last answered about each table that the node follows.
     store_answers: RefCell<IndexMap<&'static str, BootInstant>>,
-    /// Tables about which the latest call to the store failed or is overdue, so that this node may be
+    /// Tables about which the store did not answer the latest call in time, so that this node may be
     /// behind.
     unanswered: RefCell<HashSet<&'static str>>,
     /// How late the event loop last woke a task whose time had come.
@@ -249,23 +249,22 @@
     }
 
     /// Records an answer of the platform's store that tells the state of a table at `as_of` or
-    /// later. Returns for how long there was none before.
-    pub fn record_store_answer(&self, table: &'static str, as_of: BootInstant) -> Duration {
-        let silence = self.store_silence(table);
+    /// later.
+    pub fn record_store_answer(&self, table: &'static str, as_of: BootInstant) {
         let mut answers = self.store_answers.borrow_mut();
         let latest = answers.entry(table).or_insert(as_of);
         *latest = as_of.max(*latest);
         self.unanswered.borrow_mut().remove(table);
-        silence
     }
 
-    /// Records that a call to the platform's store about a table failed or is overdue.
+    /// Records that a call to the platform's store about a table failed or is overdue, or that its
+    /// answer tells an old state.
     pub fn record_store_failure(&self, table: &'static str) {
         self.unanswered.borrow_mut().insert(table);
     }
 
     /// Whether the store may have changed a table since this node last knew it, because the latest
-    /// call about it failed or is overdue.
+    /// call about it was not answered in time.
     pub fn may_be_behind(&self, table: &str) -> bool {
         self.unanswered.borrow().contains(table)
     }
