Order no promotion under a lease that ended while it was renewed

Found in a review of the series: after a renewal the lease was not looked at again before the order. With calls of up to 2 s, which the series allows, the order could leave 6.2 s after the reading that dates the row, past the 4.5 s after which another node takes the lease over (worked out, not seen). The attempt is given up, and the next one starts anew.

A token that follows a row which cannot be read also lies above the highest one that this process has seen.

No test of its own: the lease runs on the boot clock, which tests cannot pause.

--- a/crates/siskinhook-gateway/src/failover/lease.rs
+++ b/crates/siskinhook-gateway/src/failover/lease.rs
@@ -218,7 +218,7 @@
         LeaseRecord {
             holder: self.gateway.node.clone(),
             process: self.gateway.process,
-            token: stored.next_token(),
+            token: stored.next_token().max(self.highest_token.get() + 1),
             written: stored.now,
             era: stored.era,
             replaces,
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -386,6 +386,11 @@
                 let Some(renewed) = self.renew(lease).await else {
                     return false;
                 };
+                // The renewal itself may outlast the lease while the table service is slow.
+                if BootInstant::now() >= renewed.until {
+                    self.log_failure("the lease ended while it was renewed; no order was sent");
+                    return false;
+                }
                 lease = renewed;
             }
             let service = &self.group.service;
