Log on which evidence a node acknowledges commits

The log did not tell why a node passed on an acknowledgement, nor what a node that replaces a primary knew. Event 2125 is logged when the evidence for the commits of a service changes, with the servers that the node knows, lost and reaches, and for how long it has served the service; 2120 states the same numbers.

No logic has changed.

--- a/crates/siskinhook-gateway/src/commit_evidence.rs
+++ b/crates/siskinhook-gateway/src/commit_evidence.rs
@@ -6,8 +6,12 @@
 //! While a lost server may be back, a commit is acknowledged to its caller only when enough listed
 //! replicas hold it.
 
-use std::{cell::RefCell, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    time::Duration,
+};
 
+use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{LogPoint, Role, ServerId};
 use tokio::{
     sync::Mutex,
@@ -24,9 +28,24 @@
 /// Delay before the replicas are asked again.
 const RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// What shows that an acknowledged commit outlasts its primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Basis {
+    /// No server that this process lost may be back unnoticed.
+    NoLoss,
+    /// A listed replica holds the commit.
+    Replica,
+    /// This node reaches no replica, and its zone is not cut off.
+    NoReplicaReached,
+    /// Nothing; the commit is not acknowledged.
+    Nothing,
+}
+
 /// The servers that a group lost without their announcement, and the questions to its replicas.
 #[derive(Default)]
 pub struct CommitEvidence {
+    /// What the latest commit rested on.
+    basis: Cell<Option<Basis>>,
     /// Servers whose entry is gone, and since when they have not been reached.
     lost: RefCell<Vec<(ServerId, Instant)>>,
     /// Coalesces the questions of concurrent commits.
@@ -89,33 +108,58 @@
     /// Waits until enough listed replicas hold a commit that the primary acknowledged. Returns
     /// whether they do before the deadline.
     pub(crate) async fn is_replicated(&self, point: LogPoint, deadline: Instant) -> bool {
+        let basis = self.find_evidence(point, deadline).await;
+        if self.evidence.basis.replace(Some(basis)) != Some(basis) {
+            let replicas = self.replicas();
+            event!(
+                Event::EvidenceChanged,
+                service = self.service.as_str(), basis:? = basis, term = point.term,
+                position = point.position,
+                reached = replicas.iter().filter(|t| t.outage().is_none()).count(),
+                replicas = replicas.len(), unlisted = self.unlisted().len(),
+                lost = self.evidence.losses().len(), uptime = self.uptime().as_millis();
+                "the evidence for commits has changed"
+            );
+        }
+        basis != Basis::Nothing
+    }
+
+    /// Returns what shows that a commit outlasts its primary.
+    async fn find_evidence(&self, point: LogPoint, deadline: Instant) -> Basis {
         // A node that reaches no replica cannot ask one. The primary may reach them, unless all are
         // in zones that it is cut off from together with this node.
         let reaches_replica = self.replicas().iter().any(|t| t.outage().is_none());
         if !reaches_replica {
-            return !self.fleet.is_cut_off();
+            return if self.fleet.is_cut_off() {
+                Basis::Nothing
+            } else {
+                Basis::NoReplicaReached
+            };
         }
         loop {
-            if !self.may_have_unknown_server() || self.is_known_replicated(point) {
-                return true;
+            if !self.may_have_unknown_server() {
+                return Basis::NoLoss;
+            }
+            if self.is_known_replicated(point) {
+                return Basis::Replica;
             }
             let Ok(guard) = timeout_at(deadline, self.evidence.lock.lock()).await else {
-                return false;
+                return Basis::Nothing;
             };
             // The answers to another commit's question may have sufficed.
             if self.is_known_replicated(point) {
-                return true;
+                return Basis::Replica;
             }
             for replica in self.replicas() {
                 let limit = deadline.min(Instant::now() + REPLICA_TIMEOUT);
                 self.ask_received(&replica, limit).await;
                 if self.is_known_replicated(point) {
-                    return true;
+                    return Basis::Replica;
                 }
             }
             drop(guard);
             if Instant::now() + RETRY_DELAY >= deadline {
-                return false;
+                return Basis::Nothing;
             }
             sleep(RETRY_DELAY).await;
         }
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -252,7 +252,9 @@
             Event::FailoverStarted,
             service = self.group.service.as_str(), server = leader.as_deref().unwrap_or("none"),
             fence = lease.token, term = self.group.term.get(),
-            stuck = self.group.unanswered_writes.get();
+            stuck = self.group.unanswered_writes.get(),
+            listed = self.group.targets.borrow().len(), unlisted = self.group.unlisted().len(),
+            uptime = self.group.uptime().as_millis();
             "replacing the primary: {reason}"
         );
         let Some(chosen) = self.stop_servers(leader.as_ref(), &relayed).await else {
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -46,6 +46,8 @@
     /// Admission of writes; `None` if this node replaces no primary.
     pub(crate) admission: Option<WriteAdmission>,
     pub(crate) evidence: CommitEvidence,
+    /// When this process began to serve the group.
+    started: Instant,
     /// Server that this node regards as the primary.
     leader: RefCell<Option<ServerId>>,
     /// Highest term that any server reported.
@@ -91,6 +93,7 @@
             confirmation: Confirmation::default(),
             admission: gateway.replace_primaries.then(WriteAdmission::default),
             evidence: CommitEvidence::default(),
+            started: Instant::now(),
             leader: RefCell::default(),
             term: Cell::default(),
             proved_term: Cell::default(),
@@ -111,6 +114,11 @@
         &self.counters
     }
 
+    /// Returns for how long this process has served the group; what happened before, it did not see.
+    pub(crate) fn uptime(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Applies changed settings of the service.
     pub(crate) fn configure(&self, settings: &Service) {
         self.sync_replicas.set(settings.sync_replicas);
