Add failing tests: acknowledgements on servers that nodes do not know

Nodes that restarted after the entry of the only server with the latest commits lapsed do not ask it, and order no promotion.

--- /dev/null
+++ b/crates/siskinhook-gateway/tests/commit_evidence.rs
@@ -0,0 +1,147 @@
+//! Tests of acknowledgements that must not rest on what one process happened to see, on tokio's
+//! paused clock.
+//!
+//! The primary acknowledges a commit with any replica. A caller is told of it only if a server holds
+//! it that every later replacement asks.
+
+mod support;
+
+use std::time::Duration;
+
+use siskinhook_types::Role;
+use support::{crash, replacement::Replacement, server};
+use tokio::{task::LocalSet, time::sleep};
+
+/// Seeds of the nodes' random choices.
+const SEEDS: std::ops::Range<u64> = 0..20;
+/// A loss that no node takes for recent any more.
+const LONG_AGO: Duration = Duration::from_secs(75);
+
+/// Lets the listed replicas receive nothing while the nodes write, and checks that callers are told
+/// of no commit that these replicas lack.
+async fn check_without_receiving(replacement: &Replacement, listed: &[usize]) {
+    let world = &replacement.site.world;
+    for &index in listed {
+        // A replica that is paused receives nothing.
+        world.borrow_mut()[index].paused_term = 1;
+    }
+    sleep(Duration::from_secs(1)).await;
+    let held = listed.iter().map(|&index| world.borrow()[index].received);
+    let held = held.max().expect("a listed replica");
+    let told = replacement.told.get();
+    assert!(told <= held, "{told} told, the listed replicas have {held}");
+    for &index in listed {
+        world.borrow_mut()[index].paused_term = 0;
+    }
+    sleep(Duration::from_secs(1)).await;
+    assert!(replacement.told.get() > held, "commits are told again");
+}
+
+/// Guards against losing commits that a node passes on because it started after the entry of the only
+/// server that holds them had lapsed.
+#[tokio::test(start_paused = true)]
+async fn restarted_node_does_not_acknowledge_a_commit_on_a_server_it_does_not_know() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                for node in &replacement.nodes {
+                    node.gateway.forget(&"s2".into());
+                }
+                replacement.restart_nodes(&[0, 1]);
+                sleep(Duration::from_millis(500)).await;
+                check_without_receiving(&replacement, &[1]).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits on a server that is back without an entry after the nodes have
+/// forgotten its loss.
+#[tokio::test(start_paused = true)]
+async fn commit_on_a_server_lost_long_ago_is_not_acknowledged() {
+    for seed in SEEDS.take(4) {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                crash(&replacement.site.world, 2);
+                sleep(Duration::from_millis(500)).await;
+                for node in &replacement.nodes {
+                    node.gateway.forget(&"s2".into());
+                }
+                sleep(LONG_AGO).await;
+                let world = &replacement.site.world;
+                world.borrow_mut().push(server(Role::Replica));
+                check_without_receiving(&replacement, &[1]).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits on a server that joined while its entry cannot be read, although
+/// no other server was lost.
+#[tokio::test(start_paused = true)]
+async fn commit_on_a_server_that_joined_unlisted_is_not_acknowledged() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                world.borrow_mut().push(server(Role::Replica));
+                check_without_receiving(&replacement, &[1, 2]).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits that a node passes on because it reaches no replica that it could
+/// ask.
+#[tokio::test(start_paused = true)]
+async fn node_that_reaches_no_replica_does_not_acknowledge_a_commit() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                for node in &replacement.nodes {
+                    node.gateway.dialer.hidden.borrow_mut().extend([1, 2]);
+                }
+                sleep(Duration::from_secs(1)).await;
+                let held = world.borrow()[1].received;
+                world.borrow_mut()[1].paused_term = 1;
+                world.borrow_mut()[2].paused_term = 1;
+                world.borrow_mut().push(server(Role::Replica));
+                sleep(Duration::from_secs(1)).await;
+                let told = replacement.told.get();
+                assert!(told <= held, "{told} told, the listed replicas have {held}");
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits on a server whose entry lapsed before all nodes restarted: they ask
+/// it in the replacement, although none of them ever read its entry.
+#[tokio::test(start_paused = true)]
+async fn restarted_nodes_ask_a_server_that_lost_its_entry_before() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                world.borrow_mut()[1].paused_term = 1;
+                sleep(Duration::from_millis(500)).await;
+                assert!(replacement.told.get() > world.borrow()[1].received);
+                world.borrow_mut()[1].paused_term = 0;
+                crash(&world, 0);
+                replacement.restart_nodes(&[0, 1]);
+                let (chosen, _) = replacement.lose_primary().await;
+                assert_eq!(chosen, 2, "the server that was ordered to lead");
+                sleep(Duration::from_secs(2)).await;
+                assert_eq!(replacement.site.orders.missing.get(), 0, "missing commits");
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -6,109 +6,25 @@
 
 mod support;
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::time::Duration;
 
 use serde_json::json;
-use siskinhook_gateway::{Gateway, Instance, Peer, Relay, RelayedRequest, Session, TargetCode};
+use siskinhook_gateway::{Instance, Peer, Relay, RelayedRequest, TargetCode};
 use siskinhook_types::Role;
-use support::{FakeDialer, RELAY_PORTS, ask, clock, crash, instance, restart, server, site::Site};
+use support::{
+    RELAY_PORTS, clock, crash, instance,
+    replacement::{Node, PROMOTION_TIME, Replacement},
+    restart, server,
+    site::Site,
+};
 use tokio::{
-    task::{JoinHandle, LocalSet, spawn_local},
+    task::{LocalSet, spawn_local},
     time::{Instant, sleep},
 };
 
 /// Seeds of the nodes' random choices.
 const SEEDS: std::ops::Range<u64> = 0..40;
 
-/// Time from an order to its effect.
-const PROMOTION_TIME: Duration = Duration::from_secs(1);
-
-/// A site of three nodes with steady writes at each, whose commits need a replica.
-struct Replacement {
-    site: Site,
-    nodes: Vec<Node>,
-    /// Highest log position of a commit that a caller was told of.
-    told: Rc<Cell<u64>>,
-}
-
-struct Node {
-    gateway: Rc<Gateway<FakeDialer>>,
-    writer: JoinHandle<()>,
-}
-
-impl Replacement {
-    async fn start(seed: u64) -> Self {
-        let site = Site::new(seed);
-        site.orders.delay.set(PROMOTION_TIME);
-        for server in site.world.borrow_mut().iter_mut() {
-            server.sync_replicas = 1;
-        }
-        let nodes = Vec::new();
-        let mut replacement = Self {
-            site,
-            nodes,
-            told: Rc::default(),
-        };
-        for name in ["n1", "n2", "n3"] {
-            replacement.add_node(name);
-        }
-        sleep(Duration::from_secs(1)).await;
-        replacement
-    }
-
-    fn add_node(&mut self, name: &str) {
-        let gateway = self.site.start(name);
-        let writer = spawn_local(write(gateway.clone(), self.told.clone()));
-        self.nodes.push(Node { gateway, writer });
-    }
-
-    /// Stops a node, as if its process had been killed.
-    fn kill_node(&mut self, name: &str) {
-        self.site.stop_controller(name);
-        for node in self.nodes.extract_if(.., |node| node.gateway.node == name) {
-            node.writer.abort();
-        }
-    }
-
-    /// Takes the primary down until its replacement is ordered. Returns the server that was ordered
-    /// to lead and the other replica.
-    async fn lose_primary(&self) -> (usize, usize) {
-        crash(&self.site.world, 0);
-        let limit = Instant::now() + Duration::from_secs(5);
-        loop {
-            sleep(Duration::from_millis(5)).await;
-            let ordered = self.site.orders.seen.borrow().first().cloned();
-            if let Some(order) = ordered {
-                return if order.server == "s1" { (1, 2) } else { (2, 1) };
-            }
-            assert!(Instant::now() < limit, "no promotion was ordered");
-        }
-    }
-
-    /// Checks that no acknowledged commit is missing at the new primary, and that it serves.
-    async fn check(&self) {
-        sleep(PROMOTION_TIME * 3).await;
-        assert_eq!(self.site.orders.missing.get(), 0, "missing commits");
-        for node in &self.nodes {
-            let mut session = Session::open(&node.gateway, "strong").expect("the route is known");
-            let answer = ask(&mut session, "WRITE 1 a").await;
-            assert!(answer.result.is_ok(), "{answer:?}");
-        }
-    }
-}
-
-/// Writes without end, and notes the positions of acknowledged commits.
-async fn write(gateway: Rc<Gateway<FakeDialer>>, told: Rc<Cell<u64>>) {
-    loop {
-        let mut session = Session::open(&gateway, "strong").expect("the route is known");
-        let answer = ask(&mut session, "WRITE 1 a").await;
-        if let (Ok(_), Some(point)) = (answer.result, answer.point) {
-            told.set(told.get().max(point.position));
-        }
-        sleep(Duration::from_millis(10)).await;
-    }
-}
-
 /// Guards against losing commits that a restarted primary acknowledges together with a replica that
 /// restarted after its pause, before the promotion takes effect.
 #[tokio::test(start_paused = true)]
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! In-memory model of a group of three servers, behind the traits of the gateway.
 #![allow(dead_code)] // each test file uses only a part of the module
 
+pub mod replacement;
 pub mod site;
 
 use std::{
