--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,7 +2,8 @@
 //!
 //! Starts stand-ins of the platform and of one service with three servers, eight nodes of the
 //! project's program, and clients. Exits with 1 if the rule was broken, with 0 if it held, and with
-//! 2 if the case could not run. With `TROUBLE=0` in the environment the disruption is left out.
+//! 2 if the case could not run. With `TROUBLE=0` in the environment the disruption is left out; with
+//! `KILL=0` the case `forgotten` leaves out only the kill of the nodes.
 
 mod client;
 mod database;
@@ -70,6 +71,7 @@
         return ExitCode::from(2);
     };
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
+    let kills_nodes = env::var("KILL").as_deref() != Ok("0");
     let directory = env::temp_dir().join(format!("review-{}", std::process::id()));
     let Ok(file) = File::create(record) else {
         eprintln!("cannot write {record}");
@@ -85,6 +87,7 @@
             match case.as_str() {
                 "restart" => scenarios::restart(&site, &nodes, has_trouble),
                 "lapse" => scenarios::lapse(&site, &nodes, has_trouble),
+                "forgotten" => scenarios::forgotten(&site, &mut nodes, has_trouble, kills_nodes),
                 "join" => scenarios::join(&site, &nodes, has_trouble),
                 "memory" => scenarios::memory(&site, &mut nodes, has_trouble),
                 "text" => scenarios::text(&site, &nodes, has_trouble),
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -100,11 +100,28 @@
 
     /// Kills the process and starts it again.
     pub fn restart(&mut self) {
+        self.kill();
+        self.start_again();
+    }
+
+    /// Kills the process and waits until it has ended.
+    pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+    }
+
+    /// Starts the process of a killed node.
+    pub fn start_again(&mut self) {
         self.child = start_process(&self.settings);
     }
 
+    /// Whether a line of the node's log contains all texts.
+    pub fn has_logged(&self, texts: &[&str]) -> bool {
+        let log = fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default();
+        log.lines()
+            .any(|line| texts.iter().all(|text| line.contains(text)))
+    }
+
     fn is_ready(&self) -> bool {
         let ask = || -> std::io::Result<String> {
             let mut stream = TcpStream::connect_timeout(&self.readiness, Duration::from_secs(1))?;
@@ -132,7 +149,6 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -181,6 +181,82 @@
     finish(site, writers)
 }
 
+/// Waits until all nodes have removed a server.
+fn wait_for_removal(site: &Site, nodes: &[Node], server: usize, limit: Duration) -> bool {
+    let server = format!("\"server\":\"{}\"", site.lock().servers[server].id);
+    let until = Instant::now() + limit;
+    while Instant::now() < until {
+        let is_removed = |node: &Node| node.has_logged(&["\"event\":3032", &server]);
+        if nodes.iter().all(is_removed) {
+            return true;
+        }
+        sleep(millis(20));
+    }
+    false
+}
+
+/// The entries lapse while the store is down, and one replica stays cut off from the store. Once the
+/// nodes have removed it, all of them are killed, unless `kills_nodes` is false, and start again. Then
+/// the other replica receives nothing, and the primary crashes.
+pub fn forgotten(
+    site: &Arc<Site>,
+    nodes: &mut [Node],
+    has_trouble: bool,
+    kills_nodes: bool,
+) -> Broken {
+    let writers = Writers::start(site, nodes);
+    sleep(millis(4000));
+    if has_trouble {
+        let set_down = |is_down: bool| {
+            site.lock().store.is_down = is_down;
+            let state = if is_down { "down" } else { "back" };
+            site.note(&format!("store: {state}"));
+            site.changed.notify_all();
+        };
+        let set_cut = |is_cut: bool| {
+            site.lock().servers[1].is_store_cut = is_cut;
+            site.note(&format!("server 1 is cut off from the store: {is_cut}"));
+        };
+        let set_deaf = |is_deaf: bool| {
+            let mut world = site.lock();
+            world.servers[2].is_deaf = is_deaf;
+            site.note(&format!("server 2 receives nothing: {is_deaf}"));
+            site.replicate(&mut world);
+        };
+        set_down(true);
+        sleep(millis(4400));
+        set_cut(true);
+        sleep(millis(100));
+        set_down(false);
+        if !wait_for_removal(site, nodes, 1, millis(8000)) {
+            return Err("the nodes did not remove the server".into());
+        }
+        site.note("all nodes have removed server 1");
+        if kills_nodes {
+            nodes.iter_mut().for_each(Node::kill);
+            site.note("all nodes are killed");
+            nodes.iter_mut().for_each(Node::start_again);
+        }
+        if !nodes.iter().all(Node::wait_ready) {
+            return Err("a node was not ready in time".into());
+        }
+        site.note("all nodes are ready");
+        sleep(millis(500));
+        set_deaf(true);
+        sleep(millis(600));
+        site.crash(0);
+        sleep(millis(400));
+        set_deaf(false);
+        let is_ordered = wait_for_order(site, millis(6000)).is_some();
+        site.note(&format!("a promotion was ordered: {is_ordered}"));
+        set_cut(false);
+        sleep(millis(3500));
+        site.restart(0);
+    }
+    sleep(millis(4000));
+    finish(site, writers)
+}
+
 /// A primary restarts, and the new server of a release starts.
 pub fn join(site: &Arc<Site>, nodes: &[Node], has_trouble: bool) -> Broken {
     let writers = Writers::start(site, nodes);
