--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,7 +3,10 @@
 //! Starts stand-ins of the platform and of one service with three servers, eight nodes of the
 //! project's program, and clients. Exits with 1 if the rule was broken, with 0 if it held, and with
 //! 2 if the case could not run. With `TROUBLE=0` in the environment the disruption is left out; with
-//! `KILL=0` the case `forgotten` leaves out only the kill of the nodes.
+//! `KILL=0` the case `forgotten` leaves out only the kill of the nodes. `AWAY_S` is the number of
+//! seconds for which the replica of the case `late` is down (66). With `CRASH=0` the second replica
+//! of the case `alone` does not crash, but receives nothing. With `CUT=0` the new server of the case
+//! `successor` reaches the store.
 
 mod client;
 mod database;
@@ -12,7 +15,7 @@
 mod scenarios;
 mod site;
 
-use std::{env, fs::File, path::Path, process::ExitCode, sync::Arc, thread};
+use std::{env, fs::File, path::Path, process::ExitCode, sync::Arc, thread, time::Duration};
 
 use node::Node;
 use serde_json::json;
@@ -72,6 +75,10 @@
     };
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let kills_nodes = env::var("KILL").as_deref() != Ok("0");
+    let crashes_replica = env::var("CRASH").as_deref() != Ok("0");
+    let cuts_new_server = env::var("CUT").as_deref() != Ok("0");
+    let away = env::var("AWAY_S").ok().and_then(|text| text.parse().ok());
+    let away = Duration::from_secs(away.unwrap_or(66));
     let directory = env::temp_dir().join(format!("review-{}", std::process::id()));
     let Ok(file) = File::create(record) else {
         eprintln!("cannot write {record}");
@@ -88,6 +95,9 @@
                 "restart" => scenarios::restart(&site, &nodes, has_trouble),
                 "lapse" => scenarios::lapse(&site, &nodes, has_trouble),
                 "forgotten" => scenarios::forgotten(&site, &mut nodes, has_trouble, kills_nodes),
+                "late" => scenarios::late(&site, &nodes, has_trouble, away),
+                "alone" => scenarios::alone(&site, &nodes, has_trouble, crashes_replica),
+                "successor" => scenarios::successor(&site, &nodes, has_trouble, cuts_new_server),
                 "join" => scenarios::join(&site, &nodes, has_trouble),
                 "memory" => scenarios::memory(&site, &mut nodes, has_trouble),
                 "text" => scenarios::text(&site, &nodes, has_trouble),
--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -257,6 +257,134 @@
     finish(site, writers)
 }
 
+/// A replica is lost. After `away` a server starts at its address with its log and follows the
+/// primary, but does not reach the store. Then the other replica receives nothing, and the primary
+/// crashes.
+pub fn late(site: &Arc<Site>, nodes: &[Node], has_trouble: bool, away: Duration) -> Broken {
+    let writers = Writers::start(site, nodes);
+    sleep(millis(4000));
+    if has_trouble {
+        let set_cut = |is_cut: bool| {
+            site.lock().servers[1].is_store_cut = is_cut;
+            site.note(&format!("server 1 is cut off from the store: {is_cut}"));
+        };
+        let set_deaf = |is_deaf: bool| {
+            let mut world = site.lock();
+            world.servers[2].is_deaf = is_deaf;
+            site.note(&format!("server 2 receives nothing: {is_deaf}"));
+            site.replicate(&mut world);
+        };
+        site.crash(1);
+        sleep(away);
+        set_cut(true);
+        site.restart(1);
+        sleep(millis(1500));
+        set_deaf(true);
+        sleep(millis(600));
+        site.crash(0);
+        sleep(millis(400));
+        set_deaf(false);
+        let is_ordered = wait_for_order(site, millis(6000)).is_some();
+        site.note(&format!("a promotion was ordered: {is_ordered}"));
+        set_cut(false);
+        sleep(millis(3500));
+        site.restart(0);
+    }
+    sleep(millis(4000));
+    finish(site, writers)
+}
+
+/// A replica is lost, and a server at its address follows the primary without reaching the store.
+/// While the loss counts, the other replica crashes, so that the nodes reach none, and then the
+/// primary. Without `crashes_replica` the other replica receives nothing instead.
+pub fn alone(site: &Arc<Site>, nodes: &[Node], has_trouble: bool, crashes_replica: bool) -> Broken {
+    let writers = Writers::start(site, nodes);
+    sleep(millis(4000));
+    if has_trouble {
+        let set_cut = |is_cut: bool| {
+            site.lock().servers[1].is_store_cut = is_cut;
+            site.note(&format!("server 1 is cut off from the store: {is_cut}"));
+        };
+        let set_deaf = |is_deaf: bool| {
+            let mut world = site.lock();
+            world.servers[2].is_deaf = is_deaf;
+            site.note(&format!("server 2 receives nothing: {is_deaf}"));
+            site.replicate(&mut world);
+        };
+        site.crash(1);
+        sleep(millis(8000));
+        set_cut(true);
+        site.restart(1);
+        sleep(millis(1500));
+        if crashes_replica {
+            site.crash(2);
+        } else {
+            set_deaf(true);
+        }
+        sleep(millis(600));
+        site.crash(0);
+        sleep(millis(400));
+        if crashes_replica {
+            site.restart(2);
+        } else {
+            set_deaf(false);
+        }
+        let is_ordered = wait_for_order(site, millis(6000)).is_some();
+        site.note(&format!("a promotion was ordered: {is_ordered}"));
+        set_cut(false);
+        sleep(millis(3500));
+        site.restart(0);
+    }
+    sleep(millis(4000));
+    finish(site, writers)
+}
+
+/// A replica leaves as it announced, and a new server at its address follows the primary without
+/// reaching the store. Then the other replica receives nothing, and the primary crashes. Without
+/// `cuts_new_server` the new server reaches the store.
+pub fn successor(
+    site: &Arc<Site>,
+    nodes: &[Node],
+    has_trouble: bool,
+    cuts_new_server: bool,
+) -> Broken {
+    let writers = Writers::start(site, nodes);
+    sleep(millis(4000));
+    if has_trouble {
+        let set_cut = |is_cut: bool| {
+            site.lock().servers[1].is_store_cut = is_cut;
+            site.note(&format!("server 1 is cut off from the store: {is_cut}"));
+        };
+        let set_deaf = |is_deaf: bool| {
+            let mut world = site.lock();
+            world.servers[2].is_deaf = is_deaf;
+            site.note(&format!("server 2 receives nothing: {is_deaf}"));
+            site.replicate(&mut world);
+        };
+        site.drain(1);
+        sleep(millis(7200));
+        site.leave(1);
+        sleep(millis(400));
+        if cuts_new_server {
+            set_cut(true);
+        }
+        site.restart(1);
+        sleep(millis(3000));
+        set_deaf(true);
+        sleep(millis(600));
+        site.crash(0);
+        sleep(millis(400));
+        set_deaf(false);
+        let is_ordered = wait_for_order(site, millis(6000)).is_some();
+        site.note(&format!("a promotion was ordered: {is_ordered}"));
+        set_cut(false);
+        sleep(millis(3500));
+        site.restart(0);
+    }
+    sleep(millis(4000));
+    finish(site, writers)
+}
+
 /// A primary restarts, and the new server of a release starts.
 pub fn join(site: &Arc<Site>, nodes: &[Node], has_trouble: bool) -> Broken {
     let writers = Writers::start(site, nodes);
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -85,6 +85,8 @@
     pub is_deaf: bool,
     /// Whether the server is cut off from the store.
     pub is_store_cut: bool,
+    /// Whether the server has reported that it leaves.
+    pub is_draining: bool,
     /// Number of starts; connections of an earlier one are closed.
     pub epoch: u64,
     pub born: u64,
@@ -109,6 +111,20 @@
         format!("{role} {term} {position} {held} 0 0 {}", self.streams.len())
     }
 
+    /// Makes the log equal to a primary's log. Two logs that have an entry of the same term and number
+    /// are equal up to it.
+    fn follow(&mut self, log: &[Commit]) {
+        let position = |entry: &Commit| (entry.term, entry.number);
+        let end = self.log.len();
+        let is_behind =
+            end <= log.len() && self.log.last().map(position) == log[..end].last().map(position);
+        if is_behind {
+            self.log.extend_from_slice(&log[end..]);
+        } else {
+            self.log = log.to_vec();
+        }
+    }
+
     /// Whether the log holds a position.
     pub fn holds(&self, term: u64, number: u64) -> bool {
         let last = self.log.last().map_or((1, 0), |c| (c.term, c.number));
@@ -160,6 +176,7 @@
             paused_term: 0,
             is_deaf: false,
             is_store_cut: false,
+            is_draining: false,
             epoch: 0,
             born: unix_millis(),
             sequence: 0,
@@ -196,22 +213,20 @@
 
     /// Copies the primary's log to every replica that receives.
     pub fn replicate(&self, world: &mut World) {
-        let is_leading = |s: &&Server| s.is_up && s.is_primary;
-        let Some(primary) = world
-            .servers
-            .iter()
-            .filter(is_leading)
-            .max_by_key(|s| s.term)
-        else {
+        let leading = world.servers.iter().enumerate();
+        let leading = leading.filter(|(_, server)| server.is_up && server.is_primary);
+        let Some((primary, _)) = leading.max_by_key(|(_, server)| server.term) else {
             return;
         };
-        let (term, log) = (primary.term, primary.log.clone());
+        let term = world.servers[primary].term;
+        let log = std::mem::take(&mut world.servers[primary].log);
         for server in &mut world.servers {
             if server.is_up && !server.is_primary && !server.is_deaf && server.paused_term == 0 {
                 server.term = term;
-                server.log.clone_from(&log);
+                server.follow(&log);
             }
         }
+        world.servers[primary].log = log;
         self.changed.notify_all();
     }
 
@@ -229,10 +244,15 @@
         } else {
             "replica"
         };
+        let state = if server.is_draining {
+            "draining"
+        } else {
+            "ready"
+        };
         let entry = |sequence: u64| {
             json!({
                 "service": SERVICE, "addr": format!("127.0.0.1:{}", server.port),
-                "zone": server.zone, "version": "v1", "slots": 4, "state": "ready",
+                "zone": server.zone, "version": "v1", "slots": 4, "state": state,
                 "cold_left_ms": 0, "db_role": role, "seq": sequence, "born": server.born,
             })
         };
@@ -303,6 +323,24 @@
         self.changed.notify_all();
     }
 
+    /// Lets a server report that it leaves.
+    pub fn drain(&self, index: usize) {
+        let mut world = self.lock();
+        world.servers[index].is_draining = true;
+        self.report(&mut world, index);
+        self.note(&format!("server {} is draining", world.servers[index].id));
+    }
+
+    /// Ends a server that has reported that it leaves, and removes its entry.
+    pub fn leave(&self, index: usize) {
+        self.crash(index);
+        let mut world = self.lock();
+        let id = world.servers[index].id.clone();
+        world.store.put("servers", &id, None);
+        self.note(&format!("store: {id} has left"));
+        self.changed.notify_all();
+    }
+
     /// Starts a crashed server again, with its log and under a new id. It leads if no other server
     /// was promoted.
     pub fn restart(&self, index: usize) {
@@ -314,6 +352,7 @@
         let server = &mut world.servers[index];
         server.id = format!("{old}r");
         server.is_up = true;
+        server.is_draining = false;
         server.paused_term = 0;
         server.born = unix_millis();
         server.sequence = 0;
