--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,11 +2,12 @@
 //!
 //! Starts stand-ins of the platform and of one service with three servers, eight nodes of the
 //! project's program, and clients. Exits with 1 if the rule was broken, with 0 if it held, and with
-//! 2 if the case could not run. With `TROUBLE=0` in the environment the disruption is left out; with
-//! `KILL=0` the case `forgotten` leaves out only the kill of the nodes. `AWAY_S` is the number of
-//! seconds for which the replica of the case `late` is down (66). With `CRASH=0` the second replica
-//! of the case `alone` does not crash, but receives nothing. With `CUT=0` the new server of the case
-//! `successor` reaches the store.
+//! 2 if the case could not run. With `TROUBLE=0` in the environment the disruption is left out.
+//!
+//! Other variables change single cases: `KILL=0` leaves out the kill of the nodes in `forgotten`, and
+//! `KILL=early` kills them before the store is back; `AWAY_S` is the number of seconds for which the
+//! replica of `late` is down (66); with `CRASH=0` the second replica of `alone` receives nothing
+//! instead of crashing; with `CUT=0` the new server of `successor` reaches the store.
 
 mod client;
 mod database;
@@ -18,6 +19,7 @@
 use std::{env, fs::File, path::Path, process::ExitCode, sync::Arc, thread, time::Duration};
 
 use node::Node;
+use scenarios::Kill;
 use serde_json::json;
 use site::Site;
 
@@ -74,7 +76,11 @@
         return ExitCode::from(2);
     };
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
-    let kills_nodes = env::var("KILL").as_deref() != Ok("0");
+    let kill = match env::var("KILL").as_deref() {
+        Ok("0") => Kill::Never,
+        Ok("early") => Kill::BeforeStore,
+        _ => Kill::AfterRemoval,
+    };
     let crashes_replica = env::var("CRASH").as_deref() != Ok("0");
     let cuts_new_server = env::var("CUT").as_deref() != Ok("0");
     let away = env::var("AWAY_S").ok().and_then(|text| text.parse().ok());
@@ -94,7 +100,7 @@
             match case.as_str() {
                 "restart" => scenarios::restart(&site, &nodes, has_trouble),
                 "lapse" => scenarios::lapse(&site, &nodes, has_trouble),
-                "forgotten" => scenarios::forgotten(&site, &mut nodes, has_trouble, kills_nodes),
+                "forgotten" => scenarios::forgotten(&site, &mut nodes, has_trouble, kill),
                 "late" => scenarios::late(&site, &nodes, has_trouble, away),
                 "alone" => scenarios::alone(&site, &nodes, has_trouble, crashes_replica),
                 "successor" => scenarios::successor(&site, &nodes, has_trouble, cuts_new_server),
--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -195,15 +195,25 @@
     false
 }
 
-/// The entries lapse while the store is down, and one replica stays cut off from the store. Once the
-/// nodes have removed it, all of them are killed, unless `kills_nodes` is false, and start again. Then
-/// the other replica receives nothing, and the primary crashes.
-pub fn forgotten(
-    site: &Arc<Site>,
-    nodes: &mut [Node],
-    has_trouble: bool,
-    kills_nodes: bool,
-) -> Broken {
+/// When all nodes are killed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Kill {
+    Never,
+    /// Before the store is back, so that no node sees the removal of a server.
+    BeforeStore,
+    /// Once all nodes have removed a server.
+    AfterRemoval,
+}
+
+fn kill_all(site: &Site, nodes: &mut [Node]) {
+    nodes.iter_mut().for_each(Node::kill);
+    site.note("all nodes are killed");
+    nodes.iter_mut().for_each(Node::start_again);
+}
+
+/// The entries lapse while the store is down, and one replica stays cut off from the store. All nodes
+/// are killed and start again. Then the other replica receives nothing, and the primary crashes.
+pub fn forgotten(site: &Arc<Site>, nodes: &mut [Node], has_trouble: bool, kill: Kill) -> Broken {
     let writers = Writers::start(site, nodes);
     sleep(millis(4000));
     if has_trouble {
@@ -227,21 +237,26 @@
         sleep(millis(4400));
         set_cut(true);
         sleep(millis(100));
+        if kill == Kill::BeforeStore {
+            kill_all(site, nodes);
+        }
         set_down(false);
-        if !wait_for_removal(site, nodes, 1, millis(8000)) {
-            return Err("the nodes did not remove the server".into());
+        if kill != Kill::BeforeStore {
+            if !wait_for_removal(site, nodes, 1, millis(8000)) {
+                return Err("the nodes did not remove the server".into());
+            }
+            site.note("all nodes have removed server 1");
         }
-        site.note("all nodes have removed server 1");
-        if kills_nodes {
-            nodes.iter_mut().for_each(Node::kill);
-            site.note("all nodes are killed");
-            nodes.iter_mut().for_each(Node::start_again);
+        if kill == Kill::AfterRemoval {
+            kill_all(site, nodes);
         }
         if !nodes.iter().all(Node::wait_ready) {
             return Err("a node was not ready in time".into());
         }
         site.note("all nodes are ready");
-        sleep(millis(500));
+        // After the return of the store the other servers' entries are back within 1.2 s.
+        let is_early = kill == Kill::BeforeStore;
+        sleep(millis(if is_early { 1500 } else { 500 }));
         set_deaf(true);
         sleep(millis(600));
         site.crash(0);
