--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,11 @@
 //! Starts stand-ins of the platform and of one service with three servers, eight nodes of the
 //! project's program, and clients. Exits with 1 if the rule was broken, with 0 if it held, and with
 //! 2 if the case could not run. With `TROUBLE=0` in the environment the disruption is left out.
+//!
+//! Other variables change single cases: `KILL=0` leaves out the kill of the nodes in `forgotten`, and
+//! `KILL=early` kills them before the store is back; `AWAY_S` is the number of seconds for which the
+//! replica of `late` is down (66); with `CRASH=0` the second replica of `alone` receives nothing
+//! instead of crashing; with `CUT=0` the new server of `successor` reaches the store.
 
 mod client;
 mod database;
@@ -11,9 +16,10 @@
 mod scenarios;
 mod site;
 
-use std::{env, fs::File, path::Path, process::ExitCode, sync::Arc, thread};
+use std::{env, fs::File, path::Path, process::ExitCode, sync::Arc, thread, time::Duration};
 
 use node::Node;
+use scenarios::Kill;
 use serde_json::json;
 use site::Site;
 
@@ -70,6 +76,15 @@
         return ExitCode::from(2);
     };
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
+    let kill = match env::var("KILL").as_deref() {
+        Ok("0") => Kill::Never,
+        Ok("early") => Kill::BeforeStore,
+        _ => Kill::AfterRemoval,
+    };
+    let crashes_replica = env::var("CRASH").as_deref() != Ok("0");
+    let cuts_new_server = env::var("CUT").as_deref() != Ok("0");
+    let away = env::var("AWAY_S").ok().and_then(|text| text.parse().ok());
+    let away = Duration::from_secs(away.unwrap_or(66));
     let directory = env::temp_dir().join(format!("review-{}", std::process::id()));
     let Ok(file) = File::create(record) else {
         eprintln!("cannot write {record}");
@@ -85,6 +100,10 @@
             match case.as_str() {
                 "restart" => scenarios::restart(&site, &nodes, has_trouble),
                 "lapse" => scenarios::lapse(&site, &nodes, has_trouble),
+                "forgotten" => scenarios::forgotten(&site, &mut nodes, has_trouble, kill),
+                "late" => scenarios::late(&site, &nodes, has_trouble, away),
+                "alone" => scenarios::alone(&site, &nodes, has_trouble, crashes_replica),
+                "successor" => scenarios::successor(&site, &nodes, has_trouble, cuts_new_server),
                 "join" => scenarios::join(&site, &nodes, has_trouble),
                 "memory" => scenarios::memory(&site, &mut nodes, has_trouble),
                 "text" => scenarios::text(&site, &nodes, has_trouble),
