--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -45,6 +45,9 @@
     RestoreStore,
     /// The operator writes a new version of the configuration.
     Reconfigure,
+    /// The entry of a live replica is gone until the end of the fault, and all nodes are killed and
+    /// restarted. Then the other replicas receive nothing, and the primary crashes.
+    ForgottenReplica { group: usize },
 }
 
 /// A fault with the time at which it starts.
@@ -76,6 +79,17 @@
             fault: random_fault(&mut rng, site),
         })
         .collect();
+    // A generator of its own, so that the other faults of a seed stay as they were.
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    if rng.random_bool(0.5) {
+        planned.push(PlannedFault {
+            at: Duration::from_millis(rng.random_range(0..millis / 2)),
+            duration: Duration::from_millis(rng.random_range(300..1500)),
+            fault: Fault::ForgottenReplica {
+                group: rng.random_range(0..site.groups),
+            },
+        });
+    }
     planned.sort_by_key(|planned| planned.at);
     planned
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -63,6 +63,11 @@
 /// Time for which the store answers no node before the faults end.
 const FINAL_SILENCE: Duration = Duration::from_millis(1500);
 
+/// Time in which nodes remove a server whose entry is gone.
+const FORGET_TIME: Duration = Duration::from_millis(3500);
+/// Time in which restarted nodes serve callers again.
+const START_TIME: Duration = Duration::from_millis(1500);
+
 /// Held while a test runs its site, as the sites would disturb each other.
 static SITE: Mutex<()> = Mutex::new(());
 
@@ -289,7 +294,34 @@
             Fault::Reconfigure => {
                 self.reconfigure();
             }
+            Fault::ForgottenReplica { group } => self.forget_replica(group, duration).await,
+        }
+    }
+
+    /// Lets the nodes forget a live replica, and the primary replicate to it alone for `duration`
+    /// before it crashes.
+    async fn forget_replica(&self, group: usize, duration: Duration) {
+        let primary = self.servers.primary_index(group);
+        let forgotten = (primary + 1) % self.site.servers;
+        let others: Vec<usize> = (0..self.site.servers)
+            .filter(|s| *s != primary && *s != forgotten)
+            .collect();
+        self.servers.set_unlisted(group, forgotten, true);
+        sleep(FORGET_TIME).await;
+        (0..self.site.nodes).for_each(|node| self.with_node(node, Node::kill));
+        (0..self.site.nodes).for_each(|node| self.with_node(node, Node::start));
+        sleep(START_TIME).await;
+        for &server in &others {
+            self.servers.set_replication_cut(group, server, true);
+        }
+        sleep(duration).await;
+        self.servers.crash(group, primary);
+        for &server in &others {
+            self.servers.set_replication_cut(group, server, false);
         }
+        sleep(duration * 2).await;
+        self.servers.set_unlisted(group, forgotten, false);
+        self.servers.restart(group, primary);
     }
 
     /// Reverts everything that overlapping faults may have left behind.
@@ -299,6 +331,7 @@
             for server in 0..self.site.servers {
                 self.servers.set_replication_cut(group, server, false);
                 self.servers.set_hanging(group, server, false);
+                self.servers.set_unlisted(group, server, false);
                 self.servers.restart(group, server);
             }
             (0..self.site.nodes).for_each(|node| self.set_links(node, group, None, Link::Open));
--- a/tests/soak/servers/group.rs
+++ b/tests/soak/servers/group.rs
@@ -39,6 +39,8 @@
     pub replication_cut: bool,
     /// Whether statements hang.
     pub is_hanging: bool,
+    /// Whether the server has no entry in the store although it runs.
+    pub is_unlisted: bool,
     /// Number of times that the server has started, written to its entry in the store.
     pub born: u64,
     /// Number of crashes. Connections of an earlier epoch are closed.
--- a/tests/soak/servers/mod.rs
+++ b/tests/soak/servers/mod.rs
@@ -74,6 +74,7 @@
                     paused_term: 0,
                     replication_cut: false,
                     is_hanging: false,
+                    is_unlisted: false,
                     born: 1,
                     epoch: 0,
                     connections: 0,
@@ -133,6 +134,9 @@
     fn publish_entry(&self, g: usize, s: usize) {
         let groups = self.groups();
         let server = &groups[g].servers[s];
+        if server.is_unlisted {
+            return;
+        }
         let role = if server.is_primary {
             "primary"
         } else {
@@ -201,6 +205,20 @@
         self.changed.notify_waiters();
     }
 
+    /// Removes the entry of a live server, or writes it again.
+    pub fn set_unlisted(&self, g: usize, s: usize, is_unlisted: bool) {
+        let (id, is_up) = {
+            let server = &mut self.groups()[g].servers[s];
+            server.is_unlisted = is_unlisted;
+            (server.id.clone(), server.is_up)
+        };
+        if is_unlisted {
+            self.store.put("servers", &id, None);
+        } else if is_up {
+            self.publish_entry(g, s);
+        }
+    }
+
     /// Makes the statements of a server hang, or lets them continue.
     pub fn set_hanging(&self, g: usize, s: usize, is_hanging: bool) {
         self.groups()[g].servers[s].is_hanging = is_hanging;
