Keep servers in the record while commits may rest on them

The time until which nodes may rely on a server, as its confirmation in the record shows, now extends its departure and has to pass before later commits on listed replicas cover it. Recorders ask the servers without an entry before they remove them, record only servers that answered, and every node counts recorded servers as existing. Only departures that the record was seen to name are taken for accounted for when it names them no more. Nodes that miss evidence read the record, so that restarted nodes let commits rest on a live server without an entry. A commit confirms its primary to strong reads only with evidence. A COMMIT without a reachable replica is refused and rolled back; before, its outcome was unknown.

Tests: commits_rest_on_a_recorded_server_without_an_entry, replicas_left_paused_lead_to_a_new_replacement, replica_that_was_relied_on_ after_its_departure_is_missing_again, and the older list in server_is_removed_ when_another_follows_at_its_address. restarted_node_does_not_acknowledge_a_ commit_on_a_server_it_does_not_know loses the record as well, since with it the nodes know the server.

--- a/crates/siskinhook-gateway/src/commit_evidence.rs
+++ b/crates/siskinhook-gateway/src/commit_evidence.rs
@@ -36,7 +36,7 @@
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which nodes in contact with the platform's store may still take a server for listed after
 /// its entry is gone; longer than the silence that the feed of the servers' table allows.
-const LISTING_LIFETIME: Duration = Duration::from_secs(10);
+pub const LISTING_LIFETIME: Duration = Duration::from_secs(10);
 /// Time for which a write waits for a replica that failed before; several times the network latency
 /// between zones.
 const PROBE_WAIT: Duration = Duration::from_millis(40);
@@ -116,11 +116,10 @@
         self.shown.set(self.shown.get().max(Some(sent_at)));
     }
 
-    /// Whether the listed replicas hold every commit that may rest on a server whose entry has been
-    /// missing since `absent`.
-    pub fn covers(&self, absent: BootInstant) -> bool {
-        let shown = self.shown.get();
-        shown.is_some_and(|shown| shown >= absent.plus(LISTING_LIFETIME))
+    /// Whether a commit that was sent at `since` or later is on listed replicas, and with it all
+    /// earlier ones.
+    pub fn covers(&self, since: BootInstant) -> bool {
+        self.shown.get().is_some_and(|shown| shown >= since)
     }
 }
 
@@ -163,6 +162,7 @@
                 spawn_local(async move { target.probe().await });
             }
         }
+        self.evidence.requested.notify_one();
         let limit = deadline.min(Instant::now() + PROBE_WAIT);
         while Instant::now() < limit {
             sleep(PROBE_INTERVAL).await;
@@ -189,8 +189,10 @@
         commit: &Commit<'_, D>,
         deadline: Instant,
     ) -> bool {
+        self.record_primary(commit.primary, commit.sent_at, commit.point);
         let replicated = self.find_evidence(commit, deadline).await;
         if replicated {
+            self.record_commit(commit);
             self.unanswered_writes.set(0);
         } else {
             self.counters().withheld.add(1);
@@ -258,9 +260,7 @@
             self.ask_all(primary, point, Question::Received).await;
         }
         if !is_shown() {
-            if !self.unlisted().is_empty() {
-                self.evidence.requested.notify_one();
-            }
+            self.evidence.requested.notify_one();
             sleep(RETRY_DELAY).await;
         }
     }
--- a/crates/siskinhook-gateway/src/departures.rs
+++ b/crates/siskinhook-gateway/src/departures.rs
@@ -20,7 +20,10 @@
 struct Departure {
     /// Address of the replica; `None` for the start of this process.
     address: Option<SocketAddr>,
+    /// Time after which no commit rests on the replica.
     at: BootInstant,
+    /// Whether the record of the group's servers was seen to name the replica.
+    recorded: bool,
     /// End of the primary's log at a later time, which includes all that the replica received.
     covered: Option<LogPoint>,
 }
@@ -50,6 +53,7 @@
         self.entries.push(Departure {
             address,
             at,
+            recorded: false,
             covered,
         });
     }
@@ -60,11 +64,27 @@
         self.entries.iter().any(|d| d.covered.is_none())
     }
 
-    /// Keeps only the departures of replicas at `recorded` addresses. The others are accounted for,
-    /// and those that left before this process started are known.
+    /// Compares the departures with the addresses in the record of the group's servers. Replicas that
+    /// have left the record are accounted for, and those that left before this process started are
+    /// known.
     pub fn keep_recorded(&mut self, recorded: &[SocketAddr]) {
-        let is_recorded = |address| recorded.contains(&address);
-        self.entries.retain(|d| d.address.is_some_and(is_recorded));
+        let is_recorded = |d: &Departure| d.address.is_some_and(|a| recorded.contains(&a));
+        self.entries
+            .retain(|d| is_recorded(d) || (d.address.is_some() && !d.recorded));
+        for departure in &mut self.entries {
+            departure.recorded |= is_recorded(departure);
+        }
+    }
+
+    /// Records that commits may rest until `until` on the departed replica at an address.
+    pub fn extend(&mut self, address: SocketAddr, until: BootInstant) {
+        let of_address = |d: &&mut Departure| d.address == Some(address);
+        for departure in self.entries.iter_mut().filter(of_address) {
+            if until > departure.at {
+                departure.at = until;
+                departure.covered = None;
+            }
+        }
     }
 
     /// Whether the departure of a replica at an address is recorded.
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -225,7 +225,7 @@
         if self.group.needs_record() {
             // Without it, the start of this process stands for all that left before.
             if let Ok(stored) = self.read_record_row().await {
-                self.adopt(stored);
+                self.adopt(&stored);
             }
         }
         if !self.is_feasible().await {
@@ -255,7 +255,7 @@
                 return;
             }
         };
-        self.adopt(stored);
+        self.adopt(&stored);
         find_leader(self.group.clone()).await;
         if self.replacement_reason().is_none() {
             return;
--- a/crates/siskinhook-gateway/src/failover/record.rs
+++ b/crates/siskinhook-gateway/src/failover/record.rs
@@ -1,14 +1,14 @@
 //! Keeping of the record of a group's servers in the platform's table (`members.rs`).
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{CommitOutcome, Platform, PlatformError, ServiceId};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::{Instant, sleep_until};
 
-use super::{Controller, Discovery, Orders};
-use crate::{Dialer, Member, MemberRecord};
+use super::{Controller, Discovery, Orders, REACHABILITY_TIMEOUT};
+use crate::{Dialer, Instance, Member, MemberRecord, pool::Target};
 
 /// Nodes that keep the record of a group, so that the loss of two of them does no harm.
 const RECORDERS: usize = 3;
@@ -21,7 +21,7 @@
 /// Interval at which it is read otherwise: the table may have come back from an older copy.
 const IDLE_INTERVAL: Duration = Duration::from_mins(1);
 /// Minimum time between two confirmations of servers without an entry.
-const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
+const CONFIRM_INTERVAL: Duration = Duration::from_secs(2);
 
 fn key(service: &ServiceId) -> SmolStr {
     format_smolstr!("members/{service}")
@@ -32,8 +32,8 @@
     version: u64,
     /// `None` if there is no record that a node wrote.
     record: Option<MemberRecord>,
-    /// Time of the table's clock in milliseconds.
-    now: u64,
+    /// Time of the table's clock in milliseconds, if it has one.
+    now: Option<u64>,
 }
 
 /// Records the servers of the group, and confirms those without an entry that commits rest on; runs
@@ -67,27 +67,33 @@
 }
 
 impl<D: Dialer, P: Platform, S: Discovery, O: Orders> Controller<D, P, S, O> {
-    /// Adds the listed servers to the record and removes those that are accounted for. Returns the
+    /// Adds the servers that answer to the record and removes those that are accounted for. Returns the
     /// time until the next update.
     async fn update_record(&self) -> Duration {
-        let listed = self.group.listed();
         let is_recorder = self.group.fleet.rank(&self.group.service) < RECORDERS;
-        if !is_recorder || listed.is_empty() {
+        if !is_recorder || self.group.targets.borrow().is_empty() {
             return IDLE_INTERVAL;
         }
         let Ok(stored) = self.read_record_row().await else {
             return ABSENT_INTERVAL;
         };
+        let Some(now) = stored.now else {
+            return IDLE_INTERVAL;
+        };
+        self.adopt(&stored);
         let mut record = stored.record.unwrap_or_default();
-        let mut changed = record.limit_times(stored.now);
-        for instance in &listed {
-            changed |= record.add(instance, stored.now);
+        let mut changed = record.limit_times(now);
+        let deadline = Instant::now() + REACHABILITY_TIMEOUT;
+        self.reach_unlisted(deadline).await;
+        let listed = self.answering_listed(deadline).await;
+        for instance in listed.iter().chain(&self.answering_unlisted()) {
+            changed |= record.add(instance, now);
         }
         if record.members.iter().any(|m| self.group.is_absent(m)) {
             self.group.refresh_evidence().await;
         }
-        let is_covered = |member: &Member| self.group.is_covered(member);
-        changed |= record.remove_accounted(&listed, stored.now, is_covered);
+        let is_covered = |member: &Member| self.group.is_covered(member, now);
+        changed |= record.remove_accounted(&listed, now, is_covered);
         let written = !changed || self.write_record_row(stored.version, &record).await;
         if written && record.members.len() == listed.len() {
             IDLE_INTERVAL
@@ -96,25 +102,46 @@
         }
     }
 
+    /// Returns the listed servers that have answered. One that never did may be an entry of another
+    /// writer, and must not stop replacements.
+    async fn answering_listed(&self, deadline: Instant) -> Vec<Instance> {
+        let targets: Vec<Rc<Target<D>>> = self.group.targets.borrow().values().cloned().collect();
+        let mut answering = Vec::new();
+        for target in targets {
+            if target.has_answered() || target.is_responsive(deadline).await {
+                answering.push(target.instance.borrow().clone());
+            }
+        }
+        answering
+    }
+
+    fn answering_unlisted(&self) -> Vec<Instance> {
+        let mut unlisted = self.group.unlisted();
+        unlisted.retain(|target| target.outage().is_none());
+        let instances = unlisted
+            .iter()
+            .map(|target| target.instance.borrow().clone());
+        instances.collect()
+    }
+
     /// Confirms in the record the servers without an entry that answer, so that commits may rest on
     /// them.
     async fn confirm_unlisted(&self) {
-        let unlisted = self.group.unlisted();
-        let answering = unlisted.iter().filter(|target| target.outage().is_none());
-        let answering: Vec<_> = answering
-            .map(|target| target.instance.borrow().clone())
-            .collect();
-        if answering.is_empty() {
-            return;
-        }
         let at = Instant::now();
         let Ok(stored) = self.read_record_row().await else {
             return;
         };
+        let Some(now) = stored.now else {
+            return;
+        };
+        self.adopt(&stored);
         let mut record = stored.record.unwrap_or_default();
+        self.reach_unlisted(Instant::now() + REACHABILITY_TIMEOUT)
+            .await;
+        let answering = self.answering_unlisted();
         let mut changed = false;
         for instance in &answering {
-            changed |= record.confirm(instance, stored.now);
+            changed |= record.confirm(instance, now);
         }
         if !changed || self.write_record_row(stored.version, &record).await {
             for instance in answering {
@@ -125,9 +152,9 @@
 
     /// Takes the record over. Without one, nothing is known of the servers that left before this
     /// process started.
-    pub(super) fn adopt(&self, stored: StoredRecord) {
-        if let Some(record) = stored.record {
-            self.group.adopt(&record);
+    pub(super) fn adopt(&self, stored: &StoredRecord) {
+        if let Some(record) = &stored.record {
+            self.group.adopt(record, stored.now.unwrap_or_default());
         }
     }
 
@@ -156,7 +183,7 @@
         Ok(StoredRecord {
             version: reading.version,
             record,
-            now: reading.clock.unwrap_or_default(),
+            now: reading.clock,
         })
     }
 
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -16,10 +16,11 @@
 use crate::{
     BootInstant, Counters, Departed, Dialer, GatewaySettings, Instance, Leadership, Member,
     MemberRecord, Service, Watermark, Watermarks,
-    commit_evidence::{Commit, CommitEvidence},
+    commit_evidence::{Commit, CommitEvidence, LISTING_LIFETIME},
     confirmation::Confirmation,
     departures::Departures,
     fleet::Fleet,
+    members::RELIANCE_LIFETIME,
     pool::Target,
     write_admission::WriteAdmission,
 };
@@ -35,6 +36,12 @@
 /// Servers without an entry that are kept, at most; a group has a few servers.
 const MAX_UNLISTED: usize = 16;
 
+/// Returns until when nodes may rely on a server without an entry, as of `now` by the table's clock.
+fn reliance_end(member: &Member, now: u64) -> BootInstant {
+    let confirmed = BootInstant::now().minus(member.idle_for(now));
+    confirmed.plus(RELIANCE_LIFETIME)
+}
+
 /// The servers of a service.
 pub struct Group<D: Dialer> {
     /// Name of the service.
@@ -284,9 +291,9 @@
         self.departures.borrow().has_uncovered()
     }
 
-    /// Takes over what the record of the group's servers says. Those without an entry are asked in a
-    /// replacement, and count as departed unless they answer.
-    pub(crate) fn adopt(&self, record: &MemberRecord) {
+    /// Takes over what the record of the group's servers said when the table's clock showed `now`. Those
+    /// without an entry are asked in a replacement, and count as departed unless they answer.
+    pub(crate) fn adopt(&self, record: &MemberRecord, now: u64) {
         let recorded: Vec<SocketAddr> = record.members.iter().map(|m| m.address).collect();
         self.departures.borrow_mut().keep_recorded(&recorded);
         let listed = self.listed();
@@ -295,15 +302,27 @@
             let is_known = |instance: &Instance| {
                 instance.id == member.server || instance.address == member.address
             };
-            if listed.iter().any(is_known) || self.unlisted.borrow().contains_key(&member.server) {
+            if let Some(target) = self.target(&member.server) {
+                // Only servers that answered a node are recorded.
+                target.record_answer();
+            }
+            if listed.iter().any(is_known) {
                 continue;
             }
             let since = self.record_absence(&member.server);
+            let relied_until = reliance_end(member, now);
             // The commits that callers know of are on replicas beside the primary that made them.
             let last_primary = self.last_primary.borrow().clone();
             let is_former = last_primary == Some((member.server.clone(), self.term.get()));
-            if !is_former && !self.departures.borrow().contains(member.address) {
-                self.departures.borrow_mut().add(member.address, since);
+            if !is_former {
+                let mut departures = self.departures.borrow_mut();
+                if !departures.contains(member.address) {
+                    departures.add(member.address, since);
+                }
+                departures.extend(member.address, relied_until);
+            }
+            if self.unlisted.borrow().contains_key(&member.server) {
+                continue;
             }
             let instance = Instance {
                 id: member.server.clone(),
@@ -326,11 +345,12 @@
         !self.targets.borrow().contains_key(&member.server)
     }
 
-    /// Whether the listed replicas hold all that a server without an entry may hold of the commits
-    /// that callers know of: it does not answer this node, and commits rested on listed replicas
-    /// alone since any node could have relied on it.
-    pub(crate) fn is_covered(&self, member: &Member) -> bool {
-        let since = self.record_absence(&member.server);
+    /// Whether the listed replicas hold all commits that callers know of and that may rest on a server
+    /// without an entry, as of `now` by the table's clock: it does not answer this node, and a later
+    /// commit than any node could rest on it is on listed replicas.
+    pub(crate) fn is_covered(&self, member: &Member, now: u64) -> bool {
+        let absent = self.record_absence(&member.server);
+        let since = absent.plus(LISTING_LIFETIME).max(reliance_end(member, now));
         let unlisted = self.unlisted.borrow();
         let answers = unlisted
             .get(&member.server)
@@ -477,13 +497,12 @@
         self.add_watermarks(proved);
     }
 
-    /// Records a commit that the primary acknowledged. A replica received it, so it confirms that
-    /// the server led.
+    /// Records a commit that the primary acknowledged and a replica received, which confirms that the
+    /// server led.
     pub(crate) fn record_commit(&self, commit: &Commit<'_, D>) {
         if self.sync_replicas.get() > 0 {
             self.record_confirmation(commit.point.term, commit.sent_at);
         }
-        self.record_primary(commit.primary, commit.sent_at, commit.point);
     }
 
     /// Records that a replica of `term` was not paused at `at`.
--- a/crates/siskinhook-gateway/src/members.rs
+++ b/crates/siskinhook-gateway/src/members.rs
@@ -19,6 +19,8 @@
 /// Time for which a node may rely on a server without an entry after it confirmed that the record
 /// holds it.
 pub const CONFIRMATION_LIFETIME: Duration = Duration::from_secs(5);
+/// Time after the confirmation that the record states for which nodes may rely on it.
+pub const RELIANCE_LIFETIME: Duration = Duration::from_secs(10);
 /// Servers in a record, at most. A group has a few, and those that it lost leave the record.
 const MAX_MEMBERS: usize = 64;
 
@@ -70,7 +72,7 @@
     pub fn confirm(&mut self, instance: &Instance, now: u64) -> bool {
         let known = self.members.iter_mut().find(|m| m.is_process(instance));
         if let Some(member) = known {
-            let is_old = member.age(now) >= CONFIRMATION_LIFETIME;
+            let is_old = member.idle_for(now) >= CONFIRMATION_LIFETIME;
             if is_old {
                 member.confirmed = now;
             }
@@ -111,8 +113,10 @@
         let count = self.members.len();
         self.members.retain(|member| {
             let is_listed = listed.iter().any(|instance| member.is_process(instance));
-            let is_followed = listed.iter().any(|i| i.address == member.address);
-            let is_old = member.age(now) >= REMOVAL_AGE;
+            let is_followed = listed
+                .iter()
+                .any(|i| i.address == member.address && i.started > member.started);
+            let is_old = member.idle_for(now) >= REMOVAL_AGE;
             is_listed || !(is_followed || is_old && is_covered(member))
         });
         self.members.len() < count
@@ -120,13 +124,16 @@
 }
 
 impl Member {
+    /// Returns for how long, at `now` by the table's clock, no node has stated that commits may rest on
+    /// the server.
+    #[must_use]
+    pub const fn idle_for(&self, now: u64) -> Duration {
+        Duration::from_millis(now.saturating_sub(self.confirmed))
+    }
+
     /// Whether the entry is of the same server process.
     #[must_use]
     pub fn is_process(&self, instance: &Instance) -> bool {
         self.server == instance.id && self.started == instance.started
     }
-
-    fn age(&self, now: u64) -> Duration {
-        Duration::from_millis(now.saturating_sub(self.confirmed))
-    }
 }
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -241,7 +241,12 @@
         self.paused.get()
     }
 
-    /// Whether the server ever answered this node.
+    /// Records that the server answered this node or another one.
+    pub fn record_answer(&self) {
+        self.answered.set(true);
+    }
+
+    /// Whether the server ever answered this node or another one.
     pub fn has_answered(&self) -> bool {
         self.answered.get()
     }
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -29,7 +29,10 @@
 const FIRST_ATTEMPT_SHARE: f64 = 0.4;
 
 /// Text of the answer to a commit that only the primary and servers without an entry may hold.
-const NOT_REPLICATED: &str = "no listed replica shows that it received the commit";
+const NOT_REPLICATED: &str =
+    "no replica that a replacement would ask shows that it received the commit";
+/// Text of the refusal of a write whose commit could not be acknowledged.
+const NO_WITNESS: &str = "no replica is reached that could show the commit";
 
 /// How fresh the data must be that a statement reads.
 #[derive(Clone, Copy, Debug)]
@@ -131,7 +134,7 @@
                                     sent_at,
                                     point,
                                 };
-                                if !self.confirm_commit(&commit).await {
+                                if !self.group.is_replicated(&commit, self.deadline).await {
                                     return (self.unknown(NOT_REPLICATED), None);
                                 }
                             }
@@ -208,7 +211,10 @@
             Ok(reply) => (self.answer(reply), Some(leased)),
             Err(error) => {
                 self.report_failure(&leased, &error);
-                let text = "the connection of the transaction was lost; it is rolled back";
+                let text = match error {
+                    AttemptError::Unwitnessed => NO_WITNESS,
+                    _ => "the connection of the transaction was lost; it is rolled back",
+                };
                 (
                     self.refuse(Refusal::Aborted, text, &AttemptHistory::default()),
                     None,
@@ -219,6 +225,14 @@
 
     /// Commits a transaction.
     pub async fn commit(self, mut leased: Leased<D>) -> Outcome<D> {
+        if self.statement.writes
+            && let Some(primary) = leased.target()
+            && !self.group.reaches_witnesses(primary, self.deadline).await
+        {
+            self.report_failure(&leased, &AttemptError::Unwitnessed);
+            let history = AttemptHistory::default();
+            return (self.refuse(Refusal::Aborted, NO_WITNESS, &history), None);
+        }
         let sent_at = BootInstant::now();
         let error = match self.run_while_busy(&mut leased, None, self.deadline).await {
             Ok(reply) => {
@@ -234,7 +248,7 @@
                         sent_at,
                         point,
                     };
-                    if !self.confirm_commit(&commit).await {
+                    if !self.group.is_replicated(&commit, self.deadline).await {
                         return (self.unknown(NOT_REPLICATED), None);
                     }
                 }
@@ -263,13 +277,6 @@
         )
     }
 
-    /// Records a commit that the primary acknowledged. Returns whether a replacement of the primary
-    /// would find it.
-    async fn confirm_commit(&self, commit: &Commit<'_, D>) -> bool {
-        self.group.record_commit(commit);
-        self.group.is_replicated(commit, self.deadline).await
-    }
-
     /// Chooses a server for a read, with the check or the log position that makes it fresh enough.
     fn plan_read(&self, history: &mut AttemptHistory) -> Option<Plan<D>> {
         let at_primary = |check| {
@@ -537,7 +544,7 @@
     ) -> Option<Answer> {
         self.report_failure(&leased, error);
         history.last_failure = match error {
-            AttemptError::Unwitnessed => "no replica is reached that could show the commit",
+            AttemptError::Unwitnessed => NO_WITNESS,
             _ => "the primary may be about to be replaced",
         };
         leased.return_to_pool();
--- a/crates/siskinhook-gateway/tests/commit_evidence.rs
+++ b/crates/siskinhook-gateway/tests/commit_evidence.rs
@@ -8,9 +8,10 @@
 
 use std::time::Duration;
 
-use siskinhook_gateway::is_held;
+use assert_matches::assert_matches;
+use siskinhook_gateway::{Refusal, Session, is_held};
 use siskinhook_types::{LogPoint, Role};
-use support::{crash, replacement::Replacement, server};
+use support::{ask, crash, replacement::Replacement, server};
 use tokio::{task::LocalSet, time::sleep};
 
 /// Seeds of the nodes' random choices.
@@ -60,6 +61,8 @@
         LocalSet::new()
             .run_until(async {
                 let mut replacement = Replacement::start(seed).await;
+                replacement.site.table.lose("members/");
+                replacement.site.table.restore_empty();
                 for node in &replacement.nodes {
                     node.gateway.forget(&"s2".into());
                 }
@@ -132,6 +135,64 @@
                 sleep(Duration::from_secs(1)).await;
                 let told = replacement.told.get();
                 assert!(told <= held, "{told} told, the listed replicas have {held}");
+                let gateway = &replacement.nodes[0].gateway;
+                let mut session = Session::open(gateway, "strong").expect("the route is known");
+                let answer = ask(&mut session, "WRITE 1 a").await;
+                assert_matches!(answer.result, Err((Refusal::Busy, _)), "certainly not run");
+            })
+            .await;
+    }
+}
+
+/// Guards against commits that no caller is told of although a live server has them that every
+/// replacement asks, and against losing them when all nodes restart once more.
+#[tokio::test(start_paused = true)]
+async fn commits_rest_on_a_recorded_server_without_an_entry() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                for node in &replacement.nodes {
+                    node.gateway.forget(&"s2".into());
+                }
+                replacement.restart_nodes(&[0, 1]);
+                sleep(Duration::from_millis(500)).await;
+                world.borrow_mut()[1].paused_term = 1;
+                sleep(Duration::from_secs(8)).await;
+                let held = world.borrow()[1].received;
+                assert!(replacement.told.get() > held + 100, "commits are told");
+                world.borrow_mut()[1].paused_term = 0;
+                crash(&world, 0);
+                for node in ["n4", "n5", "n6"] {
+                    replacement.kill_node(node);
+                }
+                replacement.add_node_knowing("n7", &[0, 1]);
+                let (chosen, _) = replacement.lose_primary().await;
+                assert_eq!(chosen, 2, "the server that was ordered to lead");
+                sleep(Duration::from_secs(2)).await;
+                assert_eq!(replacement.site.orders.missing.get(), 0, "missing commits");
+            })
+            .await;
+    }
+}
+
+/// Guards against a group whose commits are withheld for good, because a replacement that was given
+/// up left its replicas paused.
+#[tokio::test(start_paused = true)]
+async fn replicas_left_paused_lead_to_a_new_replacement() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                world.borrow_mut()[1].paused_term = 2;
+                world.borrow_mut()[2].paused_term = 2;
+                // An unknown server lets the primary acknowledge.
+                world.borrow_mut().push(server(Role::Replica));
+                let told = replacement.told.get();
+                sleep(Duration::from_secs(8)).await;
+                assert!(replacement.told.get() > told + 10, "commits are told again");
             })
             .await;
     }
--- a/crates/siskinhook-gateway/tests/members.rs
+++ b/crates/siskinhook-gateway/tests/members.rs
@@ -53,9 +53,15 @@
 /// taken over.
 #[test]
 fn server_is_removed_when_another_follows_at_its_address() {
-    let (mut record, mut listed) = recorded();
+    let (mut record, former) = recorded();
+    let mut listed = former.clone();
     listed[2].id = "s9".into();
+    listed[2].started += 1;
     assert!(record.add(&listed[2], LATER));
+    assert!(
+        !record.clone().remove_accounted(&former, LATER, |_| false),
+        "an old list does not remove the later server"
+    );
     assert!(record.remove_accounted(&listed, LATER, |_| false));
     assert_eq!(ids(&record), ["s0", "s1", "s9"]);
 }
--- a/crates/siskinhook-gateway/tests/successor.rs
+++ b/crates/siskinhook-gateway/tests/successor.rs
@@ -266,6 +266,28 @@
     departures.add(address("b"), at(10));
     departures.add(address("c"), at(10));
     departures.keep_recorded(&[address("c"), address("d")]);
-    assert_eq!(departures.departed(at(11), Duration::ZERO, &[]).missing, 1);
-    assert!(departures.contains(address("c")));
+    let missing = |d: &Departures| d.departed(at(11), Duration::ZERO, &[]).missing;
+    assert_eq!(missing(&departures), 2, "b may not have been recorded yet");
+    departures.keep_recorded(&[address("b"), address("d")]);
+    assert_eq!(missing(&departures), 1);
+    assert!(departures.contains(address("b")));
+}
+
+/// Guards against losing commits that rested on a replica after its entry was gone: a watermark from
+/// before does not cover them.
+#[test]
+fn replica_that_was_relied_on_after_its_departure_is_missing_again() {
+    let at = |secs| BootInstant::from_boot(Duration::from_secs(secs));
+    let missing = |d: &Departures| d.departed(at(60), Duration::ZERO, &[]).missing;
+    let mut departures = Departures::default();
+    departures.add(address("c"), at(10));
+    departures.record_watermark(watermark(11_000, 1, 100));
+    assert_eq!(missing(&departures), 0);
+    departures.extend(address("c"), at(40));
+    assert_eq!(missing(&departures), 1);
+    departures.record_watermark(watermark(39_000, 1, 150));
+    assert_eq!(missing(&departures), 1);
+    departures.record_watermark(watermark(41_000, 1, 160));
+    departures.extend(address("c"), at(40));
+    assert_eq!(missing(&departures), 0);
 }
