Choose a draining server only if none that stays has all commits

What callers saw: requests ran on a server 8.7 s after the store had acknowledged that it is draining (rule DRAIN, bound 7 s).

Cause: the choice of a successor ranked having an entry above staying. A server whose entry had lapsed had every acknowledged commit and was not draining, but a listed server that had been draining for 8.5 s was promoted, and callers' writes went there.

Change: staying ranks above having an entry. Which logs qualify is unchanged, so the chosen log still holds every acknowledged commit. A promoted server without an entry is replaced once a listed one has received its log, as before.

Ruled out: choosing a staying server that lacks commits, which loses them.

The new test failed before this change. It is about the choice alone; no test plays the replacement that follows.

--- a/crates/siskinhook-gateway/src/successor.rs
+++ b/crates/siskinhook-gateway/src/successor.rs
@@ -42,8 +42,11 @@
 /// the log of the former primary, once demoted, bounds the acknowledged commits.
 ///
 /// A server without an entry that replies is alive and may have acknowledged commits with the
-/// primary. Its log counts like those of the others, but it is chosen only if no listed server has
-/// them all, since no caller reaches it. One that does not reply has departed.
+/// primary. Its log counts like those of the others, but it is chosen only if no listed server that
+/// stays has them all, since no caller reaches it. One that does not reply has departed.
+///
+/// A draining server is chosen only if no server that stays has them all: it may receive no new
+/// requests, while a server without an entry is replaced once another has received its log.
 ///
 /// A server that does not reply does not count as missing if another one replies at its address: a
 /// server that restarted under a new id has the log that was there.
@@ -83,7 +86,7 @@
         .filter(|report| log_end(report) >= needed)
         .max_by_key(|report| {
             let stays = !report.draining;
-            (report.listed, stays, !report.former, log_end(report))
+            (stays, report.listed, !report.former, log_end(report))
         })
         .map(|report| report.server.clone())
 }
--- a/crates/siskinhook-gateway/tests/successor.rs
+++ b/crates/siskinhook-gateway/tests/successor.rs
@@ -129,6 +129,28 @@
     );
 }
 
+/// Guards against choosing a draining server although one that stays has all commits.
+#[test]
+fn draining_server_is_not_preferred_to_a_staying_one_without_an_entry() {
+    let unlisted = |end| Report {
+        listed: false,
+        ..report("l", false, false, end)
+    };
+    let choose = |reports: &[Report]| choose_successor(reports, 1, Departed::default());
+    let mut reports = [
+        report("p", true, false, None),
+        report("a", false, true, Some(8)),
+        report("b", false, false, Some(7)),
+        unlisted(Some(8)),
+    ];
+    assert_eq!(choose(&reports).as_deref(), Some("l"));
+    reports[2] = report("b", false, false, Some(8));
+    assert_eq!(choose(&reports).as_deref(), Some("b"), "it has an entry");
+    reports[2] = report("b", false, false, Some(7));
+    reports[3] = unlisted(Some(7));
+    assert_eq!(choose(&reports).as_deref(), Some("a"), "commits come first");
+}
+
 proptest! {
     /// No choice may lose an acknowledged commit, whichever servers are unresponsive. Mistakes that
     /// this test catches: counting the former primary among the replicas, choosing the longest
