--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -66,7 +66,9 @@
 /// Time in which nodes remove a server whose entry is gone.
 const FORGET_TIME: Duration = Duration::from_millis(3500);
 /// Time in which restarted nodes serve callers again.
-const START_TIME: Duration = Duration::from_millis(1500);
+const START_TIME: Duration = Duration::from_millis(2500);
+/// Time in which a lost primary is replaced.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(3);
 
 /// Held while a test runs its site, as the sites would disturb each other.
 static SITE: Mutex<()> = Mutex::new(());
@@ -319,7 +321,7 @@
         for &server in &others {
             self.servers.set_replication_cut(group, server, false);
         }
-        sleep(duration * 2).await;
+        sleep(REPLACEMENT_TIME).await;
         self.servers.set_unlisted(group, forgotten, false);
         self.servers.restart(group, primary);
     }
