Keep few nodes reading the record of a group's servers on a slow store

Cause: while the rows of the nodes cannot be read, each node ranked itself first for every group, and each repeated a failed reading after 5 s. So 24 nodes instead of three read the record, on a store whose answers took 4 to 6 s.

Change: a node that does not know the others records nothing, and failed readings back off from 10 s to a minute.

Ruled out: load of the machine alone; the readings stand in the nodes' logs. The new test in members.rs has no rank to ask for on the former code.

--- a/crates/siskinhook-gateway/src/failover/record.rs
+++ b/crates/siskinhook-gateway/src/failover/record.rs
@@ -20,6 +20,8 @@
 const ABSENT_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval at which it is read otherwise: the table may have come back from an older copy.
 const IDLE_INTERVAL: Duration = Duration::from_mins(1);
+/// Interval at which a node that does not know the other nodes looks for them.
+const FLEET_INTERVAL: Duration = Duration::from_secs(1);
 /// Minimum time between two confirmations of servers without an entry.
 const CONFIRM_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -43,14 +45,18 @@
 ) {
     let group = &controller.group;
     let mut due = Instant::now() + IDLE_INTERVAL;
+    let mut failures = 0;
     let mut confirm_at = Instant::now();
     loop {
         tokio::select! {
             () = group.members_changed.notified() => {
-                let rank = group.fleet.rank(&group.service);
+                let rank = group.fleet.rank(&group.service).unwrap_or_default();
                 let delay = RANK_DELAY.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX));
                 let delay = delay + controller.gateway.jitter(RECORD_DELAY);
-                due = due.min(Instant::now() + delay.min(IDLE_INTERVAL));
+                // After a failure the store is not asked earlier because of further changes.
+                if failures == 0 {
+                    due = due.min(Instant::now() + delay.min(IDLE_INTERVAL));
+                }
             }
             () = group.evidence.wait_requested() => {
                 if Instant::now() >= confirm_at {
@@ -59,7 +65,13 @@
                 }
             }
             () = sleep_until(due) => {
-                let interval = controller.update_record().await;
+                let interval = if let Ok(interval) = controller.update_record().await {
+                    failures = 0;
+                    interval
+                } else {
+                    failures += 1;
+                    ABSENT_INTERVAL.saturating_mul(1 << failures.min(4)).min(IDLE_INTERVAL)
+                };
                 due = Instant::now() + controller.gateway.jitter(interval);
             }
         }
@@ -69,16 +81,20 @@
 impl<D: Dialer, P: Platform, S: Discovery, O: Orders> Controller<D, P, S, O> {
     /// Adds the servers that answer to the record and removes those that are accounted for. Returns the
     /// time until the next update.
-    async fn update_record(&self) -> Duration {
-        let is_recorder = self.group.fleet.rank(&self.group.service) < RECORDERS;
-        if !is_recorder || self.group.targets.borrow().is_empty() {
-            return IDLE_INTERVAL;
-        }
-        let Ok(stored) = self.read_record_row().await else {
-            return ABSENT_INTERVAL;
+    ///
+    /// # Errors
+    /// The table service does not answer.
+    async fn update_record(&self) -> Result<Duration, PlatformError> {
+        let Some(rank) = self.group.fleet.rank(&self.group.service) else {
+            // All nodes would take themselves for the first one.
+            return Ok(FLEET_INTERVAL);
         };
+        if rank >= RECORDERS || self.group.targets.borrow().is_empty() {
+            return Ok(IDLE_INTERVAL);
+        }
+        let stored = self.read_record_row().await?;
         let Some(now) = stored.now else {
-            return IDLE_INTERVAL;
+            return Ok(IDLE_INTERVAL);
         };
         self.adopt(&stored);
         let mut record = stored.record.unwrap_or_default();
@@ -95,11 +111,12 @@
         let is_covered = |member: &Member| self.group.is_covered(member, now);
         changed |= record.remove_accounted(&listed, now, is_covered);
         let written = !changed || self.write_record_row(stored.version, &record).await;
-        if written && record.members.len() == listed.len() {
+        let is_complete = written && record.members.len() == listed.len();
+        Ok(if is_complete {
             IDLE_INTERVAL
         } else {
             ABSENT_INTERVAL
-        }
+        })
     }
 
     /// Returns the listed servers that have answered. One that never did may be an entry of another
--- a/crates/siskinhook-gateway/src/fleet.rs
+++ b/crates/siskinhook-gateway/src/fleet.rs
@@ -205,15 +205,18 @@
         Some(ranked)
     }
 
-    /// Returns the number of known nodes that come before this one in the rendezvous order of a
-    /// service.
+    /// Returns the number of nodes that come before this one in the rendezvous order of a service, or
+    /// `None` while the nodes are not known.
     #[must_use]
-    pub fn rank(&self, service: &ServiceId) -> usize {
+    pub fn rank(&self, service: &ServiceId) -> Option<usize> {
         let own = rendezvous_hash(service, &self.node);
         let peers = self.peers.borrow();
+        if peers.is_empty() {
+            return None;
+        }
         let is_before =
             |peer: &&Peer| peer.name != self.node && rendezvous_hash(service, &peer.name) < own;
-        peers.iter().filter(is_before).count()
+        Some(peers.iter().filter(is_before).count())
     }
 
     /// Whether this node holds connections to a server with the given connection limit.
--- a/crates/siskinhook-gateway/tests/members.rs
+++ b/crates/siskinhook-gateway/tests/members.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use siskinhook_gateway::{Instance, Member, MemberRecord};
+use siskinhook_gateway::{Fleet, Instance, Member, MemberRecord, Peer};
 use siskinhook_types::Role;
 use support::instance;
 
@@ -85,3 +85,24 @@
     assert!(!record.limit_times(START - 50_000));
     assert!(record.remove_accounted(&listed[..2], START - 35_000, |_| true));
 }
+
+/// Guards against all nodes reading the record at once on a slow store, because each takes itself for
+/// the first one before it knows the others.
+#[test]
+fn nodes_have_different_ranks_and_none_before_they_know_each_other() {
+    let peer = |index: u16| Peer {
+        name: format!("n{index}").into(),
+        zone: "z".into(),
+        address: ([127, 0, 0, 1], index).into(),
+    };
+    let peers: Vec<Peer> = (1..=24).map(peer).collect();
+    let mut ranks: Vec<usize> = Vec::new();
+    for peer in &peers {
+        let fleet = Fleet::new(peer.name.clone(), peer.zone.clone());
+        assert_eq!(fleet.rank(&"svc".into()), None);
+        fleet.set_peers(peers.clone());
+        ranks.extend(fleet.rank(&"svc".into()));
+    }
+    ranks.sort_unstable();
+    assert!(ranks.into_iter().eq(0..24));
+}
--- a/crates/siskinhook-gateway/tests/support/site.rs
+++ b/crates/siskinhook-gateway/tests/support/site.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use siskinhook_gateway::{Gateway, GatewaySettings, Instance, Session, watch_group};
+use siskinhook_gateway::{Gateway, GatewaySettings, Instance, Peer, Session, watch_group};
 use siskinhook_types::Role;
 use tokio::{
     task::{JoinHandle, spawn_local},
@@ -51,6 +51,12 @@
             ..GatewaySettings::default()
         };
         let gateway = node_knowing(name, &self.world, seed, settings, servers);
+        // Each node is the only one that it knows, so all of them record servers.
+        gateway.fleet.set_peers(vec![Peer {
+            name: name.into(),
+            zone: "z".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+        }]);
         let group = gateway.group(&"svc".into()).expect("the service is known");
         let entries = Entries {
             gateway: gateway.clone(),
