Log orders, their effects, and on what writes and commits rest

2120 states when the lease row was written. 2126 states each order and its answer, 2127 when another server shows that it leads, 2128 which servers a replacement did not ask and why, 2129 why writes to a primary are permitted, and 2125 also which servers show commits.

--- a/crates/siskinhook-gateway/src/commit_evidence.rs
+++ b/crates/siskinhook-gateway/src/commit_evidence.rs
@@ -73,10 +73,9 @@
 }
 
 /// The questions to a group's replicas about commits.
-#[derive(Default)]
 pub struct CommitEvidence {
-    /// Whether the latest commit was not acknowledged for want of evidence.
-    withheld: Cell<bool>,
+    /// The servers that showed the latest commit; `None` if it was not acknowledged for want of them.
+    latest: Cell<Option<Basis>>,
     /// Time after a commit at which the replicas have usually applied it.
     apply_delay: Cell<Duration>,
     /// Whether the replicas are being asked. Concurrent commits share the answers.
@@ -91,6 +90,20 @@
     confirmed: RefCell<IndexMap<ServerId, Instant>>,
 }
 
+impl Default for CommitEvidence {
+    fn default() -> Self {
+        Self {
+            latest: Cell::new(Some(Basis::Listed)),
+            apply_delay: Cell::default(),
+            asking: Cell::default(),
+            answered: Notify::default(),
+            shown: Cell::default(),
+            requested: Notify::default(),
+            confirmed: RefCell::default(),
+        }
+    }
+}
+
 impl CommitEvidence {
     /// Waits until a commit may rest on a server without an entry.
     pub async fn wait_requested(&self) {
@@ -190,7 +203,8 @@
         deadline: Instant,
     ) -> bool {
         self.record_primary(commit.primary, commit.sent_at, commit.point);
-        let replicated = self.find_evidence(commit, deadline).await;
+        let basis = self.find_evidence(commit, deadline).await;
+        let replicated = basis.is_some();
         if replicated {
             self.record_commit(commit);
             self.unanswered_writes.set(0);
@@ -201,22 +215,26 @@
                 self.record_unanswered_write();
             }
         }
-        if self.evidence.withheld.replace(!replicated) == replicated {
+        if self.evidence.latest.replace(basis) != basis {
             let replicas = self.replicas();
             event!(
                 Event::EvidenceChanged,
-                service = self.service.as_str(), acknowledged = replicated,
+                service = self.service.as_str(), acknowledged = replicated, basis:? = basis,
                 term = commit.point.term, position = commit.point.position,
                 replicas = replicas.len(),
                 reached = replicas.iter().filter(|t| t.outage().is_none()).count(),
                 unlisted = self.unlisted().len(), uptime = self.uptime().as_millis();
-                "whether replicas show that they received commits has changed"
+                "the servers that show commits have changed"
             );
         }
         replicated
     }
 
-    async fn find_evidence(self: &Rc<Self>, commit: &Commit<'_, D>, deadline: Instant) -> bool {
+    async fn find_evidence(
+        self: &Rc<Self>,
+        commit: &Commit<'_, D>,
+        deadline: Instant,
+    ) -> Option<Basis> {
         let primary = commit.primary.instance.borrow().address;
         loop {
             let answered = self.evidence.answered.notified();
@@ -224,10 +242,10 @@
                 if basis == Basis::Listed {
                     self.evidence.record_shown(commit.sent_at);
                 }
-                return true;
+                return Some(basis);
             }
             if Instant::now() >= deadline {
-                return false;
+                return None;
             }
             if !self.evidence.asking.replace(true) {
                 let (group, point) = (self.clone(), commit.point);
--- a/crates/siskinhook-gateway/src/departures.rs
+++ b/crates/siskinhook-gateway/src/departures.rs
@@ -28,6 +28,14 @@
     covered: Option<LogPoint>,
 }
 
+impl Departure {
+    /// Whether a replacement has to take the departure into account when the primary has been lost
+    /// for `lost`.
+    fn counts(&self, now: BootInstant, lost: Duration) -> bool {
+        lost.min(now.elapsed_since(self.at)) < RETENTION
+    }
+}
+
 /// The departures of one group.
 #[derive(Clone, Debug, Default)]
 pub struct Departures {
@@ -35,6 +43,16 @@
 }
 
 impl Departures {
+    /// Returns the addresses of the departures that `departed` leaves out because they are too old.
+    pub fn outdated(
+        &self,
+        now: BootInstant,
+        lost: Duration,
+    ) -> impl Iterator<Item = Option<SocketAddr>> {
+        let outdated = self.entries.iter().filter(move |d| !d.counts(now, lost));
+        outdated.map(|departure| departure.address)
+    }
+
     /// Records that this process started at `at`.
     pub fn add_start(&mut self, at: BootInstant) {
         self.push(None, at);
@@ -119,7 +137,7 @@
     /// that was at its address.
     #[must_use]
     pub fn departed(&self, now: BootInstant, lost: Duration, reporting: &[SocketAddr]) -> Departed {
-        let counts = |departure: &&Departure| lost.min(now.elapsed_since(departure.at)) < RETENTION;
+        let counts = |departure: &&Departure| departure.counts(now, lost);
         let reports = |departure: &&Departure| {
             let address = departure.address.as_ref();
             address.is_some_and(|address| reporting.contains(address))
--- a/crates/siskinhook-gateway/src/failover/lease.rs
+++ b/crates/siskinhook-gateway/src/failover/lease.rs
@@ -182,6 +182,8 @@
     pub term: Term,
     /// Era of the table in which the lease was written.
     era: u64,
+    /// Time when the lease row was written, by the table service's clock, in milliseconds.
+    pub written: u64,
     pub until: BootInstant,
 }
 
@@ -314,6 +316,7 @@
                 token: record.token,
                 term: record.replaces.unwrap_or_default(),
                 era: record.era,
+                written: record.written,
                 until,
             }),
             Ok(CommitOutcome::Conflict { .. }) => None,
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -264,7 +264,7 @@
         event!(
             Event::FailoverStarted,
             service = self.group.service.as_str(), server = leader.as_deref().unwrap_or("none"),
-            fence = lease.token, term = self.group.term.get(),
+            fence = lease.token, written = lease.written, term = self.group.term.get(),
             stuck = self.group.unanswered_writes.get(),
             listed = self.group.targets.borrow().len(), unlisted = self.group.unlisted().len(),
             uptime = self.group.uptime().as_millis();
@@ -410,11 +410,19 @@
             }
             let service = &self.group.service;
             let node = &self.gateway.node;
-            match self
+            let sent_at = Instant::now();
+            let outcome = self
                 .orders
                 .promote(service, server, node, lease.token)
-                .await
-            {
+                .await;
+            event!(
+                Event::PromotionAnswered,
+                service = service.as_str(), server = server.as_str(), fence = lease.token,
+                written = lease.written, term = self.group.term.get(), outcome:? = outcome,
+                took = sent_at.elapsed().as_millis(), uptime = self.group.uptime().as_millis();
+                "the platform was ordered to promote the server"
+            );
+            match outcome {
                 OrderOutcome::Accepted => {
                     self.is_unfinished.set(false);
                     return true;
--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -127,6 +127,14 @@
                 "the server's log ends at {end:?}"
             );
         }
+        for (server, address, reason) in self.group.not_asked() {
+            event!(
+                Event::ServerNotAsked,
+                service = self.group.service.as_str(), server = server.as_deref().unwrap_or("unknown"),
+                address:? = address, term = self.group.term.get();
+                "{reason}"
+            );
+        }
     }
 
     /// Returns the departed replicas whose logs are not among the reports.
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -80,6 +80,8 @@
     pub(crate) unanswered_writes: Cell<u32>,
     /// Server whose promotion was ordered, and until when it may still deny that it is the primary.
     pending_promotion: RefCell<Option<(ServerId, Instant)>>,
+    /// When this node's latest order to promote a server was accepted.
+    promotion_ordered_at: Cell<Option<Instant>>,
     /// When the group lost its known primary; `None` while it has one.
     leaderless_since: Cell<Option<Instant>>,
     /// Wakes the failover controller.
@@ -123,6 +125,7 @@
             max_connections: Cell::new(settings.connections),
             unanswered_writes: Cell::default(),
             pending_promotion: RefCell::default(),
+            promotion_ordered_at: Cell::default(),
             leaderless_since: Cell::new(Some(Instant::now())),
             failover_wakeup: Rc::default(),
             topology_changed: Notify::new(),
@@ -484,7 +487,21 @@
         target.record_led_term(point.term);
         if point.term >= self.term.get() {
             let id = target.instance.borrow().id.clone();
-            *self.last_primary.borrow_mut() = Some((id.clone(), point.term));
+            let known = self
+                .last_primary
+                .replace(Some((id.clone(), point.term)))
+                .map(|(server, _)| server);
+            if known.is_some_and(|known| known != id) {
+                let ordered_at = self.promotion_ordered_at.get();
+                event!(
+                    Event::PrimaryProved,
+                    service = self.service.as_str(), server = id.as_str(), term = point.term,
+                    position = point.position,
+                    since_order:? = ordered_at.map(|at| at.elapsed().as_millis()),
+                    uptime = self.uptime().as_millis();
+                    "the server showed that it leads"
+                );
+            }
             self.leaderless_since.set(None);
             target.last_denial.set(None);
             self.set_leader(Some(id), "it opened a transaction that may write");
@@ -535,6 +552,26 @@
         self.departures.borrow().departed(now, lost, reporting)
     }
 
+    /// Returns the servers that a replacement does not ask although they may hold commits, with the
+    /// reason.
+    pub(crate) fn not_asked(&self) -> Vec<(Option<ServerId>, Option<SocketAddr>, &'static str)> {
+        let mut not_asked = Vec::new();
+        for (id, target) in &*self.targets.borrow() {
+            if !target.may_exist() {
+                let address = target.instance.borrow().address;
+                let reason = "its entry does not count, since nobody has answered behind it";
+                not_asked.push((Some(id.clone()), Some(address), reason));
+            }
+        }
+        let departures = self.departures.borrow();
+        for address in departures.outdated(BootInstant::now(), self.lost_duration()) {
+            let reason =
+                "its departure does not count any more: the primary has been lost for long";
+            not_asked.push((None, address, reason));
+        }
+        not_asked
+    }
+
     /// Returns for how long the primary has been lost.
     fn lost_duration(&self) -> Duration {
         let outage = self.leader().and_then(|leader| leader.outage());
@@ -545,6 +582,7 @@
     /// Records that a server accepted the order to become the primary.
     pub(crate) fn record_promotion(&self, id: &ServerId) {
         *self.pending_promotion.borrow_mut() = Some((id.clone(), Instant::now() + PROMOTION_GRACE));
+        self.promotion_ordered_at.set(Some(Instant::now()));
         self.set_leader(Some(id.clone()), "its promotion was ordered");
         // Callers do not reach a server without an entry, so it is replaced in turn.
         let is_listed = self.targets.borrow().contains_key(id);
--- a/crates/siskinhook-gateway/src/lib.rs
+++ b/crates/siskinhook-gateway/src/lib.rs
@@ -55,4 +55,4 @@
 pub use statement::{Answer, Command, PreparedStatement, Query, Refusal, TransactionState};
 pub use successor::{Departed, Report, choose_successor};
 pub use watermarks::{Watermark, Watermarks};
-pub use write_permit::{PendingReplacement, REPLACEMENT_LIFETIME, ReplacementChecks};
+pub use write_permit::{PendingReplacement, REPLACEMENT_LIFETIME, ReplacementChecks, WritePermit};
--- a/crates/siskinhook-gateway/src/write_admission.rs
+++ b/crates/siskinhook-gateway/src/write_admission.rs
@@ -7,7 +7,7 @@
 };
 
 use siskinhook_telemetry::{Event, event};
-use siskinhook_types::Role;
+use siskinhook_types::{Role, ServerId};
 use tokio::{
     sync::Notify,
     time::{Instant, sleep, timeout_at},
@@ -17,7 +17,7 @@
     Dialer, ServerOp,
     group::Group,
     pool::{Leased, Target},
-    write_permit::{PendingReplacement, ReplacementChecks},
+    write_permit::{PendingReplacement, ReplacementChecks, WritePermit},
 };
 
 /// Time limit for one reading of the lease row, and for the status of the primary, while a write
@@ -41,6 +41,8 @@
     /// Since when writes have been held back at a primary that answers, because its replacement is
     /// pending; `None` if they are not.
     held_since: Cell<Option<Instant>>,
+    /// The primary that received the latest write, and why it did.
+    latest: RefCell<Option<(ServerId, WritePermit)>>,
 }
 
 impl WriteAdmission {
@@ -67,8 +69,31 @@
     }
 
     fn permits<D: Dialer>(&self, target: &Target<D>, running_since: Instant) -> bool {
+        self.permit(target, running_since).is_some()
+    }
+
+    fn permit<D: Dialer>(&self, target: &Target<D>, running_since: Instant) -> Option<WritePermit> {
         let checks = self.checks.borrow();
-        checks.permits(Instant::now(), running_since, target.led_term())
+        checks.permit(Instant::now(), running_since, target.led_term())
+    }
+
+    /// Logs why writes are sent to a primary, if that has changed.
+    fn log_permit<D: Dialer>(&self, target: &Target<D>, running_since: Instant) {
+        let Some(permit) = self.permit(target, running_since) else {
+            return;
+        };
+        let instance = target.instance.borrow();
+        let current = Some((instance.id.clone(), permit));
+        if self.latest.replace(current.clone()) != current {
+            event!(
+                Event::PermitChanged,
+                service = instance.service.as_str(), server = instance.id.as_str(),
+                permit:? = permit, led_term = target.led_term(),
+                pending:? = self.checks.borrow().pending_term(),
+                running = running_since.elapsed().as_millis();
+                "writes to the primary are sent for another reason"
+            );
+        }
     }
 }
 
@@ -100,6 +125,7 @@
                 .await;
         if permitted {
             admission.held_since.set(None);
+            admission.log_permit(target, running_since);
             return true;
         }
         // An outage of the table service does not show that a replacement was begun.
--- a/crates/siskinhook-gateway/src/write_permit.rs
+++ b/crates/siskinhook-gateway/src/write_permit.rs
@@ -26,6 +26,17 @@
 /// a promotion takes. Every reading is charged.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Why a primary may receive writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WritePermit {
+    /// Its process has been running for longer than a replacement can last.
+    Outlived,
+    /// The row showed no pending replacement after the process had started.
+    Clear,
+    /// The replacement that may be pending is of an earlier term than the one that it leads.
+    LaterTerm,
+}
+
 /// A replacement that may still take effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PendingReplacement {
@@ -54,15 +65,36 @@
         }
     }
 
-    /// Whether a primary may receive writes: no replacement that could miss them can be pending.
-    /// `running_since` is the time since which its process has certainly been running, `led_term`
-    /// the latest term in which it was seen to lead.
+    /// Returns why a primary may receive writes, if no replacement that could miss them can be
+    /// pending. `running_since` is the time since which its process has certainly been running,
+    /// `led_term` the latest term in which it was seen to lead.
+    #[must_use]
+    pub fn permit(
+        &self,
+        now: Instant,
+        running_since: Instant,
+        led_term: Term,
+    ) -> Option<WritePermit> {
+        if now.saturating_duration_since(running_since) >= REPLACEMENT_LIFETIME {
+            return Some(WritePermit::Outlived);
+        }
+        if self.clear_at.is_some_and(|at| running_since <= at) {
+            return Some(WritePermit::Clear);
+        }
+        self.replaced_before(running_since, led_term)
+            .then_some(WritePermit::LaterTerm)
+    }
+
+    /// Whether a primary may receive writes (`permit`).
     #[must_use]
     pub fn permits(&self, now: Instant, running_since: Instant, led_term: Term) -> bool {
-        let outlives_replacements =
-            now.saturating_duration_since(running_since) >= REPLACEMENT_LIFETIME;
-        let clear = self.clear_at.is_some_and(|at| running_since <= at);
-        outlives_replacements || clear || self.replaced_before(running_since, led_term)
+        self.permit(now, running_since, led_term).is_some()
+    }
+
+    /// Returns the term of the latest replacement that a reading showed as pending.
+    #[must_use]
+    pub fn pending_term(&self) -> Option<Term> {
+        self.pending.map(|(_, pending)| pending.term)
     }
 
     /// Whether the only replacement that may be pending was of an earlier term than `led_term`.
--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -163,8 +163,8 @@
         "The node holds the duty to replace a primary; the line states the reason and the fencing token.",
         "Follow the token to events 2121 and 2122.";
     FailoverOrdered = 2121, Warn, "failover_ordered",
-        "A server was ordered to lead; the line states what the group reported.",
-        "Nothing.";
+        "A replacement asked a server for its log; the line states the answer and whether the server was chosen.",
+        "Follow `chosen` to events 2126 and 2127.";
     FailoverFailed = 2122, Warn, "failover_failed",
         "A step of a failover failed; the message says which, and it is tried again.",
         "Check the store and the servers named when it repeats.";
@@ -175,8 +175,20 @@
         "The primary may have restarted while it was being replaced; writes to it wait for the promotion.",
         "Follow the service to events 2120 and 2121; if none follows within five seconds, check the store.";
     EvidenceChanged = 2125, Info, "evidence_changed",
-        "Whether listed replicas show that they received the commits of a service has changed; without it, commits are not acknowledged. The line states the servers that the node knows.",
+        "The servers that show the commits of a service beside its primary have changed: listed replicas, also confirmed servers without an entry, or none; without any, commits are not acknowledged. The line states the servers that the node knows.",
         "While `acknowledged` is false, look for replicas that receive nothing and for servers without an entry.";
+    PromotionAnswered = 2126, Warn, "promotion_answered",
+        "An order to lead was answered, or got no answer; `took` is the time since it was sent.",
+        "An order without an answer may be carried out later: look for 2127 lines of its server.";
+    PrimaryProved = 2127, Info, "primary_proved",
+        "Another server showed that it leads a service; the line states its term and the time since this node ordered a promotion.",
+        "More than one server within seconds points at two orders that took effect.";
+    ServerNotAsked = 2128, Warn, "server_not_asked",
+        "A replacement decided without the log of a server that may hold commits; the message gives the reason.",
+        "Compare the server with 2121 lines of other nodes, and look for acknowledged commits that it alone holds.";
+    PermitChanged = 2129, Info, "permit_changed",
+        "Writes to a primary are sent for another reason: no replacement was pending, the server outlived all that could be, or it leads a later term.",
+        "Compare the reason with the 2120 lines of the service.";
 
     MemberJoined = 3001, Info, "member_joined",
         "A node joined the fleet.",
