--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -84,6 +84,11 @@
                 restart(world, other);
                 restart(world, 0);
                 sleep(Duration::from_secs(12)).await;
+                println!(
+                    "{seed} {:?} missing {}",
+                    replacement.site.orders.seen.borrow(),
+                    replacement.site.orders.missing.get()
+                );
                 replacement.check().await;
             })
             .await;
@@ -391,3 +396,36 @@
             .await;
     }
 }
+
+/// Guards against losing commits of a server that the late order of a stopped node promotes after another node has chosen a different one.
+#[tokio::test(start_paused = true)]
+async fn late_order_during_the_next_replacement_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                let orders = replacement.site.orders.clone();
+                orders.unanswered.set(u32::MAX);
+                let late = Duration::from_millis(3500 + 40 * seed);
+                orders.late.set(Some(late));
+                let (ordered, other) = replacement.lose_primary().await;
+                for name in ["n1", "n2", "n3"] {
+                    replacement.kill_node(name);
+                }
+                orders.unanswered.set(0);
+                // Of two servers with the same log, these nodes choose the other one.
+                for name in ["n4", "n5", "n6"] {
+                    replacement.add_node_knowing(name, &[0, ordered, other]);
+                }
+                restart(&world, 0);
+                sleep(Duration::from_millis(4300)).await;
+                world.borrow_mut()[other].deaf = true;
+                sleep(Duration::from_millis(2500)).await;
+                world.borrow_mut()[other].deaf = false;
+                sleep(Duration::from_secs(4)).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -42,6 +42,8 @@
     /// End of the received log; a replica applies it only when it is promoted.
     pub received: u64,
     pub paused_term: Term,
+    /// Whether the server receives no commits although it is not paused.
+    pub deaf: bool,
     /// Id under which the server restarted; `None` for the one that its number gives.
     pub id: Option<ServerId>,
     /// Number of restarts, each of which breaks the server's connections.
@@ -82,6 +84,7 @@
         position: 10,
         received: 10,
         paused_term: 0,
+        deaf: false,
         id: None,
         restarts: 0,
         sync_replicas: 0,
@@ -368,7 +371,7 @@
 /// is acknowledged.
 fn replicate(world: &mut [Server], index: usize, term: Term, end: u64) -> bool {
     let receives = |s: &&mut Server| {
-        s.role == Role::Replica && s.reachable && s.paused_term == 0 && s.term == term
+        s.role == Role::Replica && s.reachable && s.paused_term == 0 && !s.deaf && s.term == term
     };
     let mut copies = 0;
     for replica in world.iter_mut().filter(receives) {
