--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -420,10 +420,9 @@
                 }
                 restart(&world, 0);
                 sleep(Duration::from_millis(4300)).await;
-                world.borrow_mut()[other].deaf = true;
-                sleep(Duration::from_millis(2500)).await;
-                world.borrow_mut()[other].deaf = false;
-                sleep(Duration::from_secs(4)).await;
+                let until = Instant::now() + Duration::from_millis(2500);
+                world.borrow_mut()[other].deaf_until = Some(until);
+                sleep(Duration::from_millis(6500)).await;
                 replacement.check().await;
             })
             .await;
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -42,8 +42,8 @@
     /// End of the received log; a replica applies it only when it is promoted.
     pub received: u64,
     pub paused_term: Term,
-    /// Whether the server receives no commits although it is not paused.
-    pub deaf: bool,
+    /// Until when the server receives no commits although it is not paused.
+    pub deaf_until: Option<Instant>,
     /// Id under which the server restarted; `None` for the one that its number gives.
     pub id: Option<ServerId>,
     /// Number of restarts, each of which breaks the server's connections.
@@ -84,7 +84,7 @@
         position: 10,
         received: 10,
         paused_term: 0,
-        deaf: false,
+        deaf_until: None,
         id: None,
         restarts: 0,
         sync_replicas: 0,
@@ -370,8 +370,13 @@
 /// Sends a commit of the server at `index` to the replicas that receive. Returns whether the commit
 /// is acknowledged.
 fn replicate(world: &mut [Server], index: usize, term: Term, end: u64) -> bool {
+    let now = Instant::now();
     let receives = |s: &&mut Server| {
-        s.role == Role::Replica && s.reachable && s.paused_term == 0 && !s.deaf && s.term == term
+        s.role == Role::Replica
+            && s.reachable
+            && s.paused_term == 0
+            && s.deaf_until.is_none_or(|until| until <= now)
+            && s.term == term
     };
     let mut copies = 0;
     for replica in world.iter_mut().filter(receives) {
