--- a/crates/siskinhook-gateway/src/failover/lease.rs
+++ b/crates/siskinhook-gateway/src/failover/lease.rs
@@ -1,18 +1,20 @@
 //! The failover lease: a row of the platform's table that names the node allowed to replace a
 //! primary.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{
-    Batch, CommitOutcome, Condition, Platform, PlatformError, Reading, RowWrite, ServiceId, Term,
+    Batch, CommitOutcome, Condition, Platform, PlatformError, Reading, RowWrite, ServerId,
+    ServiceId, Term,
 };
 use smol_str::{SmolStr, format_smolstr};
+use tokio::time::Instant;
 
 use super::{Controller, Discovery, Orders};
 use crate::{
-    BootInstant, Dialer,
+    BootInstant, Dialer, PendingOrder,
     write_permit::{PendingReplacement, REPLACEMENT_LIFETIME},
 };
 
@@ -54,6 +56,34 @@
     /// The latest earlier replacement whose order may still be carried out.
     #[serde(default)]
     former: Option<FormerReplacement>,
+    /// The server that orders under this token or an earlier one may still promote.
+    #[serde(default)]
+    order: Option<RecordedOrder>,
+}
+
+/// An order as recorded before it is sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct RecordedOrder {
+    server: ServerId,
+    address: SocketAddr,
+    /// Time of the row that first recorded it, by the table service's clock, in milliseconds.
+    written: u64,
+}
+
+/// An order that this process knows of and that may still be carried out.
+#[derive(Clone)]
+pub(super) struct UnansweredOrder {
+    order: PendingOrder,
+    /// Time from which the order is not carried out any more. The steady clock errs on the safe side: it
+    /// stands still while the VM is suspended.
+    until: Instant,
+}
+
+impl UnansweredOrder {
+    pub(super) fn new(order: PendingOrder) -> Self {
+        let until = Instant::now() + REPLACEMENT_LIFETIME;
+        Self { order, until }
+    }
 }
 
 /// A replacement under an earlier token of the lease.
@@ -142,6 +172,8 @@
     now: u64,
     /// When the read was sent, which is not later than `now`.
     sent_at: BootInstant,
+    /// The same time by the steady clock.
+    started_at: Instant,
     /// Era of the table in which the row was read.
     era: u64,
     /// Time since this process first had an answer of this era.
@@ -168,6 +200,27 @@
         self.record.era == self.era && self.record.pending_at(self.now).is_none()
     }
 
+    /// Returns the order that may still be carried out. One of a former era was recorded before this
+    /// process first had an answer of the present one.
+    fn order(&self) -> Option<UnansweredOrder> {
+        let order = self.record.order.clone()?;
+        // No order is later than the row that names it.
+        let written = order.written.min(self.record.written);
+        let age = if self.record.era == self.era {
+            age(written, self.now)
+        } else {
+            self.era_age
+        };
+        let left = REPLACEMENT_LIFETIME.checked_sub(age)?;
+        Some(UnansweredOrder {
+            order: PendingOrder {
+                server: order.server,
+                address: order.address,
+            },
+            until: Instant::now() + left,
+        })
+    }
+
     /// Returns a token above all that were given out before, in this era and in former ones.
     fn next_token(&self) -> u64 {
         self.record.token.max(first_token(self.era)) + 1
@@ -200,6 +253,7 @@
             self.replacement_reason()?;
         }
         if stored.is_available_to(self.gateway.process) {
+            self.adopt_order(&stored);
             let record = self.next_record(&stored, Some(self.group.term.get()));
             // The row names this node also if only the answer to the write is lost.
             self.is_unfinished.set(true);
@@ -208,6 +262,34 @@
         None
     }
 
+    /// Takes over the order that may still be carried out according to the row. About orders since its
+    /// own row, this process knows more than the row, and a row of a former era may lack them.
+    fn adopt_order(&self, stored: &StoredLease) {
+        let is_own = stored.record.process == self.gateway.process;
+        let known = self.unanswered_order();
+        let order = if stored.record.era != stored.era {
+            known.or_else(|| stored.order())
+        } else if is_own {
+            known
+        } else {
+            stored.order()
+        };
+        *self.unanswered.borrow_mut() = order;
+    }
+
+    /// Returns the order that this process knows of and that may still be carried out.
+    fn unanswered_order(&self) -> Option<UnansweredOrder> {
+        let now = Instant::now();
+        let unanswered = self.unanswered.borrow();
+        unanswered.clone().filter(|order| now < order.until)
+    }
+
+    /// Returns the server of the order that may still be carried out. Until then no other server may be
+    /// ordered to lead.
+    pub(super) fn pending_order(&self) -> Option<PendingOrder> {
+        self.unanswered_order().map(|unanswered| unanswered.order)
+    }
+
     /// Returns the row to write after `stored`.
     fn next_record(&self, stored: &StoredLease, replaces: Option<Term>) -> LeaseRecord {
         let record = &stored.record;
@@ -217,6 +299,18 @@
         } else {
             record.latest_replacement()
         };
+        let order = self.unanswered_order().map(|unanswered| {
+            let left = unanswered
+                .until
+                .saturating_duration_since(stored.started_at);
+            let age = REPLACEMENT_LIFETIME.saturating_sub(left);
+            let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+            RecordedOrder {
+                server: unanswered.order.server,
+                address: unanswered.order.address,
+                written: stored.now.saturating_sub(age),
+            }
+        });
         LeaseRecord {
             holder: self.gateway.node.clone(),
             process: self.gateway.process,
@@ -225,6 +319,7 @@
             era: stored.era,
             replaces,
             former,
+            order,
         }
     }
 
@@ -290,13 +385,14 @@
     }
 
     async fn read_lease(&self) -> Option<StoredLease> {
-        let sent_at = BootInstant::now();
+        let (sent_at, started_at) = (BootInstant::now(), Instant::now());
         match self.read_record().await {
             Ok((reading, record)) => Some(StoredLease {
                 version: reading.version,
                 record,
                 now: reading.clock.unwrap_or_default(),
                 sent_at,
+                started_at,
                 era: reading.era,
                 era_age: reading.era_age,
             }),
@@ -329,33 +425,45 @@
         }
     }
 
-    /// Renews the lease under a higher token, if this process still holds it.
-    pub(super) async fn renew(&self, lease: Lease) -> Option<Lease> {
+    /// Renews the lease under a higher token, if this process still holds it, and records the server
+    /// that is about to be ordered to lead. Until the order is answered, or so old that it is not
+    /// carried out any more, every later holder orders the same server.
+    pub(super) async fn record_order(&self, lease: Lease, order: &PendingOrder) -> Option<Lease> {
         let stored = self.read_lease().await?;
-        let is_holder = stored.record.process == self.gateway.process
-            && stored.record.token == lease.token
-            && stored.era == lease.era;
+        let is_holder = stored.record.process == self.gateway.process && stored.era == lease.era;
         if !is_holder {
+            self.log_failure("another node holds the lease; no order was sent");
             return None;
         }
-        let record = self.next_record(&stored, Some(lease.term));
+        let mut record = self.next_record(&stored, Some(lease.term));
+        record.order = Some(RecordedOrder {
+            server: order.server.clone(),
+            address: order.address,
+            written: stored.now,
+        });
         self.claim(&stored, record).await
     }
 
-    /// Records in the lease row that the replacement was given up. Otherwise no node would write to
-    /// the primary, if it restarted, before the row is old.
-    pub(super) async fn give_up_replacement(&self) {
+    /// Records in the lease row which order of this process may still be carried out, if any, and
+    /// `gives_up` whether the replacement was given up. Otherwise no other server could be ordered to
+    /// lead, and no node would write to the primary, if it restarted, before the row is old.
+    pub(super) async fn settle(&self, gives_up: bool) {
         let Some(stored) = self.read_lease().await else {
             return;
         };
-        let is_holder = stored.record.process == self.gateway.process;
-        if is_holder && stored.record.replaces.is_some() {
-            let record = self.next_record(&stored, None);
-            if self.claim(&stored, record).await.is_none() {
+        if stored.record.process == self.gateway.process {
+            let replaces = stored.record.replaces.filter(|_| !gives_up);
+            let record = self.next_record(&stored, replaces);
+            let is_changed = record.order.is_none() && stored.record.order.is_some()
+                || replaces != stored.record.replaces;
+            if is_changed && self.claim(&stored, record).await.is_none() {
                 // The next check of the group repeats the attempt.
                 return;
             }
         }
-        self.is_unfinished.set(false);
+        self.is_unsettled.set(false);
+        if gives_up {
+            self.is_unfinished.set(false);
+        }
     }
 }
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -13,17 +13,23 @@
 mod record;
 mod stop;
 
-use std::{cell::Cell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use check::answer_checks;
-use lease::Lease;
+use lease::{Lease, UnansweredOrder};
 use record::keep_record;
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{NodeId, Platform, PlatformError, ServerId, ServiceId};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
-    BootInstant, Dialer, Gateway,
+    BootInstant, Dialer, Gateway, PendingOrder,
     attempt::{self, AttemptError, Check, Statement},
     group::Group,
     pool::{CONTROL_PRIORITY, Target},
@@ -113,6 +119,8 @@
         retry_at: Cell::new(Instant::now()),
         undemoted: Cell::default(),
         is_unfinished: Cell::default(),
+        unanswered: RefCell::default(),
+        is_unsettled: Cell::default(),
         highest_token: Cell::default(),
     };
     let watch = async {
@@ -120,8 +128,8 @@
             controller.wait().await;
             if let Some(reason) = controller.replacement_reason() {
                 controller.replace(reason).await;
-            } else if controller.is_unfinished.get() {
-                controller.give_up_replacement().await;
+            } else if controller.is_unfinished.get() || controller.is_unsettled.get() {
+                controller.settle(controller.is_unfinished.get()).await;
             }
         }
     };
@@ -143,6 +151,10 @@
     /// Whether the lease row may say that this process replaces the primary although it has sent no
     /// order that could still be carried out.
     is_unfinished: Cell<bool>,
+    /// The order that may still be carried out, as far as this process knows.
+    unanswered: RefCell<Option<UnansweredOrder>>,
+    /// Whether the lease row may record an order of this process that was answered or not sent.
+    is_unsettled: Cell<bool>,
     /// Highest token that this process read in the lease row.
     highest_token: Cell<u64>,
 }
@@ -282,11 +294,14 @@
             return;
         }
         if self.order_promotion(&chosen, lease).await {
-            self.group.record_promotion(&chosen);
+            self.group.record_promotion(&chosen.server);
             self.gateway.counters.promotions.add(1);
         } else {
             sleep(RETRY_DELAY).await;
         }
+        if self.is_unsettled.get() {
+            self.settle(false).await;
+        }
     }
 
     /// Connects once more to the servers that did not answer. When a cut ends, a connect that began
@@ -394,11 +409,17 @@
 
     /// Orders the promotion of the server, repeating the order until it is answered. Returns
     /// whether it was accepted.
-    async fn order_promotion(&self, server: &ServerId, first: Lease) -> bool {
+    ///
+    /// The order is recorded in the lease row before it is sent. If it gets no answer, it may be
+    /// carried out while a later holder replaces the primary; the later holder then orders the same
+    /// server, so that the group does not change from one successor to another.
+    async fn order_promotion(&self, order: &PendingOrder, first: Lease) -> bool {
         let mut lease = first;
+        let mut is_recorded = false;
         for _ in 0..MAX_ORDER_ATTEMPTS {
-            if BootInstant::now() >= lease.until {
-                let Some(renewed) = self.renew(lease).await else {
+            if !is_recorded || BootInstant::now() >= lease.until {
+                self.is_unsettled.set(true);
+                let Some(renewed) = self.record_order(lease, order).await else {
                     return false;
                 };
                 // The renewal itself may outlast the lease while the table service is slow.
@@ -407,9 +428,11 @@
                     return false;
                 }
                 lease = renewed;
+                is_recorded = true;
             }
             let service = &self.group.service;
             let node = &self.gateway.node;
+            let server = &order.server;
             let sent_at = Instant::now();
             let outcome = self
                 .orders
@@ -424,6 +447,8 @@
             );
             match outcome {
                 OrderOutcome::Accepted => {
+                    // Earlier orders are refused from now on, since their tokens are lower.
+                    *self.unanswered.borrow_mut() = None;
                     self.is_unfinished.set(false);
                     return true;
                 }
@@ -435,6 +460,7 @@
                 }
                 OrderOutcome::NotDone => sleep(RETRY_DELAY).await,
                 OrderOutcome::Unanswered => {
+                    *self.unanswered.borrow_mut() = Some(UnansweredOrder::new(order.clone()));
                     self.is_unfinished.set(false);
                     self.log_failure(
                         "the promotion got no answer; repeating it under a higher fencing token",
--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -14,8 +14,8 @@
     peers::{RelayedTarget, demote_relayed},
 };
 use crate::{
-    Departed, Dialer, Gateway, ReplicationStatus, Report, ServerOp, choose_successor, group::Group,
-    pool::Target,
+    Departed, Dialer, Gateway, PendingOrder, ReplicationStatus, Report, ServerOp,
+    choose_ordered_successor, choose_successor, group::Group, pool::Target,
 };
 
 /// Time limit for pausing the replicas.
@@ -36,11 +36,13 @@
     /// server receives commits before this node knows it. Servers whose entry says that they are
     /// the primary come first as well, since this node may not know which one leads. Only primaries
     /// that neither this node nor other nodes reach are replaced without their reply.
+    ///
+    /// An order that may still be carried out binds the choice.
     pub(super) async fn stop_servers(
         &self,
         leader: Option<&ServerId>,
         relayed: &[RelayedTarget<D>],
-    ) -> Option<ServerId> {
+    ) -> Option<PendingOrder> {
         let mut targets = self.group.existing_targets();
         targets.extend(self.group.unlisted());
         let (primaries, replicas): (Vec<_>, Vec<_>) = targets.into_iter().partition(|target| {
@@ -69,7 +71,10 @@
         let sync_replicas = self.group.sync_replicas.get();
         let choose = |reports: &[Report]| {
             let departed = self.departed(reports);
-            choose_successor(reports, sync_replicas, departed)
+            match &self.pending_order() {
+                Some(order) => choose_ordered_successor(reports, sync_replicas, departed, order),
+                None => choose_successor(reports, sync_replicas, departed),
+            }
         };
         let mut chosen = choose(&reports(&stopped, &pending, leader));
         if chosen.is_none() {
@@ -81,7 +86,10 @@
             task.reply.abort();
         }
         self.log_reports(&reports, chosen.as_ref());
-        chosen
+        let server = chosen?;
+        let report = reports.iter().find(|report| report.server == server)?;
+        let address = report.address;
+        Some(PendingOrder { server, address })
     }
 
     /// Whether a primary answers this node or another one, but was not demoted. It could acknowledge
--- a/crates/siskinhook-gateway/src/lib.rs
+++ b/crates/siskinhook-gateway/src/lib.rs
@@ -53,6 +53,6 @@
 pub use relay::{Relay, RelayedRequest};
 pub use session::{Arrival, Session};
 pub use statement::{Answer, Command, PreparedStatement, Query, Refusal, TransactionState};
-pub use successor::{Departed, Report, choose_successor};
+pub use successor::{Departed, PendingOrder, Report, choose_ordered_successor, choose_successor};
 pub use watermarks::{Watermark, Watermarks};
 pub use write_permit::{PendingReplacement, REPLACEMENT_LIFETIME, ReplacementChecks, WritePermit};
--- a/crates/siskinhook-gateway/src/successor.rs
+++ b/crates/siskinhook-gateway/src/successor.rs
@@ -1,6 +1,6 @@
 //! Choice of the server that succeeds a primary.
 
-use std::net::SocketAddr;
+use std::{cmp::Reverse, net::SocketAddr};
 
 use siskinhook_types::{LogPoint, ServerId};
 
@@ -23,6 +23,16 @@
     pub status: Option<ReplicationStatus>,
 }
 
+impl Report {
+    fn responds(&self) -> bool {
+        self.status.is_some()
+    }
+
+    fn log_end(&self) -> LogPoint {
+        self.status.map_or(LogPoint::default(), |s| s.received)
+    }
+}
+
 /// Summary of the replicas that left the group, whose logs cannot be read any more.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Departed {
@@ -33,6 +43,24 @@
     pub floor: Option<LogPoint>,
 }
 
+/// An order to promote a server that may still be carried out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PendingOrder {
+    /// Server that the order names.
+    pub server: ServerId,
+    /// Address where it accepts connections.
+    pub address: SocketAddr,
+}
+
+impl PendingOrder {
+    /// Whether the order has no effect any more, because another server replied at the address of the
+    /// one that it names.
+    fn is_void(&self, reports: &[Report]) -> bool {
+        let mut responding = reports.iter().filter(|report| report.responds());
+        responding.any(|report| report.address == self.address && report.server != self.server)
+    }
+}
+
 /// Chooses a server whose log contains every acknowledged commit. Returns `None` if no server is
 /// certain to have them all.
 ///
@@ -53,40 +81,65 @@
 ///
 /// A departed replica counts as missing: a primary that is cut off together with a leaving replica
 /// keeps acknowledging commits that no other server has.
+///
+/// Of servers that qualify alike, the one with the lowest id is chosen, so that two nodes choose the
+/// same one.
 #[must_use]
 pub fn choose_successor(
     reports: &[Report],
     sync_replicas: usize,
     departed: Departed,
 ) -> Option<ServerId> {
-    let responded = |report: &&Report| report.status.is_some();
-    let log_end = |report: &Report| report.status.map_or(LogPoint::default(), |s| s.received);
+    let qualified = qualified(reports, sync_replicas, departed)?;
+    let chosen = qualified.max_by_key(|report| {
+        let stays = !report.draining;
+        let id = Reverse(&report.server);
+        (stays, report.listed, !report.former, report.log_end(), id)
+    });
+    chosen.map(|report| report.server.clone())
+}
+
+/// Chooses a server like `choose_successor` while an order may still be carried out. Only the server
+/// that it names qualifies: it could lead until a later order takes effect, and the commits that it
+/// acknowledged meanwhile would be lost.
+#[must_use]
+pub fn choose_ordered_successor(
+    reports: &[Report],
+    sync_replicas: usize,
+    departed: Departed,
+    order: &PendingOrder,
+) -> Option<ServerId> {
+    if order.is_void(reports) {
+        return choose_successor(reports, sync_replicas, departed);
+    }
+    let mut qualified = qualified(reports, sync_replicas, departed)?;
+    let ordered = qualified.find(|report| report.server == order.server);
+    ordered.map(|report| report.server.clone())
+}
+
+/// Returns the servers whose logs contain every acknowledged commit, or `None` if the logs do not tell
+/// which do.
+fn qualified(
+    reports: &[Report],
+    sync_replicas: usize,
+    departed: Departed,
+) -> Option<impl Iterator<Item = &Report>> {
     let is_replaced = |report: &Report| {
-        let mut responding = reports.iter().filter(responded);
+        let mut responding = reports.iter().filter(|other| other.responds());
         responding.any(|other| other.address == report.address)
     };
     let unresponsive = reports
         .iter()
-        .filter(|r| r.listed && !r.former && r.status.is_none() && !is_replaced(r))
+        .filter(|r| r.listed && !r.former && !r.responds() && !is_replaced(r))
         .count();
+    let mut responding = reports.iter().filter(|report| report.responds());
     let needed = if unresponsive + departed.missing < sync_replicas.max(1) {
-        reports
-            .iter()
-            .filter(|r| !r.former)
-            .filter(responded)
-            .map(log_end)
-            .max()?
+        let replicas = responding.filter(|report| !report.former);
+        replicas.map(Report::log_end).max()?
     } else {
-        log_end(reports.iter().filter(|r| r.former).find(responded)?)
+        responding.find(|report| report.former)?.log_end()
     };
     let needed = needed.max(departed.floor.unwrap_or_default());
-    reports
-        .iter()
-        .filter(responded)
-        .filter(|report| log_end(report) >= needed)
-        .max_by_key(|report| {
-            let stays = !report.draining;
-            (stays, report.listed, !report.former, log_end(report))
-        })
-        .map(|report| report.server.clone())
+    let responding = reports.iter().filter(|report| report.responds());
+    Some(responding.filter(move |report| report.log_end() >= needed))
 }
--- a/crates/siskinhook-gateway/tests/lease_row.rs
+++ b/crates/siskinhook-gateway/tests/lease_row.rs
@@ -21,7 +21,7 @@
     let with = |field: &str, value: Value| {
         let mut row = json!({
             "holder": "n9", "process": 7, "token": 1, "written": clock(), "era": 0,
-            "replaces": null, "former": null
+            "replaces": null, "former": null, "order": null
         });
         row[field] = value;
         row
@@ -44,8 +44,13 @@
         with("era", far.clone()),
         with("era", json!("first")),
         with("replaces", json!("x")),
-        with("former", json!({"term": far, "written": "then"})),
+        with("former", json!({"term": far.clone(), "written": "then"})),
         with("former", json!(3)),
+        with("order", json!("s1")),
+        with(
+            "order",
+            json!({"server": "s9", "address": "127.0.0.1:9", "written": far}),
+        ),
     ]
 }
 
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use siskinhook_gateway::{Instance, Peer, Relay, RelayedRequest, TargetCode};
+use siskinhook_gateway::{Instance, Peer, REPLACEMENT_LIFETIME, Relay, RelayedRequest, TargetCode};
 use siskinhook_types::Role;
 use support::{
     RELAY_PORTS, clock, crash, instance,
@@ -397,6 +397,29 @@
     }
 }
 
+/// Lets the order of a node that stops get no answer and take effect `late`, and other nodes, which
+/// would choose a different server, replace the lost primary meanwhile. Returns the server that was
+/// ordered to lead and the other replica.
+async fn stop_holder_after_order(replacement: &mut Replacement, late: Duration) -> (usize, usize) {
+    let orders = replacement.site.orders.clone();
+    orders.unanswered.set(u32::MAX);
+    orders.late.set(Some(late));
+    for node in &replacement.nodes {
+        // A server without an entry is not chosen while another one qualifies.
+        node.gateway.forget(&"s1".into());
+    }
+    let (ordered, other) = replacement.lose_primary().await;
+    for name in ["n1", "n2", "n3"] {
+        replacement.kill_node(name);
+    }
+    orders.unanswered.set(0);
+    for name in ["n4", "n5", "n6"] {
+        replacement.add_node_knowing(name, &[0, ordered, other]);
+    }
+    restart(&replacement.site.world, 0);
+    (ordered, other)
+}
+
 /// Guards against losing commits of a server that the late order of a stopped node promotes after another node has chosen a different one.
 #[tokio::test(start_paused = true)]
 async fn late_order_during_the_next_replacement_loses_no_commits() {
@@ -405,20 +428,8 @@
             .run_until(async {
                 let mut replacement = Replacement::start(seed).await;
                 let world = replacement.site.world.clone();
-                let orders = replacement.site.orders.clone();
-                orders.unanswered.set(u32::MAX);
                 let late = Duration::from_millis(3500 + 40 * seed);
-                orders.late.set(Some(late));
-                let (ordered, other) = replacement.lose_primary().await;
-                for name in ["n1", "n2", "n3"] {
-                    replacement.kill_node(name);
-                }
-                orders.unanswered.set(0);
-                // Of two servers with the same log, these nodes choose the other one.
-                for name in ["n4", "n5", "n6"] {
-                    replacement.add_node_knowing(name, &[0, ordered, other]);
-                }
-                restart(&world, 0);
+                let (_, other) = stop_holder_after_order(&mut replacement, late).await;
                 sleep(Duration::from_millis(4300)).await;
                 let until = Instant::now() + Duration::from_millis(2500);
                 world.borrow_mut()[other].deaf_until = Some(until);
@@ -428,3 +439,48 @@
             .await;
     }
 }
+
+/// Guards against losing commits of a server that a late order promotes after it did not answer the node that replaces the primary.
+#[tokio::test(start_paused = true)]
+async fn late_order_for_a_silent_server_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                let late = Duration::from_millis(3500 + 40 * seed);
+                let (ordered, other) = stop_holder_after_order(&mut replacement, late).await;
+                sleep(Duration::from_secs(4)).await;
+                world.borrow_mut()[ordered].unresponsive = true;
+                let until = Instant::now() + Duration::from_millis(3500);
+                world.borrow_mut()[other].deaf_until = Some(until);
+                sleep(Duration::from_millis(1200)).await;
+                world.borrow_mut()[ordered].unresponsive = false;
+                sleep(Duration::from_secs(15)).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against a group without a primary for good because the server of an unanswered order is lost.
+#[tokio::test(start_paused = true)]
+async fn unanswered_order_for_a_lost_server_does_not_stop_replacements() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                let late = Duration::from_secs(5);
+                let (ordered, _) = stop_holder_after_order(&mut replacement, late).await;
+                crash(&world, ordered);
+                sleep(Duration::from_secs(4)).await;
+                for node in &replacement.nodes {
+                    node.gateway.forget(&instance(ordered, Role::Replica).id);
+                }
+                sleep(REPLACEMENT_LIFETIME).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/successor.rs
+++ b/crates/siskinhook-gateway/tests/successor.rs
@@ -4,8 +4,8 @@
 
 use proptest::prelude::*;
 use siskinhook_gateway::{
-    BootInstant, Departed, Departures, ReplicationStatus, Report, Watermark, Watermarks,
-    choose_successor,
+    BootInstant, Departed, Departures, PendingOrder, ReplicationStatus, Report, Watermark,
+    Watermarks, choose_ordered_successor, choose_successor,
 };
 use siskinhook_types::{LogPoint, Role};
 
@@ -313,3 +313,30 @@
     departures.extend(address("c"), at(40));
     assert_eq!(missing(&departures), 0);
 }
+
+/// Guards against two successors within the time in which an order may be carried out late.
+#[test]
+fn only_the_server_of_a_pending_order_is_chosen() {
+    let order = |server: &str, at: &str| PendingOrder {
+        server: server.into(),
+        address: address(at),
+    };
+    let choose = |reports: &[Report], order: &PendingOrder| {
+        choose_ordered_successor(reports, 1, Departed::default(), order)
+    };
+    let lost = report("p", true, false, None);
+    let replica = |server, end| report(server, false, false, end);
+    let reports = [lost.clone(), replica("a", Some(7)), replica("b", Some(7))];
+    let free = choose_successor(&reports, 1, Departed::default());
+    assert_eq!(free.as_deref(), Some("a"));
+    let ordered = order("b", "b");
+    assert_eq!(choose(&reports, &ordered).as_deref(), Some("b"));
+    // Another server at its address shows that it has ended.
+    let former = order("former", "b");
+    assert_eq!(choose(&reports, &former).as_deref(), Some("a"));
+    let reports = [lost, replica("a", Some(8)), replica("b", Some(7))];
+    assert_eq!(choose(&reports, &ordered), None, "it lacks a commit");
+    let demoted = report("p", true, false, Some(7));
+    let reports = [demoted, replica("a", Some(7)), replica("b", None)];
+    assert_eq!(choose(&reports, &ordered), None, "it does not reply");
+}
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -148,6 +148,8 @@
     values: BTreeMap<SmolStr, SmolStr>,
     prepared: HashMap<String, String>,
     broken: Cell<bool>,
+    /// Whether a commit waits for replicas that do not receive it.
+    is_stuck: bool,
 }
 
 impl Server {
@@ -227,6 +229,7 @@
             values: BTreeMap::new(),
             prepared: HashMap::new(),
             broken: Cell::new(false),
+            is_stuck: false,
         })
     }
 
@@ -347,8 +350,7 @@
         if let Some((term, end)) = replicated
             && !replicate(&mut world, self.index, term, end)
         {
-            // The caller would wait for an answer in vain; the model closes the connection.
-            self.broken.set(true);
+            self.is_stuck = true;
         }
         if self.broken.get() {
             return Err(ConnectionError::Closed("reset".into()));
@@ -439,7 +441,11 @@
             std::future::pending::<()>().await;
         }
         let text = self.queue.pop_front().expect("a request is outstanding");
-        self.handle(&text)
+        let reply = self.handle(&text);
+        if self.is_stuck {
+            std::future::pending::<()>().await;
+        }
+        reply
     }
 
     fn outstanding(&self) -> usize {
@@ -781,7 +787,7 @@
                 tokio::task::spawn_local(async move {
                     sleep(late).await;
                     let newest = orders.seen.borrow().iter().map(|order| order.token).max();
-                    if newest == Some(token) {
+                    if newest == Some(token) && orders.is_running(&server) {
                         orders.accept(&server);
                     }
                 });
@@ -794,6 +800,13 @@
 }
 
 impl FakeOrders {
+    /// Whether the process that an order names is running.
+    fn is_running(&self, server: &ServerId) -> bool {
+        let world = self.world.borrow();
+        let index: usize = server[1..].parse().expect("valid in this model");
+        world[index].reachable && world[index].id.is_none()
+    }
+
     /// Promotes a server after the time that a promotion takes.
     fn accept(&self, server: &ServerId) {
         let index: usize = server[1..].parse().expect("valid in this model");
