Let the order of the stopped node stay without an answer in its test

order_carried_out_after_its_sender_stopped_loses_no_commits left only the first order unanswered. The node repeated it at once and had it accepted, so no order was carried out late. All orders of the node now stay unanswered until it has stopped. The test passes; a line left over from debugging is removed.

--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -74,21 +74,17 @@
             .run_until(async {
                 let mut replacement = Replacement::start(seed).await;
                 let site = &replacement.site;
-                site.orders.unanswered.set(1);
+                site.orders.unanswered.set(u32::MAX);
                 site.orders.late.set(Some(Duration::from_secs(8)));
                 let (_, other) = replacement.lose_primary().await;
                 let holder = site.orders.seen.borrow()[0].holder.clone();
                 replacement.kill_node(&holder);
+                replacement.site.orders.unanswered.set(0);
                 let world = &replacement.site.world;
                 crash(world, other);
                 restart(world, other);
                 restart(world, 0);
                 sleep(Duration::from_secs(12)).await;
-                println!(
-                    "{seed} {:?} missing {}",
-                    replacement.site.orders.seen.borrow(),
-                    replacement.site.orders.missing.get()
-                );
                 replacement.check().await;
             })
             .await;
