--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -493,11 +493,13 @@
                 .map(|(server, _)| server);
             if known.is_some_and(|known| known != id) {
                 let ordered_at = self.promotion_ordered_at.get();
+                // 0 if this node has ordered no promotion.
+                let since_order = ordered_at.map_or(0, |at| at.elapsed().as_millis());
                 event!(
                     Event::PrimaryProved,
                     service = self.service.as_str(), server = id.as_str(), term = point.term,
                     position = point.position,
-                    since_order:? = ordered_at.map(|at| at.elapsed().as_millis()),
+                    since_order = since_order,
                     uptime = self.uptime().as_millis();
                     "the server showed that it leads"
                 );
--- a/crates/siskinhook-gateway/src/write_admission.rs
+++ b/crates/siskinhook-gateway/src/write_admission.rs
@@ -89,7 +89,7 @@
                 Event::PermitChanged,
                 service = instance.service.as_str(), server = instance.id.as_str(),
                 permit:? = permit, led_term = target.led_term(),
-                pending:? = self.checks.borrow().pending_term(),
+                pending = self.checks.borrow().pending_term().unwrap_or_default(),
                 running = running_since.elapsed().as_millis();
                 "writes to the primary are sent for another reason"
             );
