Pass statement texts on as the bytes that arrived

Cause: LineConnection::take_line decoded each line with from_utf8_lossy before it was parsed, for callers and for other nodes.

Texts, prepared statements, their names and arguments, session values and the servers' error texts are Bytes or byte slices from the caller to the server and back, also through a node that relays. They are slices of the line; the session copies what it keeps, so that it does not keep the line. An error of a server whose text is not UTF-8 keeps its code; it used to count as a broken connection.

Existing tests change only where the types require it: literals become byte strings, and the model's servers escape bytes that are not ASCII.

--- a/crates/siskinhook-gateway/src/attempt.rs
+++ b/crates/siskinhook-gateway/src/attempt.rs
@@ -6,6 +6,7 @@
     hash::{DefaultHasher, Hash, Hasher},
 };
 
+use bytes::Bytes;
 use siskinhook_types::{LogPoint, Term};
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::{Instant, timeout_at};
@@ -24,20 +25,20 @@
 #[derive(Clone, Copy)]
 pub struct Statement<'a> {
     pub id: &'a str,
-    pub text: &'a str,
+    pub text: &'a [u8],
     /// The prepared statement and its arguments, to be run instead of `text`.
-    pub prepared: Option<(&'a PreparedStatement, &'a str)>,
+    pub prepared: Option<(&'a PreparedStatement, &'a [u8])>,
     pub writes: bool,
     /// Session values that the connection must have.
-    pub values: &'a BTreeMap<SmolStr, SmolStr>,
+    pub values: &'a BTreeMap<Bytes, Bytes>,
 }
 
 impl<'a> Statement<'a> {
     /// Creates an empty statement, for running only a check.
-    pub const fn empty(values: &'a BTreeMap<SmolStr, SmolStr>) -> Self {
+    pub const fn empty(values: &'a BTreeMap<Bytes, Bytes>) -> Self {
         Self {
             id: "",
-            text: "",
+            text: b"",
             prepared: None,
             writes: false,
             values,
@@ -206,7 +207,7 @@
     };
     let name = prepared_name(stmt);
     if !entry.prepared.contains(&name) {
-        let (writes, text) = (stmt.writes, stmt.text.as_str());
+        let (writes, text) = (stmt.writes, stmt.text.as_ref());
         let name = name.as_str();
         entry.conn.push(&ServerOp::Prepare { name, writes, text });
         entry.prepared.insert(name.into());
--- a/crates/siskinhook-gateway/src/connection.rs
+++ b/crates/siskinhook-gateway/src/connection.rs
@@ -25,9 +25,9 @@
     /// Sets a session value.
     Set {
         /// Name of the value.
-        name: &'a str,
+        name: &'a [u8],
         /// The value.
-        value: &'a str,
+        value: &'a [u8],
     },
     /// Prepares a statement.
     Prepare {
@@ -36,7 +36,7 @@
         /// Whether the statement writes.
         writes: bool,
         /// Text of the statement.
-        text: &'a str,
+        text: &'a [u8],
     },
     /// Forwards a caller's statement unchanged.
     Forward {
@@ -45,7 +45,7 @@
         /// Log position that the server must have reached.
         after: Option<LogPoint>,
         /// Text of the statement.
-        text: &'a str,
+        text: &'a [u8],
     },
     /// Runs a prepared statement for a caller.
     Execute {
@@ -56,7 +56,7 @@
         /// Name of the prepared statement on this connection.
         name: &'a str,
         /// Arguments as the caller sent them.
-        arguments: &'a str,
+        arguments: &'a [u8],
     },
     /// Asks for the replication status.
     Status,
@@ -114,7 +114,7 @@
     /// Rows in the server's encoding.
     pub rows: Vec<Bytes>,
     /// Signature of the server, or the code and text of the error.
-    pub result: Result<SmolStr, (TargetCode, SmolStr)>,
+    pub result: Result<SmolStr, (TargetCode, Bytes)>,
     /// State of the transaction on the connection after the request.
     pub state: TransactionState,
     /// End of the server's log.
--- a/crates/siskinhook-gateway/src/pool/leased.rs
+++ b/crates/siskinhook-gateway/src/pool/leased.rs
@@ -5,6 +5,7 @@
     rc::Rc,
 };
 
+use bytes::Bytes;
 use siskinhook_types::NodeId;
 use smol_str::SmolStr;
 use tokio::{task::spawn_local, time::Instant};
@@ -16,7 +17,7 @@
 pub struct Pooled<C> {
     pub conn: C,
     /// Session values set on the connection.
-    pub values: BTreeMap<SmolStr, SmolStr>,
+    pub values: BTreeMap<Bytes, Bytes>,
     /// Names of the statements prepared on the connection.
     pub prepared: HashSet<SmolStr>,
     /// The node that relays to the server; `None` for a direct connection.
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -10,11 +10,11 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 pub use contact::Contact;
 pub use leased::{Leased, Pooled};
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{LogPoint, NodeId, Term};
-use smol_str::SmolStr;
 use tokio::{
     sync::{Notify, oneshot},
     task::spawn_local,
@@ -308,7 +308,7 @@
     /// first.
     pub async fn acquire(
         &self,
-        values: &BTreeMap<SmolStr, SmolStr>,
+        values: &BTreeMap<Bytes, Bytes>,
         priority: u8,
         deadline: Instant,
     ) -> Result<Leased<D>, AcquireError> {
@@ -353,7 +353,7 @@
     }
 
     /// Removes an open connection from the idle list, preferably one with the same session values.
-    fn pop_idle(&self, values: &BTreeMap<SmolStr, SmolStr>) -> Option<Pooled<D::Connection>> {
+    fn pop_idle(&self, values: &BTreeMap<Bytes, Bytes>) -> Option<Pooled<D::Connection>> {
         let use_direct = self.uses_direct();
         let mut pool = self.pool.borrow_mut();
         while !pool.idle.is_empty() {
--- a/crates/siskinhook-gateway/src/relay.rs
+++ b/crates/siskinhook-gateway/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{ServerId, ServiceId};
 use smol_str::SmolStr;
@@ -26,7 +27,7 @@
     /// Id of the statement.
     pub id: SmolStr,
     /// Text of the request, forwarded unchanged.
-    pub text: SmolStr,
+    pub text: Bytes,
 }
 
 /// The relay side of one connection from another node. It occupies a connection to the server from
@@ -115,11 +116,11 @@
         let stale_replies = pooled.conn.outstanding();
         let skipped_replies = stale_replies + usize::from(attempt::queue_reset(pooled));
         for RelayedRequest { id, text } in requests {
-            let (id, text, after) = (id.as_str(), text.as_str(), None);
+            let (id, text, after) = (id.as_str(), text.as_ref(), None);
             pooled.conn.push(&ServerOp::Forward { id, after, text });
-            match text.split(' ').next() {
-                Some("SET" | "PREPARE") => self.has_setup = true,
-                Some("RESET") => self.has_setup = false,
+            match words(text).next() {
+                Some(b"SET" | b"PREPARE") => self.has_setup = true,
+                Some(b"RESET") => self.has_setup = false,
                 _ => {}
             }
         }
@@ -145,18 +146,18 @@
     /// Whether a request may commit a write, alone or later with its transaction. Called once for
     /// each request, in order.
     fn may_write(&mut self, request: &RelayedRequest) -> bool {
-        let mut words = request.text.split(' ');
+        let mut words = words(&request.text);
         match words.next() {
-            Some("WRITE") => true,
-            Some("PREPARE") => {
-                self.has_prepared_write |= words.nth(1) == Some("WRITE");
+            Some(b"WRITE") => true,
+            Some(b"PREPARE") => {
+                self.has_prepared_write |= words.nth(1) == Some(b"WRITE");
                 false
             }
-            Some("RESET") => {
+            Some(b"RESET") => {
                 self.has_prepared_write = false;
                 false
             }
-            Some("EXECUTE") => self.has_prepared_write,
+            Some(b"EXECUTE") => self.has_prepared_write,
             _ => false,
         }
     }
@@ -186,6 +187,10 @@
     }
 }
 
+fn words(text: &[u8]) -> impl Iterator<Item = &[u8]> {
+    text.split(|byte| *byte == b' ')
+}
+
 /// Creates the reply to a request that was not forwarded.
 fn refused_reply(code: TargetCode) -> ServerReply {
     ServerReply {
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -648,7 +648,7 @@
     /// Returns the time limit of an attempt. The first attempt of a read leaves time for another
     /// server.
     fn attempt_limit(&self, history: &AttemptHistory) -> Instant {
-        if self.statement.writes || history.attempts > 1 || self.statement.text == "COMMIT" {
+        if self.statement.writes || history.attempts > 1 || self.statement.text == b"COMMIT" {
             return self.deadline;
         }
         let left = self.deadline.saturating_duration_since(Instant::now());
@@ -713,7 +713,7 @@
                     Event::StatementRefused,
                     request = self.statement.id, database = self.route.database.as_str(),
                     answer:? = refusal, state:? = reply.state, waited = self.waited();
-                    "returning the server's error to the caller: {text}"
+                    "returning the server's error to the caller: {}", text.escape_ascii()
                 );
                 Err((refusal, text))
             }
@@ -739,19 +739,19 @@
         self.refuse(Refusal::Busy, history.last_failure, history)
     }
 
-    fn timed_out(&self, text: &str, history: &AttemptHistory) -> Answer {
+    fn timed_out(&self, text: &'static str, history: &AttemptHistory) -> Answer {
         self.gateway.counters.unknown.add(1);
         self.log_refusal(Refusal::Timeout, text, history);
         Answer::refused(Refusal::Timeout, text, TransactionState::Idle)
     }
 
-    fn unknown(&self, text: &str) -> Answer {
+    fn unknown(&self, text: &'static str) -> Answer {
         self.gateway.counters.unknown.add(1);
         self.log_refusal(Refusal::Unknown, text, &AttemptHistory::default());
         Answer::refused(Refusal::Unknown, text, TransactionState::Idle)
     }
 
-    fn refuse(&self, refusal: Refusal, text: &str, history: &AttemptHistory) -> Answer {
+    fn refuse(&self, refusal: Refusal, text: &'static str, history: &AttemptHistory) -> Answer {
         self.gateway.counters.refused.add(1);
         self.log_refusal(refusal, text, history);
         Answer::refused(refusal, text, TransactionState::Idle)
--- a/crates/siskinhook-gateway/src/session.rs
+++ b/crates/siskinhook-gateway/src/session.rs
@@ -5,9 +5,9 @@
     rc::Rc,
 };
 
+use bytes::Bytes;
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{DatabaseId, LogPoint};
-use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use crate::{
@@ -57,8 +57,8 @@
 pub struct Session<D: Dialer> {
     gateway: Rc<Gateway<D>>,
     database: DatabaseId,
-    values: BTreeMap<SmolStr, SmolStr>,
-    prepared: HashMap<SmolStr, PreparedStatement>,
+    values: BTreeMap<Bytes, Bytes>,
+    prepared: HashMap<Bytes, PreparedStatement>,
     transaction: Option<Transaction<D>>,
     /// End of the log after the session's last acknowledged write.
     last_commit: Option<LogPoint>,
@@ -120,11 +120,13 @@
             Command::Read => self.run(query, None, false, arrival).await,
             Command::Write => self.run(query, None, true, arrival).await,
             Command::Set { name, value } => {
-                self.values.insert(name.clone(), value.clone());
+                self.values.insert(unshared(name), unshared(value));
                 Answer::local(self.state())
             }
             Command::Prepare { name, stmt } => {
-                self.prepared.insert(name.clone(), stmt.clone());
+                let text = unshared(&stmt.text);
+                let stmt = PreparedStatement { text, ..*stmt };
+                self.prepared.insert(unshared(name), stmt);
                 Answer::local(self.state())
             }
             Command::Deallocate { name } => match self.prepared.remove(name) {
@@ -207,7 +209,7 @@
     async fn run(
         &mut self,
         query: &Query,
-        prepared: Option<(&PreparedStatement, &str)>,
+        prepared: Option<(&PreparedStatement, &[u8])>,
         writes: bool,
         arrival: Arrival,
     ) -> Answer {
@@ -244,7 +246,7 @@
     async fn run_in_transaction(
         &mut self,
         query: &Query,
-        prepared: Option<(&PreparedStatement, &str)>,
+        prepared: Option<(&PreparedStatement, &[u8])>,
         writes: bool,
         arrival: Arrival,
     ) -> Answer {
@@ -370,17 +372,17 @@
         self.refuse(refusal, text)
     }
 
-    fn refuse(&self, refusal: Refusal, text: &str) -> Answer {
+    fn refuse(&self, refusal: Refusal, text: &'static str) -> Answer {
         self.gateway.counters.refused.add(1);
         Answer::refused(refusal, text, self.state())
     }
 
-    fn malformed(&self, text: &str) -> Answer {
+    fn malformed(&self, text: &'static str) -> Answer {
         Answer::refused(Refusal::Malformed, text, self.state())
     }
 
-    fn no_statement(&self, name: &str) -> Answer {
-        let text = format!("no statement is prepared under {name:?}");
+    fn no_statement(&self, name: &[u8]) -> Answer {
+        let text = format!("no statement is prepared under \"{}\"", name.escape_ascii());
         Answer::refused(Refusal::NoStatement, text, self.state())
     }
 
@@ -396,3 +398,8 @@
         Answer::refused(answer, text, self.state())
     }
 }
+
+/// Copies a part of a message, so that the session does not keep the whole message.
+fn unshared(part: &Bytes) -> Bytes {
+    Bytes::copy_from_slice(part)
+}
--- a/crates/siskinhook-gateway/src/statement.rs
+++ b/crates/siskinhook-gateway/src/statement.rs
@@ -23,28 +23,28 @@
     /// Sets a session value.
     Set {
         /// Name of the value.
-        name: SmolStr,
+        name: Bytes,
         /// The value.
-        value: SmolStr,
+        value: Bytes,
     },
     /// Prepares a statement under a name that is local to the session.
     Prepare {
         /// Name in the session.
-        name: SmolStr,
+        name: Bytes,
         /// The statement.
         stmt: PreparedStatement,
     },
     /// Runs a prepared statement.
     Execute {
         /// Name in the session.
-        name: SmolStr,
+        name: Bytes,
         /// Arguments as the caller sent them.
-        arguments: SmolStr,
+        arguments: Bytes,
     },
     /// Removes a prepared statement.
     Deallocate {
         /// Name in the session.
-        name: SmolStr,
+        name: Bytes,
     },
 }
 
@@ -54,7 +54,7 @@
     /// Whether the statement writes.
     pub writes: bool,
     /// Text of the statement.
-    pub text: SmolStr,
+    pub text: Bytes,
 }
 
 /// A caller's statement.
@@ -62,8 +62,8 @@
 pub struct Query {
     /// Id that the caller gave the statement.
     pub id: SmolStr,
-    /// Text as the caller sent it.
-    pub text: SmolStr,
+    /// Text as the caller sent it, in any encoding.
+    pub text: Bytes,
     /// The parsed text; `None` if it is not a known command.
     pub command: Option<Command>,
 }
@@ -114,7 +114,7 @@
     /// Rows in the server's encoding.
     pub rows: Vec<Bytes>,
     /// The server's signature, `None` if the node answered by itself; or the error and its text.
-    pub result: Result<Option<SmolStr>, (Refusal, SmolStr)>,
+    pub result: Result<Option<SmolStr>, (Refusal, Bytes)>,
     /// State of the transaction after the statement.
     pub state: TransactionState,
     /// End of the server's log.
@@ -135,7 +135,7 @@
 
     /// Creates an error answer.
     #[must_use]
-    pub fn refused(refusal: Refusal, text: impl Into<SmolStr>, state: TransactionState) -> Self {
+    pub fn refused(refusal: Refusal, text: impl Into<Bytes>, state: TransactionState) -> Self {
         Self {
             rows: Vec::new(),
             result: Err((refusal, text.into())),
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -164,7 +164,7 @@
             for (texts, is_refused) in batches {
                 let request = |text: &&str| RelayedRequest {
                     id: "q".into(),
-                    text: (*text).into(),
+                    text: text.to_string().into(),
                 };
                 let requests: Vec<_> = texts.iter().map(request).collect();
                 let replies = relay.forward(&requests).await.expect("a reply");
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -360,7 +360,7 @@
         }
         Ok(ServerReply {
             rows,
-            result: result.map_err(|code| (code, SmolStr::default())),
+            result: result.map_err(|code| (code, Bytes::new())),
             state: self.state,
             point: Some(point),
         })
@@ -391,6 +391,7 @@
 }
 
 impl Connection for FakeConnection {
+    // Bytes that are not ASCII are escaped, so that different texts stay different.
     fn push(&mut self, op: &ServerOp<'_>) {
         self.queue.push_back(match op {
             ServerOp::Begin { read_only, after } => {
@@ -402,21 +403,27 @@
             }
             ServerOp::Rollback => "ROLLBACK".into(),
             ServerOp::Reset => "RESET".into(),
-            ServerOp::Set { name, value } => format!("SET {name} {value}"),
+            ServerOp::Set { name, value } => {
+                format!("SET {} {}", name.escape_ascii(), value.escape_ascii())
+            }
             ServerOp::Prepare { name, writes, text } => {
                 format!(
-                    "PREPARE {name} {} {text}",
-                    if *writes { "WRITE" } else { "READ" }
+                    "PREPARE {name} {} {}",
+                    if *writes { "WRITE" } else { "READ" },
+                    text.escape_ascii()
                 )
             }
-            ServerOp::Forward { after, text, .. } => format!("{}{text}", after_prefix(*after)),
+            ServerOp::Forward { after, text, .. } => {
+                format!("{}{}", after_prefix(*after), text.escape_ascii())
+            }
             ServerOp::Execute {
                 after,
                 name,
                 arguments,
                 ..
             } => {
-                format!("{}EXECUTE {name} {arguments}", after_prefix(*after))
+                let (after, arguments) = (after_prefix(*after), arguments.escape_ascii());
+                format!("{after}EXECUTE {name} {arguments}")
             }
             ServerOp::Status => "STATUS".into(),
             ServerOp::Pause(term) => format!("PAUSE {term}"),
@@ -548,25 +555,25 @@
         "READ" => Command::Read,
         "WRITE" => Command::Write,
         "SET" => Command::Set {
-            name: words[1].into(),
-            value: words[2].into(),
+            name: words[1].to_string().into(),
+            value: words[2].to_string().into(),
         },
         "PREPARE" => Command::Prepare {
-            name: words[1].into(),
+            name: words[1].to_string().into(),
             stmt: PreparedStatement {
                 writes: words[2] == "WRITE",
-                text: words[3].into(),
+                text: words[3].to_string().into(),
             },
         },
         "EXECUTE" => Command::Execute {
-            name: words[1].into(),
+            name: words[1].to_string().into(),
             arguments: words[2..].join(" ").into(),
         },
         word => panic!("{word} is no command of the tests"),
     };
     let query = Query {
         id: "q".into(),
-        text: text.into(),
+        text: text.to_string().into(),
         command: Some(command),
     };
     session.handle(&query, Arrival::now()).await
