Bound the memory of values and prepared statements of sessions

Cause: Session kept the names, texts and values of SET and PREPARE in maps without a bound.

Now SessionMemory counts what a session keeps, with 256 bytes for each entry besides its texts. A session keeps at most 2 MiB, two messages of the maximum length, and all sessions of a process at most 32 MiB, a fifth of the 160 MB of the smallest deployments. The first 8 KiB of each session do not count toward the 32 MiB, so that sessions which keep much take nothing from the others.

A statement beyond the bound of the session gets TOOMANY, one beyond that of the process BUSY; the caller then closes its session. Both codes promise that nothing of the caller's attempt is kept, so an open transaction is rolled back and fails. What was acknowledged before stays valid: the check precedes the change, so a refused PREPARE leaves the statement that its name had.

Evidence: before the change the three new tests failed: prepared_statements_of_a_session_are_bounded accepted 40 statements of 1 MB instead of 2, prepared_statements_of_all_sessions_are_bounded all 80 instead of 30 to 33, and refused_prepared_statement_rolls_the_transaction_back got no refusal.

--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     BootInstant, Configuration, Counters, Dialer, Instance, Route, fleet::Fleet, group::Group,
+    session_memory::SharedBytes,
 };
 
 /// Interval at which idle connections are checked; shorter than their idle timeouts.
@@ -76,6 +77,8 @@
     /// How late the event loop last woke a task whose time had come.
     loop_delay: Cell<Duration>,
     random: RefCell<SmallRng>,
+    /// Memory that the values and prepared statements of all sessions share.
+    pub(crate) session_bytes: SharedBytes,
 }
 
 impl<D: Dialer> Gateway<D> {
@@ -108,6 +111,7 @@
             discovered: Cell::default(),
             store_answers: RefCell::default(),
             unanswered: RefCell::default(),
+            session_bytes: SharedBytes::default(),
             loop_delay: Cell::default(),
         })
     }
--- a/crates/siskinhook-gateway/src/lib.rs
+++ b/crates/siskinhook-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod relay;
 mod request;
 mod session;
+mod session_memory;
 mod statement;
 mod successor;
 mod watermarks;
--- a/crates/siskinhook-gateway/src/session.rs
+++ b/crates/siskinhook-gateway/src/session.rs
@@ -1,11 +1,7 @@
 //! A caller's session: session values, prepared statements and the open transaction.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    rc::Rc,
-};
+use std::rc::Rc;
 
-use bytes::Bytes;
 use siskinhook_telemetry::{Event, event};
 use siskinhook_types::{DatabaseId, LogPoint};
 use tokio::time::Instant;
@@ -17,6 +13,7 @@
     group::Group,
     pool::Leased,
     request::{ReadBounds, Request},
+    session_memory::{LimitExceeded, SessionMemory},
 };
 
 /// Arrival time of a statement, on both clocks.
@@ -57,8 +54,7 @@
 pub struct Session<D: Dialer> {
     gateway: Rc<Gateway<D>>,
     database: DatabaseId,
-    values: BTreeMap<Bytes, Bytes>,
-    prepared: HashMap<Bytes, PreparedStatement>,
+    memory: SessionMemory,
     transaction: Option<Transaction<D>>,
     /// End of the log after the session's last acknowledged write.
     last_commit: Option<LogPoint>,
@@ -72,8 +68,7 @@
         Some(Self {
             gateway: gateway.clone(),
             database: database.into(),
-            values: BTreeMap::new(),
-            prepared: HashMap::new(),
+            memory: SessionMemory::new(gateway.session_bytes.clone()),
             transaction: None,
             last_commit: None,
         })
@@ -119,21 +114,19 @@
             Command::Rollback => self.rollback().await,
             Command::Read => self.run(query, None, false, arrival).await,
             Command::Write => self.run(query, None, true, arrival).await,
-            Command::Set { name, value } => {
-                self.values.insert(unshared(name), unshared(value));
-                Answer::local(self.state())
-            }
-            Command::Prepare { name, stmt } => {
-                let text = unshared(&stmt.text);
-                let stmt = PreparedStatement { text, ..*stmt };
-                self.prepared.insert(unshared(name), stmt);
+            Command::Set { name, value } => match self.memory.set(name, value) {
+                Ok(()) => Answer::local(self.state()),
+                Err(limit) => self.refuse_to_keep(query, limit).await,
+            },
+            Command::Prepare { name, stmt } => match self.memory.prepare(name, stmt) {
+                Ok(()) => Answer::local(self.state()),
+                Err(limit) => self.refuse_to_keep(query, limit).await,
+            },
+            Command::Deallocate { name } if self.memory.deallocate(name) => {
                 Answer::local(self.state())
             }
-            Command::Deallocate { name } => match self.prepared.remove(name) {
-                Some(_) => Answer::local(self.state()),
-                None => self.no_statement(name),
-            },
-            Command::Execute { name, arguments } => match self.prepared.get(name).cloned() {
+            Command::Deallocate { name } => self.no_statement(name),
+            Command::Execute { name, arguments } => match self.memory.prepared(name) {
                 Some(stmt) => {
                     let writes = stmt.writes;
                     self.run(query, Some((&stmt, arguments)), writes, arrival)
@@ -229,7 +222,7 @@
             text: &query.text,
             prepared,
             writes,
-            values: &self.values,
+            values: self.memory.values(),
         };
         let request = self.request(&route, &group, statement, arrival, arrival.boot);
         let (answer, _) = if writes {
@@ -258,7 +251,7 @@
             text: &query.text,
             prepared,
             writes,
-            values: &self.values,
+            values: self.memory.values(),
         };
         let route = transaction.route.clone();
         let Some(group) = self.gateway.group(&route.service) else {
@@ -288,7 +281,7 @@
             text: &query.text,
             prepared: None,
             writes: transaction.wrote,
-            values: &self.values,
+            values: self.memory.values(),
         };
         let route = transaction.route.clone();
         let Some(group) = self.gateway.group(&route.service) else {
@@ -372,6 +365,33 @@
         self.refuse(refusal, text)
     }
 
+    /// Refuses a value or prepared statement that exceeds a bound. The refusal guarantees that
+    /// nothing of the caller's attempt is kept, so an open transaction is rolled back.
+    async fn refuse_to_keep(&mut self, query: &Query, limit: LimitExceeded) -> Answer {
+        if let Some(transaction) = self.transaction.as_mut() {
+            transaction.state = TransactionState::Failed;
+            if let Some(leased) = transaction.leased.take() {
+                attempt::release(leased, TransactionState::Open).await;
+            }
+        }
+        let (refusal, text) = match limit {
+            LimitExceeded::Session => (
+                Refusal::TooMany,
+                "the session's values and prepared statements exceed their limit",
+            ),
+            LimitExceeded::Process => (
+                Refusal::Busy,
+                "this node has no memory left for values and prepared statements",
+            ),
+        };
+        event!(
+            Event::StatementRefused,
+            request = query.id.as_str(), database = self.database.as_str(), answer:? = refusal;
+            "{text}"
+        );
+        self.refuse(refusal, text)
+    }
+
     fn refuse(&self, refusal: Refusal, text: &'static str) -> Answer {
         self.gateway.counters.refused.add(1);
         Answer::refused(refusal, text, self.state())
@@ -398,8 +418,3 @@
         Answer::refused(answer, text, self.state())
     }
 }
-
-/// Copies a part of a message, so that the session does not keep the whole message.
-fn unshared(part: &Bytes) -> Bytes {
-    Bytes::copy_from_slice(part)
-}
--- a/crates/siskinhook-gateway/src/statement.rs
+++ b/crates/siskinhook-gateway/src/statement.rs
@@ -92,7 +92,7 @@
     Lagging,
     /// The server does not accept writes.
     ReadOnly,
-    /// Too many connections.
+    /// Too many connections, or the session keeps too much.
     TooMany,
     /// The outcome is unknown: the statement may have run.
     Unknown,
--- a/crates/siskinhook-gateway/tests/sessions.rs
+++ b/crates/siskinhook-gateway/tests/sessions.rs
@@ -407,3 +407,107 @@
     gateway.record_store_answer("op", ago(100));
     assert!(gateway.store_silence("op") < Duration::from_secs(100));
 }
+
+/// Returns a statement that prepares a text of 1 MB.
+fn prepare_large(name: &str) -> String {
+    format!("PREPARE {name} READ {}", "q".repeat(1_000_000))
+}
+
+/// Guards against a session whose prepared statements exhaust the memory of the process.
+#[tokio::test(start_paused = true)]
+async fn prepared_statements_of_a_session_are_bounded() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        ask(&mut session, "PREPARE small READ a").await;
+        let mut accepted = 0;
+        while accepted < 40 {
+            let answer = ask(&mut session, &prepare_large(&format!("p{accepted}"))).await;
+            if answer.result.is_err() {
+                assert_matches!(answer.result, Err((Refusal::TooMany, _)));
+                break;
+            }
+            accepted += 1;
+        }
+        assert_eq!(accepted, 2, "statements of 1 MB");
+        // A refused statement leaves the one that was acknowledged under its name.
+        let answer = ask(&mut session, &prepare_large("small")).await;
+        assert_matches!(answer.result, Err((Refusal::TooMany, _)));
+        let large = format!("SET lang {}", "q".repeat(1_000_000));
+        let answer = ask(&mut session, &large).await;
+        assert_matches!(answer.result, Err((Refusal::TooMany, _)));
+        for name in ["small", "p0", "p1"] {
+            let answer = ask(&mut session, &format!("EXECUTE {name} 7")).await;
+            assert!(answer.result.is_ok(), "{name}");
+        }
+        assert_eq!(world.borrow()[0].ran[0].0, "READ a 7");
+        // Replacing a statement with a smaller one makes room, and so does removing one.
+        assert!(ask(&mut session, "PREPARE p0 READ b").await.result.is_ok());
+        assert!(ask(&mut session, &large).await.result.is_ok());
+        assert!(ask(&mut session, "DEALLOC p1").await.result.is_ok());
+        let answer = ask(&mut session, &prepare_large("p2")).await;
+        assert!(answer.result.is_ok());
+    })
+    .await;
+}
+
+/// Guards against many sessions that together exhaust the memory of the process, and against such
+/// sessions that take the memory of others.
+#[tokio::test(start_paused = true)]
+async fn prepared_statements_of_all_sessions_are_bounded() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut sessions = Vec::new();
+        let mut refusals = Vec::new();
+        for _ in 0..40 {
+            let mut session = Session::open(&gateway, "strong").unwrap();
+            for name in ["p0", "p1"] {
+                refusals.extend(ask(&mut session, &prepare_large(name)).await.result.err());
+            }
+            sessions.push(session);
+        }
+        let accepted = 2 * sessions.len() - refusals.len();
+        assert!(
+            (30..=33).contains(&accepted),
+            "{accepted} statements of 1 MB"
+        );
+        for (refusal, _) in refusals {
+            assert_eq!(refusal, Refusal::Busy);
+        }
+        let mut small = Session::open(&gateway, "strong").unwrap();
+        for text in ["SET lang hr", "PREPARE p READ a", "EXECUTE p 7"] {
+            assert!(ask(&mut small, text).await.result.is_ok(), "{text}");
+        }
+        sessions.clear();
+        let answer = ask(&mut small, &prepare_large("p")).await;
+        assert!(answer.result.is_ok());
+    })
+    .await;
+}
+
+/// Guards against a transaction that commits although a refusal promised that nothing is kept.
+#[tokio::test(start_paused = true)]
+async fn refused_prepared_statement_rolls_the_transaction_back() {
+    local(async {
+        let world = world();
+        let gateway = node("n1", &world);
+        let mut session = Session::open(&gateway, "strong").unwrap();
+        for name in ["p0", "p1"] {
+            assert!(ask(&mut session, &prepare_large(name)).await.result.is_ok());
+        }
+        ask(&mut session, "BEGIN").await;
+        assert!(ask(&mut session, "WRITE 1 a").await.result.is_ok());
+        let answer = ask(&mut session, &prepare_large("p2")).await;
+        assert_matches!(answer.result, Err((Refusal::TooMany, _)));
+        assert_eq!(answer.state, TransactionState::Failed);
+        let answer = ask(&mut session, "COMMIT").await;
+        assert_matches!(answer.result, Err((Refusal::Aborted, _)));
+        assert_eq!(answer.state, TransactionState::Idle);
+        assert!(ask(&mut session, "EXECUTE p0 7").await.result.is_ok());
+        let ran: Vec<String> = world.borrow()[0].ran.iter().map(|r| r.0.clone()).collect();
+        assert!(!ran.contains(&"COMMIT".into()), "the commit was not sent");
+    })
+    .await;
+}
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -569,6 +569,9 @@
             name: words[1].to_string().into(),
             arguments: words[2..].join(" ").into(),
         },
+        "DEALLOC" => Command::Deallocate {
+            name: words[1].to_string().into(),
+        },
         word => panic!("{word} is no command of the tests"),
     };
     let query = Query {
