Go on to the new primary when writes are held back at the former one

Callers were refused writes ("the primary may be about to be replaced") for as long as no other request showed the node that the group had another primary. While a replacement is pending, a node asks the server that it regards as the primary for its term. It ignored the answer that the server is a replica, and went on holding writes back there. Now the answer counts like a refused write, so the next attempt asks the next server.

--- a/crates/siskinhook-gateway/src/write_admission.rs
+++ b/crates/siskinhook-gateway/src/write_admission.rs
@@ -175,8 +175,10 @@
         let limit = deadline.min(Instant::now() + CHECK_TIMEOUT);
         let reply = target.send_control(&ServerOp::Status, limit).await;
         let status = reply.and_then(|reply| self.dialer.status(&reply));
-        if let Some(status) = status.filter(|status| status.role == Role::Primary) {
-            target.record_led_term(status.term);
+        match status {
+            Some(status) if status.role == Role::Primary => target.record_led_term(status.term),
+            Some(_) => self.record_denial(target),
+            None => {}
         }
         admission.permits(target, running_since)
     }
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use serde_json::json;
-use siskinhook_gateway::{Instance, Peer, Relay, RelayedRequest, TargetCode};
+use siskinhook_gateway::{Instance, Peer, Relay, RelayedRequest, Session, TargetCode};
 use siskinhook_types::Role;
 use support::{
-    RELAY_PORTS, clock, crash, instance,
+    RELAY_PORTS, ask, clock, crash, instance,
     replacement::{Node, PROMOTION_TIME, Replacement},
     restart, server,
     site::Site,
@@ -429,3 +429,26 @@
             .await;
     }
 }
+
+/// Guards against writes that are held back at a server that leads no more, although another one does.
+#[tokio::test(start_paused = true)]
+async fn write_held_back_at_a_former_primary_finds_the_new_one() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                let gateway = site.start("n1");
+                let row = json!({"holder": "n2", "process": 7, "token": 1, "written": clock(), "replaces": 1});
+                site.table.put("failover/svc", row).await;
+                for server in site.world.borrow_mut().iter_mut() {
+                    server.term = 2;
+                    server.role = Role::Replica;
+                }
+                site.world.borrow_mut()[1].role = Role::Primary;
+                let mut session = Session::open(&gateway, "strong").expect("the route is known");
+                let answer = ask(&mut session, "WRITE 1 a").await;
+                assert!(answer.result.is_ok(), "{answer:?}");
+            })
+            .await;
+    }
+}
