Count a replica's log as evidence only if its process is older than any pending replacement

Cause: the permit for writes rests on the demotion of every primary that was running before its replacement began. One that is silent, or that the replacing node and its peers do not reach, is replaced without its reply. When it goes on before the promotion takes effect, it acknowledges commits with a replica that restarted after its pause, or with a new one, and the log of either counted as evidence at once. The COMMIT of an open transaction and commits whose evidence came through relays met the same.

Any replacement that begins later asks that very process: it pauses it after reading its log, or lacks its reply and then needs the primary's own log. The decision is the one for primaries, in write_permit.rs. The age of a process is that of an unbroken series of connections; the id does not bound it, since a server may start again under its id. A relaying node may have reconnected, so it is asked with WITNESS, and answers for the server's process itself. Without enough such replicas a write is not sent, and while a replacement is pending it is held back as at a restarted primary, so that an abandoned replacement is carried on. Of a row that was read for a replica, the primary's term is still asked for.

The group of the tests has a server that goes on with the requests it had received while it was silent, and a table that can be away.

--- a/crates/siskinhook-gateway/src/attempt.rs
+++ b/crates/siskinhook-gateway/src/attempt.rs
@@ -233,6 +233,7 @@
 
 /// Sends the statement and waits for the reply.
 pub async fn run<D: Dialer>(
+    group: &Group<D>,
     leased: &mut Leased<D>,
     statement: &Statement<'_>,
     after: Option<LogPoint>,
@@ -270,7 +271,9 @@
             if let Some(target) = target.filter(|_| reply.point.is_some()) {
                 target.record_success();
                 if reply.result.is_ok() {
-                    reply.point.inspect(|point| target.record_received(*point));
+                    if let Some(end) = reply.point.filter(|_| !group.is_leader(&target)) {
+                        group.record_log(leased, &target, started, end);
+                    }
                     target.record_latency(started.elapsed());
                 }
             }
--- a/crates/siskinhook-gateway/src/commit_evidence.rs
+++ b/crates/siskinhook-gateway/src/commit_evidence.rs
@@ -6,6 +6,10 @@
 //! acknowledged to its caller only when enough replicas that every later replacement asks are known to
 //! hold it: listed ones, and those without an entry that were confirmed in the record of the group's
 //! servers (`members.rs`).
+//!
+//! A replacement pauses the replicas and reads their logs once. One that restarted or started since is
+//! not paused, so its log counts only if its process has certainly been running since before any
+//! replacement that may be pending (`write_permit.rs`).
 
 use std::{
     cell::{Cell, RefCell},
@@ -29,7 +33,7 @@
     attempt::{Check, Statement, prepare},
     group::Group,
     members::CONFIRMATION_LIFETIME,
-    pool::{CONTROL_PRIORITY, Target},
+    pool::{CONTROL_PRIORITY, Leased, Target},
 };
 
 /// Time limit of the question to one replica; many times the network latency between zones.
@@ -40,11 +44,17 @@
 /// Time for which a write waits for a replica that failed before; several times the network latency
 /// between zones.
 const PROBE_WAIT: Duration = Duration::from_millis(40);
+/// Time for which a write waits until the log of a replica that answers counts as evidence; many
+/// times the usual latency of a reading of the lease row.
+const ADMISSION_WAIT: Duration = Duration::from_millis(200);
 /// Interval at which such a write looks for the replica.
 const PROBE_INTERVAL: Duration = Duration::from_millis(8);
 /// Time after which the next replica is asked beside one that has not answered; a few times the usual
 /// latency of a statement.
 const NEXT_WITNESS_DELAY: Duration = Duration::from_millis(30);
+/// Time for which a commit waits for evidence before the lease row is read again for replicas whose
+/// logs do not count yet; a few times the usual latency of a statement.
+const ADMISSION_DELAY: Duration = Duration::from_millis(40);
 /// Interval at which a commit that waits looks at the replies to reads.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(4);
 /// Step by which the time adapts after which replicas are asked for the log that they applied.
@@ -72,6 +82,24 @@
     Received,
 }
 
+impl Question {
+    /// Returns the request that asks a server itself.
+    const fn op(self) -> ServerOp<'static> {
+        match self {
+            // Outside a transaction the server refuses it, and reports the end of its log.
+            Self::Applied => ServerOp::Rollback,
+            Self::Received => ServerOp::Status,
+        }
+    }
+
+    /// Returns the request that asks a node which relays to a server.
+    const fn relayed_op(self) -> ServerOp<'static> {
+        ServerOp::Witness {
+            received: matches!(self, Self::Received),
+        }
+    }
+}
+
 /// The questions to a group's replicas about commits.
 pub struct CommitEvidence {
     /// The servers that showed the latest commit; `None` if it was not acknowledged for want of them.
@@ -80,6 +108,8 @@
     apply_delay: Cell<Duration>,
     /// Whether the replicas are being asked. Concurrent commits share the answers.
     asking: Cell<bool>,
+    /// Whether replicas are being asked whether their logs count as evidence.
+    probing: Cell<bool>,
     /// Wakes commits that wait for an answer.
     answered: Notify,
     /// When the latest commit that listed replicas hold was sent to the primary.
@@ -96,6 +126,7 @@
             latest: Cell::new(Some(Basis::Listed)),
             apply_delay: Cell::default(),
             asking: Cell::default(),
+            probing: Cell::default(),
             answered: Notify::default(),
             shown: Cell::default(),
             requested: Notify::default(),
@@ -166,7 +197,11 @@
 impl<D: Dialer> Group<D> {
     /// Whether enough replicas are reached that a commit of `primary` could be acknowledged. Replicas
     /// that failed are tried once more.
-    pub(crate) async fn reaches_witnesses(&self, primary: &Target<D>, deadline: Instant) -> bool {
+    pub(crate) async fn reaches_witnesses(
+        self: &Rc<Self>,
+        primary: &Target<D>,
+        deadline: Instant,
+    ) -> bool {
         if self.has_witnesses(primary) {
             return true;
         }
@@ -176,23 +211,73 @@
             }
         }
         self.evidence.requested.notify_one();
-        let limit = deadline.min(Instant::now() + PROBE_WAIT);
+        let wait = if self.ask_uncertain(primary) {
+            ADMISSION_WAIT
+        } else {
+            PROBE_WAIT
+        };
+        let limit = deadline.min(Instant::now() + wait);
         while Instant::now() < limit {
             sleep(PROBE_INTERVAL).await;
             if self.has_witnesses(primary) {
                 return true;
             }
+            self.ask_uncertain(primary);
         }
+        self.hold_unwitnessed(primary);
         false
     }
 
-    fn has_witnesses(&self, primary: &Target<D>) -> bool {
+    /// Asks the replicas that are reached, but whose logs did not count as evidence so far. Returns
+    /// whether there are any.
+    fn ask_uncertain(self: &Rc<Self>, primary: &Target<D>) -> bool {
+        let mut uncertain = self.reached_replicas(primary);
+        uncertain.retain(|target| !self.is_witness(target));
+        if uncertain.is_empty() {
+            return false;
+        }
+        if let Some(admission) = &self.admission {
+            admission.await_witness();
+        }
+        if !self.evidence.probing.replace(true) {
+            let group = self.clone();
+            spawn_local(async move {
+                for target in uncertain {
+                    group.ask(&target, Question::Applied).await;
+                }
+                group.evidence.probing.set(false);
+            });
+        }
+        true
+    }
+
+    /// Whether the log of a server counts as evidence, as far as is known. It always does if no node
+    /// replaces primaries.
+    fn is_witness(&self, target: &Target<D>) -> bool {
+        self.admission.is_none() || target.is_witness()
+    }
+
+    /// Returns the servers that are reached and could show a commit of `primary`.
+    fn reached_replicas(&self, primary: &Target<D>) -> Vec<Rc<Target<D>>> {
         let address = primary.instance.borrow().address;
-        let witnesses = self.replicas().into_iter().chain(self.unlisted());
-        let reached = witnesses.filter(|target| {
+        let mut reached = self.replicas();
+        reached.extend(self.unlisted());
+        reached.retain(|target| {
             target.outage().is_none() && target.instance.borrow().address != address
         });
-        reached.count() >= self.sync_replicas.get()
+        reached
+    }
+
+    /// Whether too few replicas are reached whose logs count as evidence.
+    pub(crate) fn lacks_witnesses(&self) -> bool {
+        let primary = self.leader();
+        primary.is_none_or(|primary| !self.has_witnesses(&primary))
+    }
+
+    fn has_witnesses(&self, primary: &Target<D>) -> bool {
+        let mut witnesses = self.reached_replicas(primary);
+        witnesses.retain(|target| self.is_witness(target));
+        witnesses.len() >= self.sync_replicas.get()
     }
 
     /// Waits until enough replicas hold a commit that the primary acknowledged. Returns whether they
@@ -236,6 +321,7 @@
         deadline: Instant,
     ) -> Option<Basis> {
         let primary = commit.primary.instance.borrow().address;
+        let check_at = Instant::now() + ADMISSION_DELAY;
         loop {
             let answered = self.evidence.answered.notified();
             if let Some(basis) = self.basis(primary, commit.point) {
@@ -247,6 +333,13 @@
             if Instant::now() >= deadline {
                 return None;
             }
+            if let Some(admission) = self
+                .admission
+                .as_ref()
+                .filter(|_| Instant::now() >= check_at)
+            {
+                admission.await_witness();
+            }
             if !self.evidence.asking.replace(true) {
                 let (group, point) = (self.clone(), commit.point);
                 spawn_local(async move { group.ask_witnesses(primary, point).await });
@@ -325,13 +418,18 @@
     }
 
     /// Returns the servers whose logs count as evidence for commits of the server at `primary`, those
-    /// that answer soonest first, and the listed ones before those without an entry.
+    /// that answer soonest first, and the listed ones before those without an entry. Those whose logs
+    /// did not count when they last answered come later.
     fn witnesses(&self, primary: SocketAddr) -> Vec<Rc<Target<D>>> {
         let mut witnesses = self.listed_witnesses(primary);
         witnesses.sort_by(|a, b| {
             let latency = a.expected_latency().total_cmp(&b.expected_latency());
             let is_failing = |target: &Target<D>| target.outage().is_some();
-            is_failing(a).cmp(&is_failing(b)).then(latency)
+            let is_doubted = |target: &Target<D>| !self.is_witness(target);
+            is_failing(a)
+                .cmp(&is_failing(b))
+                .then(is_doubted(a).cmp(&is_doubted(b)))
+                .then(latency)
         });
         witnesses.extend(self.confirmed_witnesses(primary));
         witnesses
@@ -373,17 +471,53 @@
     async fn ask(&self, replica: &Target<D>, question: Question) {
         let limit = Instant::now() + REPLICA_TIMEOUT;
         self.counters().confirmations.add(1);
+        let (direct, relayed) = (question.op(), question.relayed_op());
+        let choose = |leased: &Leased<D>| {
+            if self.needs_relay(leased) {
+                &relayed
+            } else {
+                &direct
+            }
+        };
+        let Some((reply, leased, sent_at)) = replica.exchange(choose, limit).await else {
+            return;
+        };
         let end = match question {
-            Question::Applied => replica.log_end(limit).await,
+            Question::Applied => reply.point,
             Question::Received => {
-                let reply = replica.send_control(&ServerOp::Status, limit).await;
-                let status = reply.and_then(|reply| self.dialer.status(&reply));
+                let status = self.dialer.status(&reply);
                 let status = status.filter(|status| status.role == Role::Replica);
                 replica.set_paused(status.is_some_and(|status| status.paused_term > 0));
                 status.map(|status| status.received)
             }
         };
-        if let Some(end) = end {
+        if end.is_some() {
+            replica.record_answer();
+        }
+        if self.needs_relay(&leased) {
+            replica.set_witness(end.is_some());
+            end.inspect(|end| replica.record_received(*end));
+        } else if let Some(end) = end {
+            self.record_log(&leased, replica, sent_at, end);
+        }
+        leased.return_to_pool();
+    }
+
+    /// Whether the relaying node has to tell whether a server's log counts as evidence.
+    fn needs_relay(&self, leased: &Leased<D>) -> bool {
+        self.admission.is_some() && !leased.is_direct()
+    }
+
+    /// Records the end of the log that a replica reported when it was asked at `sent_at`, if it counts
+    /// as evidence of commits.
+    pub(crate) fn record_log(
+        &self,
+        leased: &Leased<D>,
+        replica: &Target<D>,
+        sent_at: Instant,
+        end: LogPoint,
+    ) {
+        if self.admits_witness(leased, sent_at, end.term) {
             replica.record_received(end);
         }
     }
--- a/crates/siskinhook-gateway/src/connection.rs
+++ b/crates/siskinhook-gateway/src/connection.rs
@@ -60,6 +60,12 @@
     },
     /// Asks for the replication status.
     Status,
+    /// Asks a relaying node for the end of the server's log. The node answers only if the log counts
+    /// as evidence of commits, since it alone knows for how long the server's process has been running.
+    Witness {
+        /// Whether to ask for the received log instead of the applied one.
+        received: bool,
+    },
     /// Stops a replica from receiving the log, in preparation for the given term.
     Pause(Term),
     /// Demotes a primary of a lower term to a replica.
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -420,6 +420,12 @@
         self.targets.borrow().get(&id).cloned()
     }
 
+    /// Whether this node regards the server as the primary.
+    pub(crate) fn is_leader(&self, target: &Target<D>) -> bool {
+        let leader = self.leader.borrow();
+        leader.as_ref() == Some(&target.instance.borrow().id)
+    }
+
     /// Whether the primary is in `zone` and reachable.
     pub(crate) fn has_primary_in(&self, zone: &Zone) -> bool {
         self.leader().is_some_and(|leader| {
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -113,6 +113,8 @@
     led_term: Cell<Term>,
     /// End of the log that the server is known to have received as a replica.
     received: Cell<LogPoint>,
+    /// Whether the server's log counts as evidence of commits, as of its latest answer.
+    witness: Cell<bool>,
     /// Whether the server last reported that it is paused.
     paused: Cell<bool>,
     /// Whether the server ever answered this node.
@@ -160,6 +162,7 @@
             contact: RefCell::default(),
             led_term: Cell::default(),
             received: Cell::default(),
+            witness: Cell::new(false),
             paused: Cell::new(false),
             answered: Cell::new(false),
             recovered_at: Cell::default(),
@@ -221,7 +224,18 @@
         self.led_term.get()
     }
 
-    /// Records the end of the log that the server has received as a replica.
+    /// Records whether the server's log counts as evidence of commits.
+    pub fn set_witness(&self, witness: bool) {
+        self.witness.set(witness);
+    }
+
+    /// Whether the server's log counted as evidence of commits when it last answered.
+    pub fn is_witness(&self) -> bool {
+        self.witness.get()
+    }
+
+    /// Records the end of a log, which counts as evidence of commits, that the server has received as
+    /// a replica.
     pub fn record_received(&self, end: LogPoint) {
         self.received.set(self.received.get().max(end));
     }
@@ -596,10 +610,23 @@
     /// Sends a control request, ahead of callers' statements. Returns `None` if there is no reply
     /// in time.
     pub async fn send_control(&self, op: &ServerOp<'_>, deadline: Instant) -> Option<ServerReply> {
+        let (reply, leased, _) = self.exchange(|_| op, deadline).await?;
+        leased.return_to_pool();
+        Some(reply)
+    }
+
+    /// Sends the control request that `op` returns for the connection. Returns the reply, the
+    /// connection and the time of sending.
+    pub async fn exchange<'a>(
+        &self,
+        op: impl FnOnce(&Leased<D>) -> &'a ServerOp<'a>,
+        deadline: Instant,
+    ) -> Option<(ServerReply, Leased<D>, Instant)> {
         let mut leased = self
             .acquire(&BTreeMap::new(), CONTROL_PRIORITY, deadline)
             .await
             .ok()?;
+        let op = op(&leased);
         let pooled = leased.pooled()?;
         pooled.conn.push(op);
         let replies = pooled.conn.outstanding();
@@ -617,8 +644,7 @@
             return None;
         }
         leased.record_reply(sent_at);
-        leased.return_to_pool();
-        Some(reply)
+        Some((reply, leased, sent_at))
     }
 
     /// Records that the server replied.
@@ -637,6 +663,8 @@
 
     /// Records that the server is unreachable or that a connection to it broke.
     pub fn record_failure(&self) {
+        // It may restart, and then lacks the pause of a replacement that is pending.
+        self.witness.set(false);
         let mut health = self.health.get();
         health.failures += 1;
         if health.failing_since.is_none() {
--- a/crates/siskinhook-gateway/src/relay.rs
+++ b/crates/siskinhook-gateway/src/relay.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use siskinhook_telemetry::{Event, event};
-use siskinhook_types::{ServerId, ServiceId};
+use siskinhook_types::{LogPoint, ServerId, ServiceId};
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -20,6 +20,9 @@
 /// Queue priority of relayed statements: they wait behind control requests only.
 const RELAY_PRIORITY: u8 = 1;
 
+/// Prefix of a request whose reply is passed on only if the server's log counts as evidence of commits.
+const WITNESS_PREFIX: &str = "WITNESS ";
+
 /// A request that another node sends for relaying.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayedRequest {
@@ -115,7 +118,8 @@
         let stale_replies = pooled.conn.outstanding();
         let skipped_replies = stale_replies + usize::from(attempt::queue_reset(pooled));
         for RelayedRequest { id, text } in requests {
-            let (id, text, after) = (id.as_str(), text.as_str(), None);
+            let (id, after) = (id.as_str(), None);
+            let text = text.strip_prefix(WITNESS_PREFIX).unwrap_or(text);
             pooled.conn.push(&ServerOp::Forward { id, after, text });
             match text.split(' ').next() {
                 Some("SET" | "PREPARE") => self.has_setup = true,
@@ -134,6 +138,11 @@
         self.target.record_success();
         leased.record_reply(sent_at);
         self.state = replies.last().map_or(self.state, |reply| reply.state);
+        for (request, reply) in requests.iter().zip(&mut replies) {
+            if request.text.starts_with(WITNESS_PREFIX) && !self.admits(&leased, sent_at, reply) {
+                *reply = refused_reply(TargetCode::Busy);
+            }
+        }
         if self.state == TransactionState::Idle && !self.has_setup {
             leased.return_to_pool();
         } else {
@@ -142,6 +151,17 @@
         Ok(replies)
     }
 
+    /// Whether a reply of the server counts as evidence of commits.
+    fn admits(&self, leased: &Leased<D>, sent_at: Instant, reply: &ServerReply) -> bool {
+        let is_admitted = |end: LogPoint| self.group.admits_witness(leased, sent_at, end.term);
+        let admits = reply.point.is_some_and(is_admitted);
+        if let Some(admission) = self.group.admission.as_ref().filter(|_| !admits) {
+            // A commit of the other node may wait for it.
+            admission.await_witness();
+        }
+        admits
+    }
+
     /// Whether a request may commit a write, alone or later with its transaction. Called once for
     /// each request, in order.
     fn may_write(&mut self, request: &RelayedRequest) -> bool {
--- a/crates/siskinhook-gateway/src/request.rs
+++ b/crates/siskinhook-gateway/src/request.rs
@@ -457,7 +457,7 @@
     ) -> Result<ServerReply, AttemptError> {
         let mut refusals = 0;
         loop {
-            let reply = attempt::run(leased, &self.statement, after, limit).await?;
+            let reply = attempt::run(self.group, leased, &self.statement, after, limit).await?;
             let busy = matches!(&reply.result, Err((TargetCode::Busy, _)));
             refusals += 1;
             let retry = Instant::now() + self.busy_delay(refusals);
--- a/crates/siskinhook-gateway/src/write_admission.rs
+++ b/crates/siskinhook-gateway/src/write_admission.rs
@@ -7,7 +7,7 @@
 };
 
 use siskinhook_telemetry::{Event, event};
-use siskinhook_types::{Role, ServerId};
+use siskinhook_types::{Role, ServerId, Term};
 use tokio::{
     sync::Notify,
     time::{Instant, sleep, timeout_at},
@@ -27,9 +27,21 @@
 /// Time for which a write on a new connection waits for an answer on an older one; the time of a few
 /// statements.
 const CONTACT_WAIT: Duration = Duration::from_millis(40);
+/// Minimum time between two readings of the row for the same replica process, while commits wait for
+/// evidence. Every reading is charged.
+const WITNESS_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum time between two questions to a primary for its term, which take a slot of the server.
+const TERM_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which such a write looks for the answer.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(8);
 
+/// A replica whose log does not count as evidence of commits.
+struct DoubtedWitness {
+    server: ServerId,
+    /// Time since which its process has certainly been running.
+    running_since: Instant,
+}
+
 /// State of a group's admission of writes.
 #[derive(Default)]
 pub struct WriteAdmission {
@@ -41,6 +53,12 @@
     /// Since when writes have been held back at a primary that answers, because its replacement is
     /// pending; `None` if they are not.
     held_since: Cell<Option<Instant>>,
+    /// The latest replica whose log did not count as evidence, until it does.
+    doubted: RefCell<Option<DoubtedWitness>>,
+    /// When the latest reading of the row for a replica was requested.
+    witness_read_at: Cell<Option<Instant>>,
+    /// When a primary was last asked for its term.
+    term_asked: Cell<Option<Instant>>,
     /// The primary that received the latest write, and why it did.
     latest: RefCell<Option<(ServerId, WritePermit)>>,
 }
@@ -68,6 +86,37 @@
         self.held_since.set(None);
     }
 
+    /// Records a replica whose log does not count as evidence. A reading for each process suffices,
+    /// unless a commit waits: every reading is charged.
+    fn doubt_witness(&self, doubt: DoubtedWitness, is_needed: bool) {
+        let read_at = self.witness_read_at.get();
+        if is_needed && read_at.is_none_or(|at| at < doubt.running_since) {
+            self.read_for_witness();
+        }
+        *self.doubted.borrow_mut() = Some(doubt);
+    }
+
+    fn read_for_witness(&self) {
+        self.witness_read_at.set(Some(Instant::now()));
+        self.requested.notify_one();
+    }
+
+    /// Records that the log of a replica counts as evidence.
+    fn trust_witness(&self, server: &ServerId) {
+        let mut doubted = self.doubted.borrow_mut();
+        doubted.take_if(|doubt| doubt.server == *server);
+    }
+
+    /// Has the row read again because a commit waits for evidence, if the log of a replica does not
+    /// count for want of a reading.
+    pub fn await_witness(&self) {
+        let read_at = self.witness_read_at.get();
+        let is_due = read_at.is_none_or(|at| at.elapsed() >= WITNESS_INTERVAL);
+        if is_due && self.doubted.borrow().is_some() {
+            self.read_for_witness();
+        }
+    }
+
     fn permits<D: Dialer>(&self, target: &Target<D>, running_since: Instant) -> bool {
         self.permit(target, running_since).is_some()
     }
@@ -98,6 +147,38 @@
 }
 
 impl<D: Dialer> Group<D> {
+    /// Whether the log that a replica reported in `term`, when it was asked at `sent_at` over this
+    /// connection, counts as evidence of commits. If it does not, the lease row is read. A relaying
+    /// node may have connected anew, so its replies show no process and do not count.
+    pub(crate) fn admits_witness(&self, leased: &Leased<D>, sent_at: Instant, term: Term) -> bool {
+        let Some(admission) = &self.admission else {
+            return true;
+        };
+        let (Some(target), Some(running_since)) = (leased.target(), leased.running_since()) else {
+            return false;
+        };
+        let server = target.instance.borrow().id.clone();
+        let checks = admission.checks.borrow();
+        if checks.admits_witness(sent_at, running_since, term) {
+            target.set_witness(true);
+            admission.trust_witness(&server);
+            return true;
+        }
+        // Otherwise an older connection soon shows that the process has been running for longer.
+        let is_certain = !target.is_shared();
+        if is_certain {
+            target.set_witness(false);
+        }
+        // The logs of other replicas may suffice until the process has outlived all replacements.
+        let is_needed = is_certain && self.lacks_witnesses();
+        let doubt = DoubtedWitness {
+            server,
+            running_since,
+        };
+        admission.doubt_witness(doubt, is_needed);
+        false
+    }
+
     /// Whether a write may be sent on this connection. Reads the failover lease row if that is
     /// needed to tell. Connections through a relay are checked by the relaying node.
     pub(crate) async fn admits_write(&self, leased: &Leased<D>, deadline: Instant) -> bool {
@@ -128,20 +209,45 @@
             admission.log_permit(target, running_since);
             return true;
         }
+        let reason = "holding writes back: the primary may have restarted during its replacement";
+        self.hold_writes(admission, target, running_since, reason);
+        false
+    }
+
+    /// Records that writes are held back because the logs of the replicas do not count as evidence.
+    pub(crate) fn hold_unwitnessed(&self, primary: &Target<D>) {
+        let Some(admission) = &self.admission else {
+            return;
+        };
+        let doubted = admission.doubted.borrow();
+        if let Some(doubt) = doubted.as_ref() {
+            let reason = "holding writes back: a replica may have restarted during a replacement";
+            self.hold_writes(admission, primary, doubt.running_since, reason);
+        }
+    }
+
+    /// Records that writes are held back if a replacement is pending that began before a process may
+    /// have started.
+    fn hold_writes(
+        &self,
+        admission: &WriteAdmission,
+        primary: &Target<D>,
+        running_since: Instant,
+        reason: &str,
+    ) {
         // An outage of the table service does not show that a replacement was begun.
         let is_pending = admission.checks.borrow().needs_term(running_since);
         if is_pending && admission.held_since.get().is_none() {
             admission.held_since.set(Some(Instant::now()));
-            let server = target.instance.borrow().id.clone();
+            let server = primary.instance.borrow().id.clone();
             event!(
                 Event::WritesHeld,
                 service = self.service.as_str(), server = server.as_str(),
-                term = self.term.get(), led_term = target.led_term(),
+                term = self.term.get(), led_term = primary.led_term(),
                 running = running_since.elapsed().as_millis();
-                "holding writes back: the primary may have restarted during its replacement"
+                "{reason}"
             );
         }
-        false
     }
 
     /// Has the lease row read and, if a replacement may be pending, asks the primary for its term.
@@ -153,25 +259,28 @@
         running_since: Instant,
         deadline: Instant,
     ) -> bool {
-        if admission
+        let is_recent = admission
             .checks
             .borrow()
-            .is_recently_pending(Instant::now())
-        {
-            return false;
-        }
-        let limit = deadline.min(Instant::now() + CHECK_TIMEOUT);
-        let checked = admission.checked.notified();
-        admission.requested.notify_one();
-        if timeout_at(limit, checked).await.is_err() {
-            return false;
-        }
-        if admission.permits(target, running_since) {
-            return true;
+            .is_recently_pending(Instant::now());
+        if !is_recent {
+            let limit = deadline.min(Instant::now() + CHECK_TIMEOUT);
+            let checked = admission.checked.notified();
+            admission.requested.notify_one();
+            if timeout_at(limit, checked).await.is_err() {
+                return false;
+            }
+            if admission.permits(target, running_since) {
+                return true;
+            }
         }
-        if !admission.checks.borrow().needs_term(running_since) {
+        // A recent reading may have been for a replica, so the term was not asked for then.
+        let asked_at = admission.term_asked.get();
+        let is_asked = asked_at.is_some_and(|at| at.elapsed() < TERM_INTERVAL);
+        if is_asked || !admission.checks.borrow().needs_term(running_since) {
             return false;
         }
+        admission.term_asked.set(Some(Instant::now()));
         let limit = deadline.min(Instant::now() + CHECK_TIMEOUT);
         let reply = target.send_control(&ServerOp::Status, limit).await;
         let status = reply.and_then(|reply| self.dialer.status(&reply));
--- a/crates/siskinhook-gateway/src/write_permit.rs
+++ b/crates/siskinhook-gateway/src/write_permit.rs
@@ -11,6 +11,12 @@
 //! raises the term, or at the latest `REPLACEMENT_LIFETIME` after its last write of the row. The
 //! node that replaces a primary looks for it after that write. A primary that has been running
 //! since before the row was read without a pending replacement is therefore found, and demoted.
+//!
+//! Only a primary that is reached is demoted. One that is silent, or cut off from the replacing node
+//! and those that it asks, is replaced without its reply, and its process may go on before the
+//! promotion takes effect. What it then acknowledges is not reported to a caller, because the log of
+//! a replica is evidence of a commit only if the same decision holds for the replica's process: any
+//! replacement that begins later pauses it, or lacks its reply and then needs the primary's own log.
 
 use std::time::Duration;
 
@@ -85,6 +91,15 @@
             .then_some(WritePermit::LaterTerm)
     }
 
+    /// Whether the log that a replica reported in `term` counts as evidence of commits, so that a
+    /// replacement which may be pending cannot lack them. `sent_at` is when the replica was asked:
+    /// replacements that ended after it may have rolled the commits back. `running_since` is the time
+    /// since which the replica's process has certainly been running.
+    #[must_use]
+    pub fn admits_witness(&self, sent_at: Instant, running_since: Instant, term: Term) -> bool {
+        self.permits(sent_at, running_since, term)
+    }
+
     /// Whether a primary may receive writes (`permit`).
     #[must_use]
     pub fn permits(&self, now: Instant, running_since: Instant, led_term: Term) -> bool {
--- a/crates/siskinhook-gateway/tests/commit_evidence.rs
+++ b/crates/siskinhook-gateway/tests/commit_evidence.rs
@@ -11,7 +11,7 @@
 use assert_matches::assert_matches;
 use siskinhook_gateway::{Refusal, Session, is_held};
 use siskinhook_types::{LogPoint, Role};
-use support::{ask, crash, replacement::Replacement, server};
+use support::{ask, crash, replacement::Replacement, restart, server};
 use tokio::{task::LocalSet, time::sleep};
 
 /// Seeds of the nodes' random choices.
@@ -221,3 +221,57 @@
             .await;
     }
 }
+
+/// Guards against commits that are withheld while the table is away, although a replica that did not restart holds them.
+#[tokio::test(start_paused = true)]
+async fn older_replica_shows_commits_while_the_row_cannot_be_read() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                let told = replacement.told.get();
+                sleep(Duration::from_secs(5)).await;
+                let usual = replacement.told.get() - told;
+                replacement.site.table.set_down(true);
+                crash(world, 2);
+                restart(world, 2);
+                let told = replacement.told.get();
+                sleep(Duration::from_secs(5)).await;
+                let count = replacement.told.get() - told;
+                assert!(
+                    count * 10 >= usual * 9,
+                    "{count} commits instead of {usual}"
+                );
+            })
+            .await;
+    }
+}
+
+/// Guards against commits that are withheld for good after all replicas restarted while the table is away.
+#[tokio::test(start_paused = true)]
+async fn restarted_replicas_show_commits_again_without_the_row() {
+    for seed in SEEDS.take(4) {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                replacement.site.table.set_down(true);
+                for index in [1, 2] {
+                    crash(world, index);
+                    restart(world, index);
+                }
+                sleep(Duration::from_secs(1)).await;
+                let told = replacement.told.get();
+                sleep(Duration::from_secs(12)).await;
+                assert_eq!(
+                    replacement.told.get(),
+                    told,
+                    "nothing shows their processes' age"
+                );
+                sleep(Duration::from_secs(6)).await;
+                assert!(replacement.told.get() > told + 50, "commits are told again");
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -430,6 +430,130 @@
     }
 }
 
+/// Guards against losing commits that a primary, silent while it is replaced, acknowledges with a replica that restarted after its pause.
+#[tokio::test(start_paused = true)]
+async fn silent_primary_with_a_restarted_replica_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let mut sessions = replacement.open_transactions("READ 1").await;
+                let world = &replacement.site.world;
+                let (_, other) = replacement.silence_primary().await;
+                crash(world, other);
+                restart(world, other);
+                for session in &mut sessions {
+                    ask(session, "READ 1").await;
+                }
+                replacement.check_told().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits that a primary, silent while it is replaced, acknowledges with a server that started after the pauses.
+#[tokio::test(start_paused = true)]
+async fn silent_primary_with_a_started_server_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let mut sessions = replacement.open_transactions("READ 1").await;
+                replacement.silence_primary().await;
+                replacement.start_server();
+                for session in &mut sessions {
+                    ask(session, "READ 1").await;
+                }
+                replacement.check_told().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits of transactions that were open at a primary while it was silent.
+#[tokio::test(start_paused = true)]
+async fn transaction_open_at_a_silent_primary_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let mut sessions = replacement.open_transactions("WRITE 1 a").await;
+                let (_, other) = replacement.silence_primary().await;
+                replacement.stop_writers();
+                let world = &replacement.site.world;
+                crash(world, other);
+                restart(world, other);
+                sleep(Duration::from_millis(300)).await;
+                for session in &mut sessions {
+                    let answer = ask(session, "COMMIT").await;
+                    if let (Ok(_), Some(point)) = (answer.result, answer.point) {
+                        replacement.commits.borrow_mut().push(point);
+                    }
+                }
+                replacement.check_told().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits of a primary that the replacing node does not reach in time: it acknowledges with a restarted replica or a new server.
+#[tokio::test(start_paused = true)]
+async fn primary_cut_off_from_the_replacing_node_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                let cut_off = &replacement.nodes[0].gateway;
+                cut_off.dialer.hidden.borrow_mut().insert(0);
+                let (_, other) = replacement.wait_for_order(Duration::from_secs(5)).await;
+                if seed % 2 == 0 {
+                    crash(world, other);
+                    restart(world, other);
+                } else {
+                    replacement.start_server();
+                }
+                replacement.check_told().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against a commit that rests on a relayed log of a replica which restarted during a replacement.
+#[tokio::test(start_paused = true)]
+async fn relay_answers_for_no_replica_that_may_have_lost_its_pause() {
+    LocalSet::new()
+        .run_until(async {
+            let site = Site::new(1);
+            let gateway = site.start("n1");
+            let replaces = |term: Option<u64>, token: u64| {
+                json!({"holder": "n2", "process": 7, "token": token, "written": clock(), "replaces": term})
+            };
+            site.table.put("failover/svc", replaces(Some(1), 1)).await;
+            let mut relay =
+                Relay::open(&gateway, &"svc".into(), &"s1".into()).expect("every node relays");
+            let mut is_answered = async |text: &str| {
+                let request = RelayedRequest {
+                    id: "-".into(),
+                    text: text.into(),
+                };
+                let replies = relay.forward(&[request]).await.expect("a reply");
+                sleep(Duration::from_secs(1)).await;
+                replies[0].point.is_some()
+            };
+            for _ in 0..2 {
+                assert!(!is_answered("WITNESS ROLLBACK").await);
+                assert!(!is_answered("WITNESS STATUS").await);
+                assert!(is_answered("ROLLBACK").await, "the server is reached");
+            }
+            site.table.put("failover/svc", replaces(None, 2)).await;
+            is_answered("WITNESS ROLLBACK").await;
+            assert!(is_answered("WITNESS ROLLBACK").await, "it was given up");
+            assert!(is_answered("WITNESS STATUS").await);
+        })
+        .await;
+}
+
 /// Guards against writes that are held back at a server that leads no more, although another one does.
 #[tokio::test(start_paused = true)]
 async fn write_held_back_at_a_former_primary_finds_the_new_one() {
@@ -452,3 +576,26 @@
             .await;
     }
 }
+
+/// Guards against losing commits of a silent primary because a relayed log of a restarted replica counts as evidence.
+#[tokio::test(start_paused = true)]
+async fn silent_primary_behind_relaying_nodes_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                replacement.relay_statements();
+                sleep(Duration::from_millis(500)).await;
+                let mut sessions = replacement.open_transactions("READ 1").await;
+                let world = &replacement.site.world;
+                let (_, other) = replacement.silence_primary().await;
+                crash(world, other);
+                restart(world, other);
+                for session in &mut sessions {
+                    ask(session, "READ 1").await;
+                }
+                replacement.check_told().await;
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -11,7 +11,7 @@
     rc::Rc,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -34,6 +34,7 @@
 
 /// A server of the model.
 #[derive(Clone, Debug)]
+#[allow(clippy::struct_excessive_bools)] // each is a condition of its own that a test sets
 pub struct Server {
     pub role: Role,
     pub term: Term,
@@ -55,7 +56,8 @@
     pub reachable: bool,
     /// Time after which a dial fails while the server is not reachable.
     pub dial_time: Duration,
-    /// Whether the server sends no replies although its connections stay open.
+    /// Whether the server handles no request although its connections stay open. It then goes on with
+    /// those that it had received.
     pub unresponsive: bool,
     /// Number of `BEGIN` requests that the server will refuse because of load.
     pub busy_begins: u32,
@@ -273,6 +275,9 @@
             self.broken.set(true);
             return Err(ConnectionError::Closed("reset".into()));
         }
+        let Some(text) = pass_on(text, server.restarts) else {
+            return Ok(relay_refusal(self.state));
+        };
         let (after, text) = match text.strip_prefix("AFTER ") {
             Some(rest) => {
                 let (point, text) = rest.split_once(' ').expect("valid in this model");
@@ -386,6 +391,26 @@
     is_acknowledged
 }
 
+/// Returns the request that a relaying node passes on to a server. In this model it has read no row
+/// since a server restarted, so it does not answer for the server's log.
+fn pass_on(text: &str, restarts: u32) -> Option<&str> {
+    match text.strip_prefix("WITNESS ") {
+        Some(_) if restarts > 0 => None,
+        Some(request) => Some(request),
+        None => Some(text),
+    }
+}
+
+/// Returns the reply of a relaying node that passes nothing on.
+fn relay_refusal(state: TransactionState) -> ServerReply {
+    ServerReply {
+        rows: Vec::new(),
+        result: Err((TargetCode::Busy, SmolStr::default())),
+        state,
+        point: None,
+    }
+}
+
 fn after_prefix(after: Option<LogPoint>) -> String {
     after.map_or_else(String::new, |p| format!("AFTER {}.{} ", p.term, p.position))
 }
@@ -419,6 +444,10 @@
                 format!("{}EXECUTE {name} {arguments}", after_prefix(*after))
             }
             ServerOp::Status => "STATUS".into(),
+            ServerOp::Witness { received } => {
+                let request = if *received { "STATUS" } else { "ROLLBACK" };
+                format!("WITNESS {request}")
+            }
             ServerOp::Pause(term) => format!("PAUSE {term}"),
             ServerOp::Demote(term) => format!("DEMOTE {term}"),
         });
@@ -430,8 +459,8 @@
 
     async fn next(&mut self) -> Result<ServerReply, ConnectionError> {
         sleep(STEP).await;
-        if self.world.borrow()[self.index].unresponsive {
-            std::future::pending::<()>().await;
+        while self.world.borrow()[self.index].unresponsive {
+            sleep(STEP).await;
         }
         let text = self.queue.pop_front().expect("a request is outstanding");
         self.handle(&text)
@@ -582,6 +611,8 @@
     lost: Arc<Mutex<Option<&'static str>>>,
     /// Milliseconds by which the clock went back with a restore.
     clock_back: Arc<AtomicU64>,
+    /// Whether the table answers nothing.
+    down: Arc<AtomicBool>,
 }
 
 impl Table {
@@ -599,6 +630,19 @@
         assert_eq!(outcome, Ok(CommitOutcome::Applied));
     }
 
+    /// Lets all calls fail, or succeed again.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::Relaxed);
+    }
+
+    async fn check_up(&self) -> Result<(), PlatformError> {
+        if self.down.load(Ordering::Relaxed) {
+            sleep(STEP).await;
+            return Err(PlatformError::NotDone("down".into()));
+        }
+        Ok(())
+    }
+
     /// Loses the rows whose keys begin so, also those that are written later.
     pub fn lose(&self, prefix: &'static str) {
         *self.lost.lock().expect("valid in this model") = Some(prefix);
@@ -635,6 +679,7 @@
 
 impl Platform for Table {
     async fn get(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        self.check_up().await?;
         Ok(self
             .rows
             .lock()
@@ -661,6 +706,7 @@
     }
 
     async fn commit(&self, batch: Batch) -> Result<CommitOutcome, PlatformError> {
+        self.check_up().await?;
         let mut rows = self.rows.lock().expect("valid in this model");
         if let Some(conflict) = batch.conflict(&rows) {
             return Ok(conflict);
@@ -736,6 +782,8 @@
     pub delay: Rc<Cell<Duration>>,
     /// Number of commits that the promoted servers had not received when they were promoted.
     pub missing: Rc<Cell<u64>>,
+    /// Ends of the logs of the promoted servers, each with the term that they have led since.
+    pub ends: Rc<RefCell<Vec<LogPoint>>>,
 }
 
 impl FakeOrders {
@@ -747,6 +795,7 @@
             late: Rc::default(),
             delay: Rc::default(),
             missing: Rc::default(),
+            ends: Rc::default(),
         }
     }
 }
@@ -812,6 +861,8 @@
         self.missing.set(self.missing.get() + missing);
         let terms = world.iter().map(|server| server.term);
         let term = terms.max().expect("valid in this model") + 1;
+        let end = LogPoint::new(term, world[index].received);
+        self.ends.borrow_mut().push(end);
         for server in world.iter_mut() {
             if server.reachable {
                 server.role = Role::Replica;
--- a/crates/siskinhook-gateway/tests/support/replacement.rs
+++ b/crates/siskinhook-gateway/tests/support/replacement.rs
@@ -1,14 +1,21 @@
 //! A site of three nodes with steady writes at each, whose commits need a replica.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
-use siskinhook_gateway::{Gateway, Session};
+use siskinhook_gateway::{Gateway, Peer, Session};
+use siskinhook_types::{LogPoint, Role};
 use tokio::{
     task::{JoinHandle, spawn_local},
     time::{Instant, sleep},
 };
 
-use super::{FakeDialer, ask, crash, site::Site};
+use super::{
+    DATABASES, FakeDialer, RELAY_PORTS, ask, configuration, crash, instance, server, site::Site,
+};
 
 /// Time from an order to its effect.
 pub const PROMOTION_TIME: Duration = Duration::from_secs(1);
@@ -19,6 +26,8 @@
     pub nodes: Vec<Node>,
     /// Highest log position of a commit that a caller was told of.
     pub told: Rc<Cell<u64>>,
+    /// All commits that a caller was told of.
+    pub commits: Rc<RefCell<Vec<LogPoint>>>,
 }
 
 /// A node and the task that writes through it.
@@ -39,6 +48,7 @@
             site,
             nodes,
             told: Rc::default(),
+            commits: Rc::default(),
         };
         for name in ["n1", "n2", "n3"] {
             replacement.add_node(name);
@@ -54,7 +64,11 @@
     /// Starts a node that knows only some servers.
     pub fn add_node_knowing(&mut self, name: &str, servers: &[usize]) {
         let gateway = self.site.start_knowing(name, servers);
-        let writer = spawn_local(write(gateway.clone(), self.told.clone()));
+        let writer = spawn_local(write(
+            gateway.clone(),
+            self.told.clone(),
+            self.commits.clone(),
+        ));
         self.nodes.push(Node { gateway, writer });
     }
 
@@ -80,7 +94,21 @@
     /// to lead and the other replica.
     pub async fn lose_primary(&self) -> (usize, usize) {
         crash(&self.site.world, 0);
-        let limit = Instant::now() + Duration::from_secs(5);
+        self.wait_for_order(Duration::from_secs(5)).await
+    }
+
+    /// Lets the primary handle nothing until its replacement is ordered, and then what it received
+    /// meanwhile. Returns the server that was ordered to lead and the other replica.
+    pub async fn silence_primary(&self) -> (usize, usize) {
+        self.site.world.borrow_mut()[0].unresponsive = true;
+        let servers = self.wait_for_order(Duration::from_secs(20)).await;
+        self.site.world.borrow_mut()[0].unresponsive = false;
+        servers
+    }
+
+    /// Waits for the first promotion order. Returns the server that it names and the other replica.
+    pub async fn wait_for_order(&self, limit: Duration) -> (usize, usize) {
+        let limit = Instant::now() + limit;
         loop {
             sleep(Duration::from_millis(5)).await;
             let ordered = self.site.orders.seen.borrow().first().cloned();
@@ -91,10 +119,82 @@
         }
     }
 
+    /// Lets one node hold the connections to each server, so that the others go through it.
+    pub fn relay_statements(&self) {
+        let peer = |(index, node): (u16, &Node)| Peer {
+            name: node.gateway.node.clone(),
+            zone: "z".into(),
+            address: ([127, 0, 0, 1], RELAY_PORTS + index).into(),
+        };
+        let peers: Vec<Peer> = (0_u16..).zip(&self.nodes).map(peer).collect();
+        for node in &self.nodes {
+            node.gateway.fleet.set_peers(peers.clone());
+            let mut configuration = configuration(2, &DATABASES);
+            for service in configuration.services.values_mut() {
+                service.connections = 6;
+            }
+            node.gateway.configure(configuration, "test");
+        }
+    }
+
+    /// Starts a server whose entry all nodes read at once.
+    pub fn start_server(&self) {
+        let index = self.site.world.borrow().len();
+        self.site.world.borrow_mut().push(server(Role::Replica));
+        for node in &self.nodes {
+            node.gateway.discover(instance(index, Role::Replica));
+        }
+    }
+
+    /// Opens a transaction through each node and runs its first statement. The connections of these
+    /// transactions show later for how long the primary's process has been running.
+    pub async fn open_transactions(&self, first: &str) -> Vec<Session<FakeDialer>> {
+        let mut sessions = Vec::new();
+        for node in &self.nodes {
+            let mut session = Session::open(&node.gateway, "strong").expect("the route is known");
+            for text in ["BEGIN", first] {
+                let answer = ask(&mut session, text).await;
+                assert!(answer.result.is_ok(), "{answer:?}");
+            }
+            sessions.push(session);
+        }
+        sessions
+    }
+
+    /// Ends the steady writes.
+    pub fn stop_writers(&mut self) {
+        for node in &self.nodes {
+            node.writer.abort();
+        }
+    }
+
+    /// Returns how many commits that callers were told of are missing at the servers promoted later.
+    pub fn lost(&self) -> usize {
+        let ends = self.site.orders.ends.borrow();
+        let is_lost = |commit: &&LogPoint| {
+            let mut later = ends.iter().filter(|end| end.term > commit.term);
+            later.any(|end| end.position < commit.position)
+        };
+        self.commits.borrow().iter().filter(is_lost).count()
+    }
+
+    /// Checks that no commit that a caller was told of is missing at the new primary, and that it
+    /// serves. The primary itself may have acknowledged further ones.
+    pub async fn check_told(&self) {
+        sleep(PROMOTION_TIME * 3).await;
+        assert_eq!(self.lost(), 0, "commits lost");
+        self.check_service().await;
+    }
+
     /// Checks that no acknowledged commit is missing at the new primary, and that it serves.
     pub async fn check(&self) {
         sleep(PROMOTION_TIME * 3).await;
         assert_eq!(self.site.orders.missing.get(), 0, "missing commits");
+        assert_eq!(self.lost(), 0, "commits lost");
+        self.check_service().await;
+    }
+
+    async fn check_service(&self) {
         for node in &self.nodes {
             let mut session = Session::open(&node.gateway, "strong").expect("the route is known");
             let answer = ask(&mut session, "WRITE 1 a").await;
@@ -104,12 +204,17 @@
 }
 
 /// Writes without end, and notes the positions of acknowledged commits.
-async fn write(gateway: Rc<Gateway<FakeDialer>>, told: Rc<Cell<u64>>) {
+async fn write(
+    gateway: Rc<Gateway<FakeDialer>>,
+    told: Rc<Cell<u64>>,
+    commits: Rc<RefCell<Vec<LogPoint>>>,
+) {
     loop {
         let mut session = Session::open(&gateway, "strong").expect("the route is known");
         let answer = ask(&mut session, "WRITE 1 a").await;
         if let (Ok(_), Some(point)) = (answer.result, answer.point) {
             told.set(told.get().max(point.position));
+            commits.borrow_mut().push(point);
         }
         sleep(Duration::from_millis(10)).await;
     }
--- a/crates/siskinhook-gateway/tests/write_permit.rs
+++ b/crates/siskinhook-gateway/tests/write_permit.rs
@@ -73,7 +73,54 @@
     assert!(checks.permits(at(limit), at(0), 1));
 }
 
+/// Guards against a replica that counts as evidence because replacements ended only after it was asked.
+#[test]
+fn witness_counts_only_if_it_was_asked_after_all_that_began_before_it() {
+    let at = clock();
+    let limit = u64::try_from(REPLACEMENT_LIFETIME.as_millis()).expect("fits");
+    let mut checks = ReplacementChecks::default();
+    assert!(!checks.admits_witness(at(limit - 1), at(0), 1));
+    assert!(checks.admits_witness(at(limit), at(0), 1));
+    checks.record(at(50), None);
+    assert!(
+        !checks.admits_witness(at(200), at(100), 1),
+        "read before it"
+    );
+    assert!(checks.admits_witness(at(200), at(50), 1), "read after it");
+    checks.record(at(150), Some(PendingReplacement { term: 1 }));
+    assert!(!checks.admits_witness(at(200), at(100), 1), "pending");
+    assert!(
+        checks.admits_witness(at(200), at(100), 2),
+        "of a later term"
+    );
+    assert!(
+        checks.admits_witness(at(200), at(40), 1),
+        "a replacement that began after the clear reading asks it"
+    );
+}
+
 proptest! {
+    /// Guards against evidence from a process that a replacement paused before it restarted: the
+    /// replacement begins at `begun` and may take effect until its lifetime is over.
+    #[test]
+    fn no_witness_started_during_a_replacement_counts_before_its_end(
+        begun in 0_u64..20_000,
+        started in 0_u64..40_000,
+        asked in 0_u64..60_000,
+        readings in prop::collection::vec(0_u64..60_000, 0..8),
+    ) {
+        let at = clock();
+        let limit = u64::try_from(REPLACEMENT_LIFETIME.as_millis()).expect("fits");
+        let is_pending = |time: u64| (begun..begun + limit).contains(&time);
+        let mut checks = ReplacementChecks::default();
+        for &time in readings.iter().filter(|time| **time <= asked) {
+            let pending = is_pending(time).then_some(PendingReplacement { term: 1 });
+            checks.record(at(time), pending);
+        }
+        let is_exposed = begun <= started && started <= asked && is_pending(asked);
+        prop_assert!(!(is_exposed && checks.admits_witness(at(asked), at(started), 1)));
+    }
+
     /// Guards against a span that reaches back over a restart, whatever the order in which replies
     /// of several connections are recorded.
     #[test]
