Send the first write of a term although the replicas' logs end in the former one

While a replacement is pending in the lease row, a new primary got no writes from a node that had connected to the replicas since, for up to 16 s: a replica counts as a witness before a write only if it is of a later term than the replacement, and its log ends in the former term until the first commit of the new one.

Whether a write is sent now depends on the latest term that any server showed, and the primary is asked for its term if none is later than the replacement, at most every 250 ms. What counts as evidence of a commit still depends on the term of the log itself.

--- a/crates/siskinhook-gateway/src/commit_evidence.rs
+++ b/crates/siskinhook-gateway/src/commit_evidence.rs
@@ -242,6 +242,7 @@
         if !self.evidence.probing.replace(true) {
             let group = self.clone();
             spawn_local(async move {
+                group.learn_term().await;
                 for target in uncertain {
                     group.ask(&target, Question::Applied).await;
                 }
--- a/crates/siskinhook-gateway/src/write_admission.rs
+++ b/crates/siskinhook-gateway/src/write_admission.rs
@@ -159,10 +159,12 @@
         };
         let server = target.instance.borrow().id.clone();
         let checks = admission.checks.borrow();
-        if checks.admits_witness(sent_at, running_since, term) {
+        // The replica's log ends in a former term until the first commit of a new one.
+        let latest = term.max(self.term.get());
+        if checks.admits_witness(sent_at, running_since, latest) {
             target.set_witness(true);
             admission.trust_witness(&server);
-            return true;
+            return checks.admits_witness(sent_at, running_since, term);
         }
         // Otherwise an older connection soon shows that the process has been running for longer.
         let is_certain = !target.is_shared();
@@ -275,20 +277,46 @@
             }
         }
         // A recent reading may have been for a replica, so the term was not asked for then.
+        if admission.checks.borrow().needs_term(running_since) {
+            self.ask_term(admission, target, deadline).await;
+        }
+        admission.permits(target, running_since)
+    }
+
+    /// Asks the primary for its term if replicas may be of a later one than a pending replacement, and
+    /// no server has shown such a term.
+    pub(crate) async fn learn_term(&self) {
+        let (Some(admission), Some(primary)) = (&self.admission, self.leader()) else {
+            return;
+        };
+        let pending = admission.checks.borrow().pending_term();
+        if pending.is_some_and(|term| self.term.get() <= term) {
+            let deadline = Instant::now() + CHECK_TIMEOUT;
+            self.ask_term(admission, &primary, deadline).await;
+        }
+    }
+
+    async fn ask_term(
+        &self,
+        admission: &WriteAdmission,
+        target: &Rc<Target<D>>,
+        deadline: Instant,
+    ) {
         let asked_at = admission.term_asked.get();
-        let is_asked = asked_at.is_some_and(|at| at.elapsed() < TERM_INTERVAL);
-        if is_asked || !admission.checks.borrow().needs_term(running_since) {
-            return false;
+        if asked_at.is_some_and(|at| at.elapsed() < TERM_INTERVAL) {
+            return;
         }
         admission.term_asked.set(Some(Instant::now()));
         let limit = deadline.min(Instant::now() + CHECK_TIMEOUT);
         let reply = target.send_control(&ServerOp::Status, limit).await;
         let status = reply.and_then(|reply| self.dialer.status(&reply));
         match status {
-            Some(status) if status.role == Role::Primary => target.record_led_term(status.term),
+            Some(status) if status.role == Role::Primary => {
+                target.record_led_term(status.term);
+                self.term.set(self.term.get().max(status.term));
+            }
             Some(_) => self.record_denial(target),
             None => {}
         }
-        admission.permits(target, running_since)
     }
 }
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -599,3 +599,26 @@
             .await;
     }
 }
+
+/// Guards against a new primary that gets no writes because the replicas' logs end in the former term until its first commit.
+#[tokio::test(start_paused = true)]
+async fn first_write_of_a_term_needs_no_log_of_that_term() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let site = Site::new(seed);
+                let gateway = site.start("n1");
+                let row = json!({"holder": "n2", "process": 7, "token": 1, "written": clock(), "replaces": 1});
+                site.table.put("failover/svc", row).await;
+                for server in site.world.borrow_mut().iter_mut() {
+                    server.term = 2;
+                    server.former_term = Some(1);
+                    server.sync_replicas = 1;
+                }
+                let mut session = Session::open(&gateway, "strong").expect("the route is known");
+                let answer = ask(&mut session, "WRITE 1 a").await;
+                assert!(answer.result.is_ok(), "{answer:?}");
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -38,6 +38,8 @@
 pub struct Server {
     pub role: Role,
     pub term: Term,
+    /// Term of the end of the log while no commit of `term` is in it.
+    pub former_term: Option<Term>,
     /// End of the applied log, which reads see.
     pub position: u64,
     /// End of the received log; a replica applies it only when it is promoted.
@@ -83,6 +85,7 @@
     Server {
         role,
         term: 1,
+        former_term: None,
         position: 10,
         received: 10,
         paused_term: 0,
@@ -160,6 +163,20 @@
         refused
     }
 
+    /// Adds a commit of its term to the log of the primary.
+    fn append(&mut self, commits: bool) {
+        if commits {
+            self.position += 1;
+            self.former_term = None;
+        }
+        self.received = self.position;
+    }
+
+    /// Returns the term in which the log ends.
+    fn log_term(&self) -> Term {
+        self.former_term.unwrap_or(self.term)
+    }
+
     /// Executes a control request and returns a row with the status after it.
     fn control(&mut self, verb: &str, term: &str) -> Bytes {
         let term: Term = term.parse().expect("a term");
@@ -333,8 +350,7 @@
                     result = Err(TargetCode::ReadOnly);
                 } else {
                     let commits = text.starts_with("WRITE") || verb == "COMMIT";
-                    server.position += u64::from(commits);
-                    server.received = server.position;
+                    server.append(commits);
                     let (term, end) = (server.term, server.position);
                     if verb == "COMMIT" {
                         self.state = TransactionState::Idle;
@@ -348,7 +364,7 @@
                 }
             }
         }
-        let point = LogPoint::new(server.term, server.position);
+        let point = LogPoint::new(server.log_term(), server.position);
         if let Some((term, end)) = replicated
             && !replicate(&mut world, self.index, term, end)
         {
@@ -381,6 +397,7 @@
     let mut copies = 0;
     for replica in world.iter_mut().filter(receives) {
         replica.received = end;
+        replica.former_term = None;
         copies += 1;
     }
     let primary = &mut world[index];
