Let the boot clock follow tokio's paused clock in tests

Tests on the paused clock let seconds pass in milliseconds, but BootInstant read the system's clock. Ages on it hardly grew: the limit of a departure, the end of a lease and the time for which a node relies on a server without an entry never passed in these tests, so none of them could show a fault that needs that time.

Builds without tests read the system's clock as before.

--- a/crates/siskinhook-gateway/src/clock.rs
+++ b/crates/siskinhook-gateway/src/clock.rs
@@ -1,8 +1,13 @@
 //! A clock that keeps running while the VM is suspended.
 
+#[cfg(feature = "paused-clock")]
+use std::sync::LazyLock;
 use std::time::Duration;
 
+#[cfg(not(feature = "paused-clock"))]
 use rustix::time::{ClockId, clock_gettime};
+#[cfg(feature = "paused-clock")]
+use tokio::time::Instant;
 
 /// A point in time on the boot clock (`CLOCK_BOOTTIME`).
 ///
@@ -13,6 +18,7 @@
 
 impl BootInstant {
     /// Returns the current time.
+    #[cfg(not(feature = "paused-clock"))]
     #[must_use]
     pub fn now() -> Self {
         let time = clock_gettime(ClockId::Boottime);
@@ -22,6 +28,20 @@
         ))
     }
 
+    /// Returns the current time of tokio's clock, which tests pause.
+    #[cfg(feature = "paused-clock")]
+    #[must_use]
+    pub fn now() -> Self {
+        /// Time from boot to the first reading, so that clocks which were paused before are later
+        /// than boot as well.
+        const FIRST: Duration = Duration::from_hours(24);
+        static ORIGIN: LazyLock<Instant> = LazyLock::new(Instant::now);
+        let (origin, now) = (*ORIGIN, Instant::now());
+        let after = now.saturating_duration_since(origin);
+        let before = origin.saturating_duration_since(now);
+        Self((FIRST + after).saturating_sub(before))
+    }
+
     /// Creates the point in time at a duration after boot.
     #[must_use]
     pub const fn from_boot(since_boot: Duration) -> Self {
