Wait for the holders of commits instead of giving them up after 15 s

Callers were told of commits that are missing in the log of the server that was promoted next (rule LOST), when the primary and the only replica that held them were both away for longer than 15 s and came back later.

Cause: a departed replica counted until the primary had been lost for 15 s. After that a replica that had received nothing was promoted, although the rule knows no such limit.

A departure now counts until one of the holders is back, or the record of the group's servers accounts for it. An operator who knows that they are gone for good gives the commits up with abandon_after in the settings of the nodes.

--- a/crates/siskinhook-gateway/src/departures.rs
+++ b/crates/siskinhook-gateway/src/departures.rs
@@ -6,11 +6,6 @@
 
 use crate::{BootInstant, Departed, Watermark};
 
-/// Time for which a lost primary is not replaced for want of the log of a departed replica. Most
-/// servers are back within it. Without a limit, losing a primary and a replica together would block
-/// failover of the service for good; after it, service goes before the commits that only lost servers
-/// may hold.
-const RETENTION: Duration = Duration::from_secs(15);
 /// Departures that are kept, at most. A group has a few servers.
 const MAX_DEPARTURES: usize = 64;
 
@@ -31,8 +26,8 @@
 impl Departure {
     /// Whether a replacement has to take the departure into account when the primary has been lost
     /// for `lost`.
-    fn counts(&self, now: BootInstant, lost: Duration) -> bool {
-        lost.min(now.elapsed_since(self.at)) < RETENTION
+    fn counts(&self, now: BootInstant, lost: Duration, limit: Option<Duration>) -> bool {
+        limit.is_none_or(|limit| lost.min(now.elapsed_since(self.at)) < limit)
     }
 }
 
@@ -40,16 +35,30 @@
 #[derive(Clone, Debug, Default)]
 pub struct Departures {
     entries: Vec<Departure>,
+    /// Time for which a lost primary is not replaced for want of the log of a departed replica. `None`
+    /// for as long as it takes: servers may come back at any time, and a successor without their logs
+    /// lacks commits that callers were told of.
+    limit: Option<Duration>,
 }
 
 impl Departures {
-    /// Returns the addresses of the departures that `departed` leaves out because they are too old.
+    /// Creates a list without departures.
+    #[must_use]
+    pub const fn new(limit: Option<Duration>) -> Self {
+        let entries = Vec::new();
+        Self { entries, limit }
+    }
+
+    /// Returns the addresses of the departures that `departed` leaves out because of the limit.
     pub fn outdated(
         &self,
         now: BootInstant,
         lost: Duration,
     ) -> impl Iterator<Item = Option<SocketAddr>> {
-        let outdated = self.entries.iter().filter(move |d| !d.counts(now, lost));
+        let outdated = self
+            .entries
+            .iter()
+            .filter(move |d| !d.counts(now, lost, self.limit));
         outdated.map(|departure| departure.address)
     }
 
@@ -137,7 +146,7 @@
     /// that was at its address.
     #[must_use]
     pub fn departed(&self, now: BootInstant, lost: Duration, reporting: &[SocketAddr]) -> Departed {
-        let counts = |departure: &&Departure| departure.counts(now, lost);
+        let counts = |departure: &&Departure| departure.counts(now, lost, self.limit);
         let reports = |departure: &&Departure| {
             let address = departure.address.as_ref();
             address.is_some_and(|address| reporting.contains(address))
--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -40,6 +40,9 @@
     /// Whether nodes replace primaries, so that one which restarts may be about to be replaced.
     /// Writes then wait until the failover lease row shows that it is not.
     pub replace_primaries: bool,
+    /// Time for which a lost primary is not replaced when only lost servers may hold some
+    /// acknowledged commits. After it they are given up; `None` for never.
+    pub abandon_after: Option<Duration>,
 }
 
 /// The gateway of one node. It runs on a single thread.
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -102,7 +102,7 @@
         fleet: Rc<Fleet>,
         counters: Rc<Counters>,
     ) -> Self {
-        let mut departures = Departures::default();
+        let mut departures = Departures::new(gateway.abandon_after);
         departures.add_start(BootInstant::now());
         Self {
             service,
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -429,3 +429,24 @@
             .await;
     }
 }
+
+/// Guards against losing commits that only the primary and one replica hold, which are both away for longer than servers usually are and then come back.
+#[tokio::test(start_paused = true)]
+async fn holders_that_are_away_for_long_lose_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                replacement.add_deaf_replicas().await;
+                replacement.lose_holders().await;
+                sleep(Duration::from_secs(13) + Duration::from_millis(600 * seed)).await;
+                for index in [0, 2] {
+                    replacement.return_restarted(index);
+                }
+                replacement.check().await;
+                assert!(world.borrow().iter().any(|s| s.role == Role::Primary));
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/successor.rs
+++ b/crates/siskinhook-gateway/tests/successor.rs
@@ -265,7 +265,7 @@
 #[test]
 fn departure_counts_until_the_primary_has_been_lost_for_long() {
     let at = |secs| BootInstant::from_boot(Duration::from_secs(secs));
-    let mut departures = Departures::default();
+    let mut departures = Departures::new(Some(Duration::from_secs(15)));
     departures.add(address("c"), at(10));
     let missing = |now, lost| {
         departures
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -789,9 +789,15 @@
 }
 
 impl FakeOrders {
+    fn index_of(&self, server: &ServerId) -> usize {
+        let world = self.world.borrow();
+        let restarted = world.iter().position(|s| s.id.as_ref() == Some(server));
+        restarted.unwrap_or_else(|| server[1..].parse().expect("valid in this model"))
+    }
+
     /// Promotes a server after the time that a promotion takes.
     fn accept(&self, server: &ServerId) {
-        let index: usize = server[1..].parse().expect("valid in this model");
+        let index = self.index_of(server);
         let orders = self.clone();
         let delay = self.delay.get();
         if delay.is_zero() {
--- a/crates/siskinhook-gateway/tests/support/replacement.rs
+++ b/crates/siskinhook-gateway/tests/support/replacement.rs
@@ -2,17 +2,22 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use siskinhook_gateway::{Gateway, Session};
+use siskinhook_gateway::{Gateway, Instance, Session};
+use siskinhook_types::Role;
+use smol_str::format_smolstr;
 use tokio::{
     task::{JoinHandle, spawn_local},
     time::{Instant, sleep},
 };
 
-use super::{FakeDialer, ask, crash, site::Site};
+use super::{FakeDialer, ask, crash, instance, restart, server, site::Site};
 
 /// Time from an order to its effect.
 pub const PROMOTION_TIME: Duration = Duration::from_secs(1);
 
+/// Time without a sign of life after which the entry of a server is removed.
+const HEARTBEAT_LIMIT: Duration = Duration::from_secs(3);
+
 /// A site of three nodes with steady writes at each, whose commits need a replica.
 pub struct Replacement {
     pub site: Site,
@@ -91,6 +96,54 @@
         }
     }
 
+    /// Adds a fourth server, and lets no replica but the second one receive commits.
+    pub async fn add_deaf_replicas(&self) {
+        self.site.world.borrow_mut().push(server(Role::Replica));
+        for node in &self.nodes {
+            node.gateway.discover(instance(3, Role::Replica));
+        }
+        sleep(Duration::from_millis(300)).await;
+        for index in [1, 3] {
+            self.site.world.borrow_mut()[index].deaf = true;
+        }
+        sleep(Duration::from_millis(500)).await;
+        let held = self.site.world.borrow()[1].received;
+        assert!(self.told.get() > held, "commits rest on one replica");
+    }
+
+    /// Takes the primary and the only replica that received commits down until their entries are gone.
+    pub async fn lose_holders(&self) {
+        for index in [0, 2] {
+            crash(&self.site.world, index);
+        }
+        for index in [1, 3] {
+            self.site.world.borrow_mut()[index].deaf = false;
+        }
+        sleep(HEARTBEAT_LIMIT).await;
+        for node in &self.nodes {
+            node.gateway.forget(&"s0".into());
+            node.gateway.forget(&"s2".into());
+        }
+    }
+
+    /// Starts a server again under a new id, with the log that it had.
+    pub fn return_restarted(&self, index: usize) {
+        let id = format_smolstr!("s{index}b");
+        let role = {
+            let mut world = self.site.world.borrow_mut();
+            world[index].id = Some(id.clone());
+            world[index].role
+        };
+        restart(&self.site.world, index);
+        for node in &self.nodes {
+            node.gateway.discover(Instance {
+                id: id.clone(),
+                started: 2,
+                ..instance(index, role)
+            });
+        }
+    }
+
     /// Checks that no acknowledged commit is missing at the new primary, and that it serves.
     pub async fn check(&self) {
         sleep(PROMOTION_TIME * 3).await;
