Do not let a server that lost its log stand for its former process

Cause: whose log is missing was decided by address and id. A replica that started again without its log replied at the address of the former process, so that process did not count as missing. A primary that did so counted as the former primary, whose log has all commits, although it was empty.

A node that sees a later start under a known id records the departure of the former process, for which no server at its address stands. It ends with the next proof of the primary's position. A primary that starts so is no longer regarded as the primary. A node that starts after such a server does not know of the former process.

--- a/crates/siskinhook-gateway/src/departures.rs
+++ b/crates/siskinhook-gateway/src/departures.rs
@@ -15,6 +15,8 @@
 struct Departure {
     /// Address of the replica; `None` for the start of this process.
     address: Option<SocketAddr>,
+    /// Whether the replica's log is gone, so that a server at its address does not stand for it.
+    erased: bool,
     /// Time after which no commit rests on the replica.
     at: BootInstant,
     /// Whether the record of the group's servers was seen to name the replica.
@@ -24,6 +26,11 @@
 }
 
 impl Departure {
+    /// Whether it is of a replica that left an address with the log that it had.
+    fn has_left(&self, address: SocketAddr) -> bool {
+        self.address == Some(address) && !self.erased
+    }
+
     /// Whether a replacement has to take the departure into account when the primary has been lost
     /// for `lost`.
     fn counts(&self, now: BootInstant, lost: Duration, limit: Option<Duration>) -> bool {
@@ -64,21 +71,27 @@
 
     /// Records that this process started at `at`.
     pub fn add_start(&mut self, at: BootInstant) {
-        self.push(None, at);
+        self.push(None, false, at);
     }
 
     /// Adds the departure at `at` of the replica at an address.
     pub fn add(&mut self, address: SocketAddr, at: BootInstant) {
-        self.push(Some(address), at);
+        self.push(Some(address), false, at);
+    }
+
+    /// Adds a replica that started again at `at` without the log that it had.
+    pub fn add_erased(&mut self, address: SocketAddr, at: BootInstant) {
+        self.push(Some(address), true, at);
     }
 
-    fn push(&mut self, address: Option<SocketAddr>, at: BootInstant) {
+    fn push(&mut self, address: Option<SocketAddr>, erased: bool, at: BootInstant) {
         let covered = None;
         if self.entries.len() >= MAX_DEPARTURES {
             self.entries.remove(0);
         }
         self.entries.push(Departure {
             address,
+            erased,
             at,
             recorded: false,
             covered,
@@ -105,8 +118,8 @@
 
     /// Records that commits may rest until `until` on the departed replica at an address.
     pub fn extend(&mut self, address: SocketAddr, until: BootInstant) {
-        let of_address = |d: &&mut Departure| d.address == Some(address);
-        for departure in self.entries.iter_mut().filter(of_address) {
+        let has_left = |d: &&mut Departure| d.has_left(address);
+        for departure in self.entries.iter_mut().filter(has_left) {
             if until > departure.at {
                 departure.at = until;
                 departure.covered = None;
@@ -117,12 +130,12 @@
     /// Whether the departure of a replica at an address is recorded.
     #[must_use]
     pub fn contains(&self, address: SocketAddr) -> bool {
-        self.entries.iter().any(|d| d.address == Some(address))
+        self.entries.iter().any(|d| d.has_left(address))
     }
 
     /// Removes the departure of a replica that is back with the log that it had.
     pub fn remove(&mut self, address: SocketAddr) {
-        self.entries.retain(|d| d.address != Some(address));
+        self.entries.retain(|d| !d.has_left(address));
     }
 
     /// Records a watermark of the primary's log for the departures before it.
@@ -149,7 +162,7 @@
         let counts = |departure: &&Departure| departure.counts(now, lost, self.limit);
         let reports = |departure: &&Departure| {
             let address = departure.address.as_ref();
-            address.is_some_and(|address| reporting.contains(address))
+            !departure.erased && address.is_some_and(|address| reporting.contains(address))
         };
         let silent: Vec<&Departure> = self
             .entries
--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -180,9 +180,16 @@
             return;
         }
         let report = (instance.started, instance.sequence);
-        self.reports
+        let former = self
+            .reports
             .borrow_mut()
             .insert(instance.id.clone(), report);
+        // A process that starts again under the same id knows nothing of the former one.
+        if former.is_some_and(|(started, _)| started > 0 && instance.started > started)
+            && let Some(group) = self.group(&instance.service)
+        {
+            group.record_erasure(&instance);
+        }
         self.assign(instance);
     }
 
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -222,6 +222,27 @@
         )
     }
 
+    /// Whether the server was the primary in the latest term that is known.
+    fn is_last_primary(&self, id: &ServerId) -> bool {
+        let last_primary = self.last_primary.borrow();
+        let last = last_primary.as_ref();
+        last.is_some_and(|(server, term)| server == id && *term == self.term.get())
+    }
+
+    /// Records that a server started again under its id without the log that it had.
+    pub(crate) fn record_erasure(&self, instance: &Instance) {
+        if !self.is_last_primary(&instance.id) {
+            let mut departures = self.departures.borrow_mut();
+            departures.add_erased(instance.address, BootInstant::now());
+        }
+        if self.leader.borrow().as_ref() == Some(&instance.id) {
+            // Its log is not that of the former primary.
+            self.leaderless_since.set(Some(Instant::now()));
+            self.set_leader(None, "it started again without its log");
+            self.failover_wakeup.notify_one();
+        }
+    }
+
     /// Removes the server of a new entry from those without one. Returns it if it is the same process,
     /// whose log is as it was.
     fn relist(&self, instance: &Instance) -> Option<Rc<Target<D>>> {
@@ -315,9 +336,7 @@
             let since = self.record_absence(&member.server);
             let relied_until = reliance_end(member, now);
             // The commits that callers know of are on replicas beside the primary that made them.
-            let last_primary = self.last_primary.borrow().clone();
-            let is_former = last_primary == Some((member.server.clone(), self.term.get()));
-            if !is_former {
+            if !self.is_last_primary(&member.server) {
                 let mut departures = self.departures.borrow_mut();
                 if !departures.contains(member.address) {
                     departures.add(member.address, since);
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -450,3 +450,53 @@
             .await;
     }
 }
+
+/// Guards against losing commits on a replica that starts again under its id without its log, just before the primary is lost for some time.
+#[tokio::test(start_paused = true)]
+async fn replica_that_starts_again_without_its_log_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                world.borrow_mut()[1].deaf = true;
+                sleep(Duration::from_millis(500)).await;
+                let held = world.borrow()[1].received;
+                assert!(replacement.told.get() > held, "commits rest on one replica");
+                crash(world, 2);
+                crash(world, 0);
+                world.borrow_mut()[1].deaf = false;
+                sleep(Duration::from_millis(100 + 10 * seed)).await;
+                replacement.return_without_log(2);
+                sleep(Duration::from_secs(8)).await;
+                restart(world, 0);
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits because a primary that starts again under its id without its log counts as the former primary, whose log has them all.
+#[tokio::test(start_paused = true)]
+async fn primary_that_starts_again_without_its_log_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                world.borrow_mut()[1].deaf = true;
+                sleep(Duration::from_millis(500)).await;
+                let held = world.borrow()[1].received;
+                assert!(replacement.told.get() > held, "commits rest on one replica");
+                crash(world, 2);
+                crash(world, 0);
+                world.borrow_mut()[1].deaf = false;
+                sleep(Duration::from_millis(100 + 10 * seed)).await;
+                replacement.return_without_log(0);
+                sleep(Duration::from_secs(8)).await;
+                restart(world, 2);
+                replacement.check().await;
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/support/replacement.rs
+++ b/crates/siskinhook-gateway/tests/support/replacement.rs
@@ -144,6 +144,23 @@
         }
     }
 
+    /// Starts a server again under its id without its log.
+    pub fn return_without_log(&self, index: usize) {
+        {
+            let server = &mut self.site.world.borrow_mut()[index];
+            server.role = Role::Replica;
+            server.position = 0;
+            server.received = 0;
+        }
+        restart(&self.site.world, index);
+        for node in &self.nodes {
+            node.gateway.discover(Instance {
+                started: 2,
+                ..instance(index, Role::Replica)
+            });
+        }
+    }
+
     /// Checks that no acknowledged commit is missing at the new primary, and that it serves.
     pub async fn check(&self) {
         sleep(PROMOTION_TIME * 3).await;
