--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -12,7 +12,7 @@
 use siskinhook_gateway::{Instance, Peer, Relay, RelayedRequest, TargetCode};
 use siskinhook_types::Role;
 use support::{
-    RELAY_PORTS, clock, crash, instance,
+    RELAY_PORTS, Server, clock, crash, instance,
     replacement::{Node, PROMOTION_TIME, Replacement},
     restart, server,
     site::Site,
@@ -500,3 +500,53 @@
             .await;
     }
 }
+
+/// Guards against losing commits on a listed server that the replacing node never reached, while other nodes let commits rest on it.
+#[tokio::test(start_paused = true)]
+async fn server_that_only_other_nodes_ever_reached_takes_part_in_the_replacement() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                world.borrow_mut().push(Server {
+                    sync_replicas: 1,
+                    ..server(Role::Replica)
+                });
+                // The node that reaches the server is not one of those that keep the record.
+                let peer = |index: u16| Peer {
+                    name: format!("p{index}").into(),
+                    zone: "z".into(),
+                    address: ([127, 0, 0, 1], RELAY_PORTS + index).into(),
+                };
+                let fleet = &replacement.nodes[0].gateway.fleet;
+                fleet.set_peers((0..40).map(peer).collect());
+                assert!(fleet.rank(&"svc".into()) >= Some(3), "it is no recorder");
+                for (index, node) in replacement.nodes.iter().enumerate() {
+                    if index > 0 {
+                        node.gateway.dialer.hidden.borrow_mut().insert(3);
+                    }
+                    node.gateway.discover(instance(3, Role::Replica));
+                    spawn_local(node.gateway.clone().sweep());
+                }
+                sleep(Duration::from_secs(20)).await;
+                for index in [1, 2] {
+                    world.borrow_mut()[index].deaf = true;
+                }
+                sleep(Duration::from_millis(500)).await;
+                let held = world.borrow()[1].received;
+                assert!(replacement.told.get() > held, "commits rest on one replica");
+                replacement.kill_node("n1");
+                crash(&world, 0);
+                for index in [1, 2] {
+                    world.borrow_mut()[index].deaf = false;
+                }
+                sleep(Duration::from_secs(8)).await;
+                for node in &replacement.nodes {
+                    node.gateway.dialer.hidden.borrow_mut().clear();
+                }
+                replacement.check().await;
+            })
+            .await;
+    }
+}
