Do not promote on the log of a server that led an earlier term

Callers were told of commits that are missing in the log of the promoted server, when two servers of a group of four were lost and the node that replaced the primary had not seen the latest one lead.

The server regarded as the primary counted as the former primary when it replied, whose log has all commits, although another one had led a later term since; a node without requests sees no proof of that. And when the entry of a server comes back during a replacement, its departure ends, but the replacement did not ask it: it was missing in neither count.

A server that replied as a replica counts as the former primary only if this node saw it lead the latest term that is known. A server that was listed since the replacement began, and has not replied, counts as missing.

--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -71,6 +71,14 @@
             let departed = self.departed(reports);
             choose_successor(reports, sync_replicas, departed)
         };
+        // Another server may have led since this node saw it lead.
+        let is_latest = |id: &&ServerId| self.group.is_last_primary(id);
+        let replied = |id: &ServerId| {
+            stopped
+                .iter()
+                .any(|r| r.server == *id && r.stopped.is_some())
+        };
+        let leader = leader.filter(|id| !replied(id) || is_latest(id));
         let mut chosen = choose(&reports(&stopped, &pending, leader));
         if chosen.is_none() {
             pending = finish(pending, CONTROL_TIMEOUT, &mut stopped).await;
@@ -137,11 +145,14 @@
         }
     }
 
-    /// Returns the departed replicas whose logs are not among the reports.
+    /// Returns the departed replicas whose logs are not among the reports, and with them the servers
+    /// that were listed since the replacement began.
     fn departed(&self, reports: &[Report]) -> Departed {
         let replied = reports.iter().filter(|report| report.status.is_some());
         let reporting: Vec<SocketAddr> = replied.map(|report| report.address).collect();
-        self.group.departed(&reporting)
+        let mut departed = self.group.departed(&reporting);
+        departed.missing += self.group.count_unasked(reports);
+        departed
     }
 
     /// Starts to pause or demote servers, for at most `limit`.
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     BootInstant, Counters, Departed, Dialer, GatewaySettings, Instance, Leadership, Member,
-    MemberRecord, Service, Watermark, Watermarks,
+    MemberRecord, Report, Service, Watermark, Watermarks,
     commit_evidence::{Commit, CommitEvidence, LISTING_LIFETIME},
     confirmation::Confirmation,
     departures::Departures,
@@ -223,7 +223,7 @@
     }
 
     /// Whether the server was the primary in the latest term that is known.
-    fn is_last_primary(&self, id: &ServerId) -> bool {
+    pub(crate) fn is_last_primary(&self, id: &ServerId) -> bool {
         let last_primary = self.last_primary.borrow();
         let last = last_primary.as_ref();
         last.is_some_and(|(server, term)| server == id && *term == self.term.get())
@@ -571,6 +571,18 @@
         self.departures.borrow().departed(now, lost, reporting)
     }
 
+    /// Returns the number of servers that were listed since a replacement began and are not among its
+    /// reports. They are no departures any more, but their logs are not known.
+    pub(crate) fn count_unasked(&self, reports: &[Report]) -> usize {
+        let is_counted = |target: &&Rc<Target<D>>| {
+            let server = &target.instance.borrow().id;
+            let mut known = reports.iter().filter(|r| r.server == *server);
+            known.any(|r| r.listed || r.former || r.status.is_some())
+        };
+        let targets = self.existing_targets();
+        targets.iter().filter(|t| !is_counted(t)).count()
+    }
+
     /// Returns the servers that a replacement does not ask although they may hold commits, with the
     /// reason.
     pub(crate) fn not_asked(&self) -> Vec<(Option<ServerId>, Option<SocketAddr>, &'static str)> {
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use serde_json::json;
-use siskinhook_gateway::{Instance, Peer, Relay, RelayedRequest, TargetCode};
+use siskinhook_gateway::{Instance, Peer, Relay, RelayedRequest, Session, TargetCode};
 use siskinhook_types::Role;
 use support::{
-    RELAY_PORTS, Server, clock, crash, instance,
+    RELAY_PORTS, Server, ask, clock, crash, instance,
     replacement::{Node, PROMOTION_TIME, Replacement},
     restart, server,
     site::Site,
@@ -550,3 +550,49 @@
             .await;
     }
 }
+
+/// Guards against taking the log of a server that this node last saw lead for that of the former primary, although another one led a later term.
+#[tokio::test(start_paused = true)]
+async fn server_that_led_an_earlier_term_does_not_count_as_the_former_primary() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                world.borrow_mut().push(Server {
+                    sync_replicas: 1,
+                    ..server(Role::Replica)
+                });
+                for node in &replacement.nodes {
+                    node.gateway.discover(instance(3, Role::Replica));
+                }
+                let idle = replacement.site.start_knowing("n4", &[0, 1, 2, 3]);
+                let (ordered, other) = replacement.lose_primary().await;
+                sleep(PROMOTION_TIME * 2).await;
+                world.borrow_mut()[0].role = Role::Replica;
+                restart(&world, 0);
+                for index in [0, 3] {
+                    world.borrow_mut()[index].deaf = true;
+                }
+                sleep(Duration::from_millis(500)).await;
+                let held = world.borrow()[3].received;
+                assert!(replacement.told.get() > held, "commits rest on one replica");
+                for index in [ordered, other] {
+                    crash(&world, index);
+                    idle.forget(&instance(index, Role::Replica).id);
+                }
+                for name in ["n1", "n2", "n3"] {
+                    replacement.kill_node(name);
+                }
+                let mut session = Session::open(&idle, "strong").expect("the route is known");
+                ask(&mut session, "WRITE 1 a").await;
+                sleep(Duration::from_secs(8)).await;
+                for index in [ordered, other] {
+                    restart(&world, index);
+                    idle.discover(instance(index, world.borrow()[index].role));
+                }
+                replacement.check().await;
+            })
+            .await;
+    }
+}
