--- a/crates/siskinhook-gateway/src/failover/lease.rs
+++ b/crates/siskinhook-gateway/src/failover/lease.rs
@@ -59,6 +59,10 @@
     /// The server that orders under this token or an earlier one may still promote.
     #[serde(default)]
     order: Option<RecordedOrder>,
+    /// The latest primary that the holder knew, with its term. Once demoted it looks like a replica, but
+    /// its log has all commits.
+    #[serde(default)]
+    primary: Option<(ServerId, Term)>,
 }
 
 /// An order as recorded before it is sent.
@@ -254,6 +258,9 @@
         }
         if stored.is_available_to(self.gateway.process) {
             self.adopt_order(&stored);
+            if let Some((server, term)) = &stored.record.primary {
+                self.group.record_former(server, *term);
+            }
             let record = self.next_record(&stored, Some(self.group.term.get()));
             // The row names this node also if only the answer to the write is lost.
             self.is_unfinished.set(true);
@@ -320,6 +327,7 @@
             replaces,
             former,
             order,
+            primary: self.group.last_primary(),
         }
     }
 
--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -76,6 +76,18 @@
                 None => choose_successor(reports, sync_replicas, departed),
             }
         };
+        for reply in &stopped {
+            if let Some(term) = reply.stopped.as_ref().and_then(|s| s.was_primary) {
+                self.group.record_former(&reply.server, term);
+            }
+        }
+        // Another server may have led since this node saw the one lead that it regards as the primary.
+        let replied = |id: &&ServerId| {
+            let mut replies = stopped.iter().filter(|r| r.server == **id);
+            replies.any(|r| r.stopped.is_some())
+        };
+        let latest = self.group.latest_primary();
+        let leader = latest.as_ref().or(leader.filter(|id| !replied(id)));
         let mut chosen = choose(&reports(&stopped, &pending, leader));
         if chosen.is_none() {
             pending = finish(pending, CONTROL_TIMEOUT, &mut stopped).await;
@@ -145,11 +157,14 @@
         }
     }
 
-    /// Returns the departed replicas whose logs are not among the reports.
+    /// Returns the departed replicas whose logs are not among the reports, and with them the servers
+    /// that were listed since the replacement began.
     fn departed(&self, reports: &[Report]) -> Departed {
         let replied = reports.iter().filter(|report| report.status.is_some());
         let reporting: Vec<SocketAddr> = replied.map(|report| report.address).collect();
-        self.group.departed(&reporting)
+        let mut departed = self.group.departed(&reporting);
+        departed.missing += self.group.count_unasked(reports);
+        departed
     }
 
     /// Starts to pause or demote servers, for at most `limit`.
--- a/crates/siskinhook-gateway/src/gateway.rs
+++ b/crates/siskinhook-gateway/src/gateway.rs
@@ -41,6 +41,9 @@
     /// Whether nodes replace primaries, so that one which restarts may be about to be replaced.
     /// Writes then wait until the failover lease row shows that it is not.
     pub replace_primaries: bool,
+    /// Time for which a lost primary is not replaced when only lost servers may hold some
+    /// acknowledged commits. After it they are given up; `None` for never.
+    pub abandon_after: Option<Duration>,
 }
 
 /// The gateway of one node. It runs on a single thread.
@@ -181,9 +184,16 @@
             return;
         }
         let report = (instance.started, instance.sequence);
-        self.reports
+        let former = self
+            .reports
             .borrow_mut()
             .insert(instance.id.clone(), report);
+        // A process that starts again under the same id knows nothing of the former one.
+        if former.is_some_and(|(started, _)| started > 0 && instance.started > started)
+            && let Some(group) = self.group(&instance.service)
+        {
+            group.record_erasure(&instance);
+        }
         self.assign(instance);
     }
 
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     BootInstant, Counters, Departed, Dialer, GatewaySettings, Instance, Leadership, Member,
-    MemberRecord, Service, Watermark, Watermarks,
+    MemberRecord, Report, Service, Watermark, Watermarks,
     commit_evidence::{Commit, CommitEvidence, LISTING_LIFETIME},
     confirmation::Confirmation,
     departures::Departures,
@@ -102,7 +102,7 @@
         fleet: Rc<Fleet>,
         counters: Rc<Counters>,
     ) -> Self {
-        let mut departures = Departures::default();
+        let mut departures = Departures::new(gateway.abandon_after);
         departures.add_start(BootInstant::now());
         Self {
             service,
@@ -222,6 +222,48 @@
         )
     }
 
+    /// Records that a server was the primary in `term` until it was demoted, so that its log still counts
+    /// as that of the former primary if the replacement is repeated.
+    pub(crate) fn record_former(&self, id: &ServerId, term: Term) {
+        let mut last_primary = self.last_primary.borrow_mut();
+        if last_primary
+            .as_ref()
+            .is_none_or(|(_, known)| *known <= term)
+        {
+            *last_primary = Some((id.clone(), term));
+        }
+    }
+
+    /// Returns the server that was the primary in the latest term that is known.
+    pub(crate) fn latest_primary(&self) -> Option<ServerId> {
+        let (server, term) = self.last_primary()?;
+        (term == self.term.get()).then_some(server)
+    }
+
+    /// Returns the server that last showed that it is the primary, and the term of its log then.
+    pub(crate) fn last_primary(&self) -> Option<(ServerId, Term)> {
+        self.last_primary.borrow().clone()
+    }
+
+    /// Whether the server was the primary in the latest term that is known.
+    pub(crate) fn is_last_primary(&self, id: &ServerId) -> bool {
+        self.latest_primary().as_ref() == Some(id)
+    }
+
+    /// Records that a server started again under its id without the log that it had.
+    pub(crate) fn record_erasure(&self, instance: &Instance) {
+        if !self.is_last_primary(&instance.id) {
+            let mut departures = self.departures.borrow_mut();
+            departures.add_erased(instance.address, BootInstant::now());
+        }
+        if self.leader.borrow().as_ref() == Some(&instance.id) {
+            // Its log is not that of the former primary.
+            self.leaderless_since.set(Some(Instant::now()));
+            self.set_leader(None, "it started again without its log");
+            self.failover_wakeup.notify_one();
+        }
+    }
+
     /// Removes the server of a new entry from those without one. Returns it if it is the same process,
     /// whose log is as it was.
     fn relist(&self, instance: &Instance) -> Option<Rc<Target<D>>> {
@@ -315,9 +357,7 @@
             let since = self.record_absence(&member.server);
             let relied_until = reliance_end(member, now);
             // The commits that callers know of are on replicas beside the primary that made them.
-            let last_primary = self.last_primary.borrow().clone();
-            let is_former = last_primary == Some((member.server.clone(), self.term.get()));
-            if !is_former {
+            if !self.is_last_primary(&member.server) {
                 let mut departures = self.departures.borrow_mut();
                 if !departures.contains(member.address) {
                     departures.add(member.address, since);
@@ -560,6 +600,18 @@
         self.departures.borrow().departed(now, lost, reporting)
     }
 
+    /// Returns the number of servers that were listed since a replacement began and are not among its
+    /// reports. They are no departures any more, but their logs are not known.
+    pub(crate) fn count_unasked(&self, reports: &[Report]) -> usize {
+        let is_counted = |target: &&Rc<Target<D>>| {
+            let server = &target.instance.borrow().id;
+            let mut known = reports.iter().filter(|r| r.server == *server);
+            known.any(|r| r.listed || r.former || r.status.is_some())
+        };
+        let targets = self.existing_targets();
+        targets.iter().filter(|t| !is_counted(t)).count()
+    }
+
     /// Returns the servers that a replacement does not ask although they may hold commits, with the
     /// reason.
     pub(crate) fn not_asked(&self) -> Vec<(Option<ServerId>, Option<SocketAddr>, &'static str)> {
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -14,7 +14,7 @@
 };
 use siskinhook_types::Role;
 use support::{
-    RELAY_PORTS, ask, clock, crash, instance,
+    RELAY_PORTS, Server, ask, clock, crash, far_future, instance,
     replacement::{Node, PROMOTION_TIME, Replacement},
     restart, server,
     site::Site,
@@ -675,3 +675,170 @@
             .await;
     }
 }
+
+/// Guards against losing commits that only the primary and one replica hold, which are both away for longer than servers usually are and then come back.
+#[tokio::test(start_paused = true)]
+async fn holders_that_are_away_for_long_lose_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                replacement.add_deaf_replicas().await;
+                replacement.lose_holders().await;
+                sleep(Duration::from_secs(13) + Duration::from_millis(600 * seed)).await;
+                for index in [0, 2] {
+                    replacement.return_restarted(index);
+                }
+                replacement.check().await;
+                assert!(world.borrow().iter().any(|s| s.role == Role::Primary));
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits on a replica that starts again under its id without its log, just before the primary is lost for some time.
+#[tokio::test(start_paused = true)]
+async fn replica_that_starts_again_without_its_log_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                world.borrow_mut()[1].deaf_until = Some(far_future());
+                sleep(Duration::from_millis(500)).await;
+                let held = world.borrow()[1].received;
+                assert!(replacement.told.get() > held, "commits rest on one replica");
+                crash(world, 2);
+                crash(world, 0);
+                world.borrow_mut()[1].deaf_until = None;
+                sleep(Duration::from_millis(100 + 10 * seed)).await;
+                replacement.return_without_log(2);
+                sleep(Duration::from_secs(8)).await;
+                restart(world, 0);
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits because a primary that starts again under its id without its log counts as the former primary, whose log has them all.
+#[tokio::test(start_paused = true)]
+async fn primary_that_starts_again_without_its_log_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                world.borrow_mut()[1].deaf_until = Some(far_future());
+                sleep(Duration::from_millis(500)).await;
+                let held = world.borrow()[1].received;
+                assert!(replacement.told.get() > held, "commits rest on one replica");
+                crash(world, 2);
+                crash(world, 0);
+                world.borrow_mut()[1].deaf_until = None;
+                sleep(Duration::from_millis(100 + 10 * seed)).await;
+                replacement.return_without_log(0);
+                sleep(Duration::from_secs(8)).await;
+                restart(world, 2);
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against losing commits on a listed server that the replacing node never reached, while other nodes let commits rest on it.
+#[tokio::test(start_paused = true)]
+async fn server_that_only_other_nodes_ever_reached_takes_part_in_the_replacement() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                world.borrow_mut().push(Server {
+                    sync_replicas: 1,
+                    ..server(Role::Replica)
+                });
+                // The node that reaches the server is not one of those that keep the record.
+                let peer = |index: u16| Peer {
+                    name: format!("p{index}").into(),
+                    zone: "z".into(),
+                    address: ([127, 0, 0, 1], RELAY_PORTS + index).into(),
+                };
+                let fleet = &replacement.nodes[0].gateway.fleet;
+                fleet.set_peers((0..40).map(peer).collect());
+                assert!(fleet.rank(&"svc".into()) >= Some(3), "it is no recorder");
+                for (index, node) in replacement.nodes.iter().enumerate() {
+                    if index > 0 {
+                        node.gateway.dialer.hidden.borrow_mut().insert(3);
+                    }
+                    node.gateway.discover(instance(3, Role::Replica));
+                    spawn_local(node.gateway.clone().sweep());
+                }
+                sleep(Duration::from_secs(20)).await;
+                for index in [1, 2] {
+                    world.borrow_mut()[index].deaf_until = Some(far_future());
+                }
+                sleep(Duration::from_millis(500)).await;
+                let held = world.borrow()[1].received;
+                assert!(replacement.told.get() > held, "commits rest on one replica");
+                replacement.kill_node("n1");
+                crash(&world, 0);
+                for index in [1, 2] {
+                    world.borrow_mut()[index].deaf_until = None;
+                }
+                sleep(Duration::from_secs(8)).await;
+                for node in &replacement.nodes {
+                    node.gateway.dialer.hidden.borrow_mut().clear();
+                }
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against taking the log of a server that this node last saw lead for that of the former primary, although another one led a later term.
+#[tokio::test(start_paused = true)]
+async fn server_that_led_an_earlier_term_does_not_count_as_the_former_primary() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                world.borrow_mut().push(Server {
+                    sync_replicas: 1,
+                    ..server(Role::Replica)
+                });
+                for node in &replacement.nodes {
+                    node.gateway.discover(instance(3, Role::Replica));
+                }
+                let idle = replacement.site.start_knowing("n4", &[0, 1, 2, 3]);
+                let (ordered, other) = replacement.lose_primary().await;
+                sleep(PROMOTION_TIME * 2).await;
+                world.borrow_mut()[0].role = Role::Replica;
+                restart(&world, 0);
+                for index in [0, 3] {
+                    world.borrow_mut()[index].deaf_until = Some(far_future());
+                }
+                sleep(Duration::from_millis(500)).await;
+                let held = world.borrow()[3].received;
+                assert!(replacement.told.get() > held, "commits rest on one replica");
+                for index in [ordered, other] {
+                    crash(&world, index);
+                    idle.forget(&instance(index, Role::Replica).id);
+                }
+                for name in ["n1", "n2", "n3"] {
+                    replacement.kill_node(name);
+                }
+                let mut session = Session::open(&idle, "strong").expect("the route is known");
+                ask(&mut session, "WRITE 1 a").await;
+                sleep(Duration::from_secs(8)).await;
+                for index in [ordered, other] {
+                    restart(&world, index);
+                    idle.discover(instance(index, world.borrow()[index].role));
+                }
+                replacement.check().await;
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -77,6 +77,11 @@
     pub ran_as_primary: Vec<bool>,
 }
 
+/// Returns a time that no test reaches.
+pub fn far_future() -> Instant {
+    Instant::now() + Duration::from_hours(1)
+}
+
 pub type World = Rc<RefCell<Vec<Server>>>;
 
 /// Returns a server that has just started.
@@ -877,14 +882,21 @@
 impl FakeOrders {
     /// Whether the process that an order names is running.
     fn is_running(&self, server: &ServerId) -> bool {
+        let index = self.index_of(server);
+        let world = self.world.borrow();
+        let is_named = world[index].id.as_ref().is_none_or(|id| id == server);
+        world[index].reachable && is_named
+    }
+
+    fn index_of(&self, server: &ServerId) -> usize {
         let world = self.world.borrow();
-        let index: usize = server[1..].parse().expect("valid in this model");
-        world[index].reachable && world[index].id.is_none()
+        let restarted = world.iter().position(|s| s.id.as_ref() == Some(server));
+        restarted.unwrap_or_else(|| server[1..].parse().expect("valid in this model"))
     }
 
     /// Promotes a server after the time that a promotion takes.
     fn accept(&self, server: &ServerId) {
-        let index: usize = server[1..].parse().expect("valid in this model");
+        let index = self.index_of(server);
         let orders = self.clone();
         let delay = self.delay.get();
         if delay.is_zero() {
