--- a/review/standin/src/database.rs
+++ b/review/standin/src/database.rs
@@ -3,13 +3,13 @@
 use std::{
     collections::HashMap,
     io::{BufRead as _, BufReader, Write as _},
-    net::{TcpListener, TcpStream},
+    net::{Shutdown, TcpListener, TcpStream},
     sync::{Arc, PoisonError},
     thread,
     time::{Duration, Instant},
 };
 
-use crate::site::{Commit, MAX_CONNECTIONS, SERVICE, Site};
+use crate::site::{Commit, MAX_CONNECTIONS, SERVICE, Site, lasts};
 
 /// Time that a statement takes.
 const WORK_TIME: Duration = Duration::from_millis(3);
@@ -47,6 +47,9 @@
                     .ok()
                     .and_then(|at| TcpListener::bind(at).ok());
             }
+            if site.lock().servers[index].is_silent() {
+                continue;
+            }
             let Some(open) = &listener else { continue };
             let _ = open.set_nonblocking(true);
             while let Ok((stream, _)) = open.accept() {
@@ -91,6 +94,11 @@
         .split(' ')
         .map(str::to_string)
         .collect();
+    let node = fields.get(2).cloned().unwrap_or_default();
+    let epoch = site.lock().servers[index].epoch;
+    if !site.wait_for_link(index, epoch, &node) {
+        return None;
+    }
     let (epoch, ready) = {
         let mut world = site.lock();
         let server = &mut world.servers[index];
@@ -110,16 +118,25 @@
             let _ = writer.write_all(format!("ERROR {code} {}\r\n", server.id).as_bytes());
             return None;
         }
-        server.streams.push(stream);
+        server.streams.push((node.clone(), stream));
         (server.epoch, format!("READY I {}\r\n", server.position()))
     };
     thread::sleep(START_TIME);
+    if !site.wait_for_link(index, epoch, &node) {
+        let _ = writer.shutdown(Shutdown::Both);
+    }
     writer.write_all(ready.as_bytes()).ok()?;
     let mut connection = Connection::default();
     while let Some(line) = read_line(&mut reader) {
+        if !site.wait_for_link(index, epoch, &node) {
+            break;
+        }
         let Some(answer) = answer(site, index, epoch, &mut connection, &line) else {
             break;
         };
+        if !site.wait_for_link(index, epoch, &node) {
+            break;
+        }
         if writer.write_all(&answer).is_err() {
             break;
         }
@@ -129,7 +146,8 @@
     let local = writer.peer_addr().ok();
     server
         .streams
-        .retain(|s| s.peer_addr().ok() != local || local.is_none());
+        .retain(|(_, s)| s.peer_addr().ok() != local || local.is_none());
+    let _ = writer.shutdown(Shutdown::Both);
     Some(())
 }
 
@@ -222,6 +240,11 @@
     if connection.has_failed && verb != b"ROLLBACK" && verb != b"COMMIT" {
         return Some(Err("MALFORMED"));
     }
+    let is_busy = lasts(site.lock().servers[index].busy_until);
+    let is_known: &[&[u8]] = &[b"READ", b"WRITE", b"BEGIN", b"STATUS"];
+    if is_busy && is_known.contains(&verb) {
+        return Some(Err("BUSY"));
+    }
     let is_plain = connection.transaction == Some(false);
     let leads = site.lock().servers[index].is_primary;
     let changes_nothing = verb == b"COMMIT" && connection.writes.is_empty();
@@ -261,7 +284,10 @@
             let world = site.lock();
             let writes = world.servers[index].log.iter().flat_map(|c| &c.writes);
             let own = connection.writes.iter();
-            let found = writes.chain(own).filter(|(item, _)| item == rest).next_back();
+            let found = writes
+                .chain(own)
+                .filter(|(item, _)| item == rest)
+                .next_back();
             Ok(found.map(|(_, data)| data.clone()).into_iter().collect())
         }
         b"WRITE" => {
@@ -329,6 +355,10 @@
 ) -> Option<Outcome> {
     let id = String::from_utf8_lossy(id).into_owned();
     let mut world = site.lock();
+    while world.servers[index].is_silent() {
+        let waited = site.changed.wait_timeout(world, Duration::from_millis(5));
+        world = waited.unwrap_or_else(PoisonError::into_inner).0;
+    }
     let server = &mut world.servers[index];
     if server.epoch != epoch {
         return None;
@@ -355,12 +385,14 @@
         }
         let received = |(other, s): (usize, &crate::site::Server)| {
             other != index
+                && s.is_linked()
                 && s.log
                     .iter()
                     .rev()
+                    .take_while(|c| c.number >= number)
                     .any(|c| (c.term, c.number) == (term, number))
         };
-        if world.servers.iter().enumerate().any(received) {
+        if server.is_linked() && world.servers.iter().enumerate().any(received) {
             return Some(Ok(Vec::new()));
         }
         let waited = site.changed.wait_timeout(world, Duration::from_millis(50));
--- /dev/null
+++ b/review/standin/src/disruptions.rs
@@ -0,0 +1,377 @@
+//! Carries drawn disruptions out.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread::{self, sleep},
+    time::{Duration, Instant},
+};
+
+use rand::{SeedableRng as _, rngs::SmallRng};
+
+use crate::{
+    drawn::{Action, Choice, LateOrder, Plan, Target},
+    node::Node,
+    scenarios::{Broken, Writers, finish, millis},
+    site::{Network, Site},
+};
+
+/// Time from an order until its server leads.
+const PROMOTION_TIME: Duration = Duration::from_millis(300);
+/// Time for which a disruption waits for an order or a row of the table `failover`.
+const ORDER_LIMIT: Duration = Duration::from_secs(6);
+/// Time for which a server drains.
+const DRAIN_TIME: Duration = Duration::from_secs(7);
+/// Index of the server that joins.
+const JOINING: usize = 3;
+
+struct Run {
+    site: Arc<Site>,
+    nodes: Vec<Mutex<Node>>,
+    names: Vec<String>,
+}
+
+/// Clients write while the disruptions of a seed happen.
+pub fn run(
+    site: &Arc<Site>,
+    nodes: Vec<Node>,
+    has_trouble: bool,
+    seed: u64,
+    seconds: u64,
+) -> Broken {
+    let plan = Plan::draw(seed, seconds);
+    site.note(&format!(
+        "seed {seed}, {seconds} s, share of late orders {:.2}",
+        plan.late_share
+    ));
+    for event in &plan.events {
+        site.note(&format!("plan: {} ms {:?}", event.at_ms, event.action));
+    }
+    let late_share = if has_trouble { plan.late_share } else { 0.0 };
+    {
+        let mut world = site.lock();
+        world.promotion_time = PROMOTION_TIME;
+        world.network = Some(Network {
+            rng: SmallRng::seed_from_u64(seed),
+            late_share,
+            next_delay: None,
+        });
+    }
+    let delivery = site.clone();
+    thread::spawn(move || delivery.run_delivery());
+    let writers = Writers::start(site, &nodes);
+    let run = Run {
+        site: site.clone(),
+        names: nodes.iter().map(|node| node.name.clone()).collect(),
+        nodes: nodes.into_iter().map(Mutex::new).collect(),
+    };
+    let started = Instant::now();
+    thread::scope(|scope| {
+        for event in plan.events.iter().filter(|_| has_trouble) {
+            sleep(millis(event.at_ms).saturating_sub(started.elapsed()));
+            let run = &run;
+            scope.spawn(move || run.carry_out(event.action));
+        }
+        sleep(millis(seconds * 1000).saturating_sub(started.elapsed()));
+    });
+    sleep(millis(4000));
+    finish(site, writers)
+}
+
+impl Run {
+    fn node(&self, index: usize) -> MutexGuard<'_, Node> {
+        self.nodes[index]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn resolve(&self, target: Target) -> usize {
+        let world = self.site.lock();
+        let servers = &world.servers;
+        let leads = |index: &usize| servers[*index].is_primary;
+        let primary = (0..servers.len())
+            .filter(leads)
+            .max_by_key(|index| servers[*index].term);
+        let replica = |nth: usize| {
+            let mut others = (0..servers.len()).filter(|index| {
+                Some(*index) != primary && (*index != JOINING || servers[*index].is_up)
+            });
+            others.nth(nth)
+        };
+        match target {
+            Target::Primary => primary.unwrap_or_default(),
+            Target::Replica(nth) => replica(nth).unwrap_or_default(),
+            Target::Index(index) => index,
+        }
+    }
+
+    fn name(&self, index: usize) -> String {
+        self.site.lock().servers[index].id.clone()
+    }
+
+    /// Waits for the next order, or the next row of the table `failover`; returns the node's index.
+    fn wait_for_sender(&self, is_order: bool, after: Instant) -> Option<usize> {
+        while after.elapsed() < ORDER_LIMIT {
+            let world = self.site.lock();
+            let last = if is_order {
+                &world.last_order
+            } else {
+                &world.last_lease
+            };
+            if let Some((name, _)) = last.as_ref().filter(|(_, at)| *at > after) {
+                return self.names.iter().position(|known| known == name);
+            }
+            drop(world);
+            sleep(millis(2));
+        }
+        None
+    }
+
+    fn choose(&self, choice: Choice) -> Vec<usize> {
+        match choice {
+            Choice::Index(index) => vec![index],
+            Choice::All => (0..self.nodes.len()).collect(),
+            Choice::Order => Vec::from_iter(self.wait_for_sender(true, Instant::now())),
+            Choice::Lease => Vec::from_iter(self.wait_for_sender(false, Instant::now())),
+        }
+    }
+
+    fn crash(&self, index: usize, time: Duration) {
+        if self.site.crash(index) {
+            sleep(time);
+            self.site.restart(index);
+        }
+    }
+
+    fn kill(&self, nodes: &[usize], time: Duration) {
+        let mut killed = Vec::new();
+        for index in nodes {
+            if self.node(*index).kill() {
+                killed.push(*index);
+                self.site
+                    .note(&format!("node {} is killed", self.names[*index]));
+            }
+        }
+        sleep(time);
+        for index in killed {
+            self.node(index).start_again();
+            self.site
+                .note(&format!("node {} starts again", self.names[index]));
+        }
+    }
+
+    fn stop(&self, index: usize, time: Duration) {
+        let process = {
+            let node = self.node(index);
+            node.signal("-STOP");
+            node.process()
+        };
+        self.site
+            .note(&format!("node {} is stopped", self.names[index]));
+        sleep(time);
+        let node = self.node(index);
+        if node.process() == process {
+            node.signal("-CONT");
+        }
+        self.site
+            .note(&format!("node {} goes on", self.names[index]));
+    }
+
+    fn release(&self, index: usize, gap: Duration) {
+        let before = self.name(index);
+        self.site.drain(index);
+        sleep(DRAIN_TIME);
+        if self.name(index) == before && self.site.crash(index) {
+            self.site.remove_entry(index);
+            sleep(gap);
+            self.site.restart(index);
+        }
+    }
+
+    fn join(&self, time: Duration) {
+        if self.site.lock().servers[JOINING].is_up {
+            return;
+        }
+        self.site.join(JOINING);
+        let before = self.name(JOINING);
+        sleep(time);
+        let leads = || self.site.lock().servers[JOINING].is_primary;
+        if self.name(JOINING) != before || leads() {
+            return;
+        }
+        self.site.drain(JOINING);
+        sleep(DRAIN_TIME);
+        // A primary stays, since its log would be gone with it.
+        if self.name(JOINING) == before && !leads() && self.site.crash(JOINING) {
+            self.site.remove_entry(JOINING);
+            self.site.clear(JOINING);
+        }
+    }
+
+    fn late_order(&self, order: LateOrder) {
+        let index = self.resolve(Target::Primary);
+        let deaf = order
+            .deaf
+            .map(|(nth, time)| (self.resolve(Target::Replica(nth)), time));
+        let started = Instant::now();
+        let set_delay = |delay: Option<Duration>| {
+            if let Some(network) = &mut self.site.lock().network {
+                network.next_delay = delay;
+            }
+        };
+        set_delay(Some(millis(order.late_ms)));
+        if order.is_silent {
+            self.site.disrupt(index, "is silent", |server| {
+                server.silent_until = Some(started + ORDER_LIMIT);
+            });
+        } else if !self.site.crash(index) {
+            set_delay(None);
+            return;
+        }
+        let sender = self.wait_for_sender(true, started);
+        let ordered_at = Instant::now();
+        set_delay(None);
+        if let Some((replica, time)) = deaf {
+            self.site.disrupt(replica, "receives nothing", |server| {
+                server.deaf_until = Some(ordered_at + millis(time));
+            });
+        }
+        thread::scope(|scope| {
+            if let Some(node) = sender {
+                scope.spawn(move || {
+                    sleep(millis(order.kill_ms));
+                    self.kill(&[node], millis(order.down_ms));
+                });
+            }
+            sleep(millis(order.away_ms));
+            if order.is_silent {
+                self.site
+                    .disrupt(index, "goes on", |server| server.silent_until = None);
+            } else {
+                self.site.restart(index);
+            }
+            if let Some(time) = order.again_ms {
+                sleep(millis(time));
+                self.crash(index, millis(order.away_ms + 1000));
+            }
+        });
+    }
+
+    fn selected(&self, nodes: u8) -> Vec<String> {
+        let names = self.names.iter().enumerate();
+        let names = names.filter(|(index, _)| nodes & (1 << index) != 0);
+        names.map(|(_, name)| name.clone()).collect()
+    }
+
+    fn carry_out(&self, action: Action) {
+        let site = &self.site;
+        site.note(&format!("starts: {action:?}"));
+        let until = |time: u64| Instant::now() + millis(time);
+        match action {
+            Action::Crash { target, for_ms } => self.crash(self.resolve(target), millis(for_ms)),
+            Action::Pair {
+                targets,
+                gap_ms,
+                for_ms,
+            } => {
+                let [first, second] = targets.map(|target| self.resolve(target));
+                thread::scope(|scope| {
+                    scope.spawn(|| self.crash(first, millis(for_ms[0])));
+                    sleep(millis(gap_ms));
+                    self.crash(second, millis(for_ms[1]));
+                });
+            }
+            Action::Silence { target, for_ms } => {
+                site.disrupt(self.resolve(target), "is silent", |server| {
+                    server.silent_until = Some(until(for_ms));
+                });
+            }
+            Action::Deaf { target, for_ms } => {
+                site.disrupt(self.resolve(target), "receives nothing", |server| {
+                    server.deaf_until = Some(until(for_ms));
+                });
+            }
+            Action::Lag {
+                target,
+                delay_ms,
+                for_ms,
+            } => site.disrupt(self.resolve(target), "receives late", |server| {
+                server.lag = Some((until(for_ms), millis(delay_ms)));
+            }),
+            Action::Isolate { for_ms } => {
+                site.disrupt(
+                    self.resolve(Target::Primary),
+                    "reaches no replica",
+                    |server| {
+                        server.isolated_until = Some(until(for_ms));
+                    },
+                );
+            }
+            Action::StoreCut { target, for_ms } => {
+                site.disrupt(
+                    self.resolve(target),
+                    "is cut off from the store",
+                    |server| {
+                        server.cut_until = Some(until(for_ms));
+                    },
+                );
+            }
+            Action::NodeCut {
+                target,
+                nodes,
+                for_ms,
+            } => {
+                let (index, names) = (self.resolve(target), self.selected(nodes));
+                let text = format!("is cut off from {}", names.join(" "));
+                site.disrupt(index, &text, |server| {
+                    let cuts = names.iter().map(|name| (name.clone(), until(for_ms)));
+                    server.cut_nodes.extend(cuts);
+                });
+                sleep(millis(for_ms));
+                site.close_unreachable(index, &names, millis(for_ms));
+            }
+            Action::StoreDown { is_silent, for_ms } => {
+                {
+                    let store = &mut site.lock().store;
+                    let end = if is_silent {
+                        &mut store.silent_until
+                    } else {
+                        &mut store.down_until
+                    };
+                    *end = Some(until(for_ms));
+                }
+                site.changed.notify_all();
+            }
+            Action::Refuse { nodes, for_ms } => {
+                let refused = self.selected(nodes).into_iter();
+                let refused = refused.map(|name| (name, until(for_ms)));
+                site.lock().store.refused.extend(refused);
+                site.changed.notify_all();
+            }
+            Action::Kill {
+                choice,
+                after_ms,
+                for_ms,
+            } => {
+                let nodes = self.choose(choice);
+                sleep(millis(after_ms));
+                self.kill(&nodes, millis(for_ms));
+            }
+            Action::Stop {
+                choice,
+                after_ms,
+                for_ms,
+            } => {
+                let nodes = self.choose(choice);
+                sleep(millis(after_ms));
+                for index in nodes {
+                    self.stop(index, millis(for_ms));
+                }
+            }
+            Action::Release { target, gap_ms } => {
+                self.release(self.resolve(target), millis(gap_ms));
+            }
+            Action::Join { for_ms } => self.join(millis(for_ms)),
+            Action::LateOrder(order) => self.late_order(order),
+        }
+    }
+}
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -9,9 +9,13 @@
     time::{Duration, Instant},
 };
 
+use rand::Rng as _;
 use serde_json::{Value, json};
 
-use crate::site::{Site, Store};
+use crate::site::{Site, Store, lasts};
+
+/// Time for which the connection of an order without an answer stays open.
+const UNANSWERED_TIME: Duration = Duration::from_secs(15);
 
 struct Request {
     method: String,
@@ -21,22 +25,24 @@
     body: Vec<u8>,
 }
 
-/// Serves connections; runs until the process ends.
-pub fn serve(site: &Arc<Site>, listener: TcpListener) {
-    let site = site.clone();
+/// Serves the connections of a node; runs until the process ends.
+pub fn serve(site: &Arc<Site>, listener: TcpListener, node: &str) {
+    let (site, node) = (site.clone(), node.to_string());
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let site = site.clone();
-            thread::spawn(move || serve_connection(&site, &stream));
+            let (site, node) = (site.clone(), node.clone());
+            thread::spawn(move || serve_connection(&site, &stream, &node));
         }
     });
 }
 
-fn serve_connection(site: &Arc<Site>, stream: &TcpStream) {
+fn serve_connection(site: &Arc<Site>, stream: &TcpStream, node: &str) {
     let _ = stream.set_nodelay(true);
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
-        let (status, body) = respond(site, &request);
+        let Some((status, body)) = respond(site, &request, node) else {
+            return;
+        };
         let body = body.to_string();
         let text = format!(
             "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: {}\r\n\r\n{body}",
@@ -105,18 +111,45 @@
     String::from_utf8_lossy(&out).into_owned()
 }
 
-fn respond(site: &Arc<Site>, request: &Request) -> (u16, Value) {
+/// Returns status and body of an answer, or `None` if none is given.
+fn respond(site: &Arc<Site>, request: &Request, node: &str) -> Option<(u16, Value)> {
     if request.path == "/promote" {
         return promote(site, request);
     }
-    if site.lock().store.is_down {
-        return (503, json!({}));
+    if let Some(is_performed) = wait_while_silent(site) {
+        if is_performed && request.path == "/rows-tx" {
+            transact(site, request, node);
+        }
+        return None;
+    }
+    if site.lock().store.refuses(node) {
+        return Some((503, json!({})));
     }
-    match (request.method.as_str(), request.path.as_str()) {
+    let answer = match (request.method.as_str(), request.path.as_str()) {
         ("GET", "/rows-get") => (200, get_rows(site, request)),
-        ("GET", "/rows-feed") => feed(site, request),
-        ("POST", "/rows-tx") => transact(site, request),
+        ("GET", "/rows-feed") => feed(site, request, node),
+        ("POST", "/rows-tx") => transact(site, request, node),
         _ => (404, json!({})),
+    };
+    match wait_while_silent(site) {
+        Some(_) => None,
+        None => Some(answer),
+    }
+}
+
+/// Waits until the store answers again. If it was silent, returns whether it still carries a call out
+/// that it got meanwhile.
+fn wait_while_silent(site: &Site) -> Option<bool> {
+    let mut was_silent = false;
+    loop {
+        let mut world = site.lock();
+        if !lasts(world.store.silent_until) {
+            let network = world.network.as_mut().filter(|_| was_silent)?;
+            return Some(network.rng.random_bool(0.5));
+        }
+        was_silent = true;
+        drop(world);
+        thread::sleep(Duration::from_millis(10));
     }
 }
 
@@ -154,7 +187,7 @@
     u64::try_from(site.started.elapsed().as_millis()).unwrap_or_default() + 1_000_000
 }
 
-fn feed(site: &Site, request: &Request) -> (u16, Value) {
+fn feed(site: &Site, request: &Request, node: &str) -> (u16, Value) {
     let parameter = |name: &str| request.parameters.get(name).cloned().unwrap_or_default();
     let table = parameter("table");
     let after: u64 = parameter("after").parse().unwrap_or_default();
@@ -162,7 +195,7 @@
     let until = Instant::now() + wait.min(Duration::from_secs(30));
     let mut world = site.lock();
     loop {
-        if world.store.is_down {
+        if world.store.refuses(node) {
             return (503, json!({}));
         }
         let store = &world.store;
@@ -197,7 +230,7 @@
     }
 }
 
-fn transact(site: &Site, request: &Request) -> (u16, Value) {
+fn transact(site: &Site, request: &Request, node: &str) -> (u16, Value) {
     let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
         return (400, json!({}));
     };
@@ -226,14 +259,34 @@
         store.put(&text(&entry, "table"), &text(&entry, "key"), None);
     }
     let version = store.version;
+    let mut tables = list("set_keys").into_iter();
+    if tables.any(|entry| entry["table"] == "failover") {
+        world.last_lease = Some((node.to_string(), Instant::now()));
+    }
     site.changed.notify_all();
     (200, json!({"row_version": version, "now_ms": now_ms(site)}))
 }
 
-fn promote(site: &Arc<Site>, request: &Request) -> (u16, Value) {
+fn promote(site: &Arc<Site>, request: &Request) -> Option<(u16, Value)> {
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
     let token = header("fencing-token").parse().unwrap_or_default();
     let id = body["id"].as_str().unwrap_or_default();
-    (site.order(id, &header("lease-holder"), token), json!({}))
+    let holder = header("lease-holder");
+    site.lock().last_order = Some((holder.clone(), Instant::now()));
+    let Some(delay) = site.draw_delay() else {
+        return Some((site.order(id, &holder, token), json!({})));
+    };
+    let millis = delay.as_millis();
+    site.note(&format!(
+        "order: {holder} orders to promote {id} under token {token}: no answer, carried out after {millis} ms"
+    ));
+    let (late, id) = (site.clone(), id.to_string());
+    thread::spawn(move || {
+        thread::sleep(delay);
+        late.order(&id, &holder, token);
+    });
+    // The connection stays open and delivers nothing.
+    thread::sleep(UNANSWERED_TIME);
+    None
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -7,10 +7,13 @@
 //! Other variables change single cases: `KILL=0` leaves out the kill of the nodes in `forgotten`, and
 //! `KILL=early` kills them before the store is back; `AWAY_S` is the number of seconds for which the
 //! replica of `late` is down (66); with `CRASH=0` the second replica of `alone` receives nothing
-//! instead of crashing; with `CUT=0` the new server of `successor` reaches the store.
+//! instead of crashing; with `CUT=0` the new server of `successor` reaches the store. `drawn` takes its
+//! disruptions from the number `SEED` (0) and lasts `SECONDS` (60). `KEEP` keeps the nodes' logs.
 
 mod client;
 mod database;
+mod disruptions;
+mod drawn;
 mod http;
 mod node;
 mod scenarios;
@@ -54,19 +57,15 @@
     site.lock().store.put_json("op", "config", &configuration);
     let expiry = site.clone();
     thread::spawn(move || expiry.run_expiry());
-    let listener = node::free_listener()?;
-    let address = listener.local_addr()?;
-    http::serve(site, listener);
     let node = |index: usize| {
         let zone = ZONES[index / 2];
-        Node::start(
-            directory,
-            &format!("edge-{zone}-{}", index % 2 + 1),
-            zone,
-            address,
-        )
+        let name = format!("edge-{zone}-{}", index % 2 + 1);
+        let listener = node::free_listener()?;
+        let address = listener.local_addr()?;
+        http::serve(site, listener, &name);
+        Ok(Node::start(directory, &name, zone, address))
     };
-    Ok((0..8).map(node).collect())
+    (0..drawn::NODES).map(node).collect()
 }
 
 fn main() -> ExitCode {
@@ -85,6 +84,9 @@
     let cuts_new_server = env::var("CUT").as_deref() != Ok("0");
     let away = env::var("AWAY_S").ok().and_then(|text| text.parse().ok());
     let away = Duration::from_secs(away.unwrap_or(66));
+    let number = |name: &str| env::var(name).ok().and_then(|text| text.parse().ok());
+    let seed = number("SEED").unwrap_or_default();
+    let seconds = number("SECONDS").unwrap_or(60);
     let directory = env::temp_dir().join(format!("review-{}", std::process::id()));
     let Ok(file) = File::create(record) else {
         eprintln!("cannot write {record}");
@@ -107,6 +109,7 @@
                 "join" => scenarios::join(&site, &nodes, has_trouble),
                 "memory" => scenarios::memory(&site, &mut nodes, has_trouble),
                 "text" => scenarios::text(&site, &nodes, has_trouble),
+                "drawn" => disruptions::run(&site, nodes, has_trouble, seed, seconds),
                 _ => Err(format!("there is no case {case}")),
             }
         }
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -19,6 +19,8 @@
     readiness: SocketAddr,
     settings: PathBuf,
     child: Child,
+    /// Whether the process was killed and not started again.
+    is_killed: bool,
 }
 
 /// Range of the ports of nodes and servers. It lies below the ports that the kernel gives to outgoing
@@ -84,6 +86,7 @@
             readiness: addresses[1],
             child: start_process(&path),
             settings: path,
+            is_killed: false,
         }
     }
 
@@ -104,15 +107,30 @@
         self.start_again();
     }
 
-    /// Kills the process and waits until it has ended.
-    pub fn kill(&mut self) {
+    /// Kills the process and waits until it has ended. Returns whether it had not been killed before.
+    pub fn kill(&mut self) -> bool {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        !std::mem::replace(&mut self.is_killed, true)
+    }
+
+    /// Returns the number of the process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal to the process unless it was killed.
+    pub fn signal(&self, name: &str) {
+        if !self.is_killed {
+            let number = self.child.id().to_string();
+            let _ = Command::new("kill").args([name, &number]).status();
+        }
     }
 
     /// Starts the process of a killed node.
     pub fn start_again(&mut self) {
         self.child = start_process(&self.settings);
+        self.is_killed = false;
     }
 
     /// Whether a line of the node's log contains all texts.
--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -11,17 +11,17 @@
 
 use crate::{client::Client, node::Node, site::Site};
 
-type Broken = Result<Vec<String>, String>;
+pub type Broken = Result<Vec<String>, String>;
 
 /// Clients that write one item after the other, and note what was acknowledged.
-struct Writers {
+pub struct Writers {
     is_over: Arc<AtomicBool>,
     acknowledged: Arc<Mutex<Vec<String>>>,
     threads: Vec<JoinHandle<()>>,
 }
 
 impl Writers {
-    fn start(site: &Arc<Site>, nodes: &[Node]) -> Self {
+    pub fn start(site: &Arc<Site>, nodes: &[Node]) -> Self {
         let (is_over, acknowledged) = (Arc::new(AtomicBool::new(false)), Arc::default());
         let next = Arc::new(AtomicU64::new(1));
         let start = |node: &Node| {
@@ -82,7 +82,7 @@
     }
 }
 
-fn millis(value: u64) -> Duration {
+pub fn millis(value: u64) -> Duration {
     Duration::from_millis(value)
 }
 
@@ -100,7 +100,8 @@
     None
 }
 
-fn finish(site: &Site, writers: Writers) -> Broken {
+/// Stops the clients and returns what broke the rule.
+pub fn finish(site: &Site, writers: Writers) -> Broken {
     let acknowledged = writers.stop();
     let promotions = site.lock().promoted.len();
     site.note(&format!(
@@ -206,7 +207,9 @@
 }
 
 fn kill_all(site: &Site, nodes: &mut [Node]) {
-    nodes.iter_mut().for_each(Node::kill);
+    for node in nodes.iter_mut() {
+        node.kill();
+    }
     site.note("all nodes are killed");
     nodes.iter_mut().for_each(Node::start_again);
 }
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -1,7 +1,7 @@
 //! State of the stand-in platform: the metadata store and the database servers of one service.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     fs::File,
     io::Write as _,
     net::{Shutdown, TcpStream},
@@ -11,6 +11,7 @@
 };
 
 use base64::{Engine as _, prelude::BASE64_STANDARD};
+use rand::{Rng as _, rngs::SmallRng};
 use serde_json::{Value, json};
 
 /// Name of the service.
@@ -21,6 +22,15 @@
 pub const MAX_CONNECTIONS: usize = 32;
 /// Time from the order of a promotion until the server leads.
 pub const PROMOTION_TIME: Duration = Duration::from_millis(1000);
+/// Time for which a replica is busy once commits were rolled back.
+const ROLLBACK_TIME: Duration = Duration::from_millis(200);
+/// Time after which a server drops a connection whose remote end is unreachable.
+const UNREACHABLE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Whether a condition that ends at a time still lasts.
+pub fn lasts(until: Option<Instant>) -> bool {
+    until.is_some_and(|end| Instant::now() < end)
+}
 
 pub struct Row {
     pub value: String,
@@ -36,9 +46,25 @@
     pub changes: Vec<(u64, String, String)>,
     /// Whether the store answers 503 to everything.
     pub is_down: bool,
+    /// Until when the store answers 503 to everything.
+    pub down_until: Option<Instant>,
+    /// Until when the store answers nothing.
+    pub silent_until: Option<Instant>,
+    /// Nodes that are turned away, and until when.
+    pub refused: HashMap<String, Instant>,
 }
 
 impl Store {
+    /// Whether no call succeeds.
+    pub fn is_unavailable(&self) -> bool {
+        self.is_down || lasts(self.down_until) || lasts(self.silent_until)
+    }
+
+    /// Whether the calls of a node are refused.
+    pub fn refuses(&self, node: &str) -> bool {
+        self.is_down || lasts(self.down_until) || lasts(self.refused.get(node).copied())
+    }
+
     pub fn put(&mut self, table: &str, key: &str, value: Option<String>) {
         self.version += 1;
         let version = self.version;
@@ -70,6 +96,25 @@
     pub writes: Vec<(Vec<u8>, Vec<u8>)>,
 }
 
+/// The end of a primary's log on its way to a replica.
+pub struct Transfer {
+    arrives_at: Instant,
+    /// Index of the primary.
+    from: usize,
+    term: u64,
+    /// Length of the log.
+    length: usize,
+}
+
+/// How orders and commits travel in drawn runs.
+pub struct Network {
+    pub rng: SmallRng,
+    /// Share of the orders that get no answer and are carried out late.
+    pub late_share: f64,
+    /// Delay of the next order.
+    pub next_delay: Option<Duration>,
+}
+
 /// A database server.
 pub struct Server {
     pub id: String,
@@ -92,7 +137,24 @@
     pub born: u64,
     pub sequence: u64,
     pub last_report: Instant,
-    pub streams: Vec<TcpStream>,
+    /// Connections, and the names of the nodes at their other ends.
+    pub streams: Vec<(String, TcpStream)>,
+    /// Until when the replica receives nothing.
+    pub deaf_until: Option<Instant>,
+    /// Until when the process does not run.
+    pub silent_until: Option<Instant>,
+    /// Until when the server reaches no other server.
+    pub isolated_until: Option<Instant>,
+    /// Until when the server does not reach the store.
+    pub cut_until: Option<Instant>,
+    /// Until when the replica is busy with a rollback.
+    pub busy_until: Option<Instant>,
+    /// Additional delay of the commits that the replica receives, and until when it holds.
+    pub lag: Option<(Instant, Duration)>,
+    /// Nodes that do not reach the server, and until when.
+    pub cut_nodes: HashMap<String, Instant>,
+    /// Parts of the log that are on their way, first to arrive first.
+    pub transfers: VecDeque<Transfer>,
 }
 
 impl Server {
@@ -111,6 +173,25 @@
         format!("{role} {term} {position} {held} 0 0 {}", self.streams.len())
     }
 
+    pub fn is_silent(&self) -> bool {
+        lasts(self.silent_until)
+    }
+
+    /// Whether other servers reach the server.
+    pub fn is_linked(&self) -> bool {
+        !self.is_silent() && !lasts(self.isolated_until)
+    }
+
+    /// Whether the server is a replica that takes commits from its primary.
+    fn receives(&self) -> bool {
+        self.is_up
+            && !self.is_primary
+            && !self.is_deaf
+            && self.paused_term == 0
+            && !lasts(self.deaf_until)
+            && self.is_linked()
+    }
+
     /// Makes the log equal to a primary's log. Two logs that have an entry of the same term and number
     /// are equal up to it.
     fn follow(&mut self, log: &[Commit]) {
@@ -122,6 +203,7 @@
             self.log.extend_from_slice(&log[end..]);
         } else {
             self.log = log.to_vec();
+            self.busy_until = Some(Instant::now() + ROLLBACK_TIME);
         }
     }
 
@@ -140,6 +222,14 @@
     pub token: u64,
     /// Id of the server whose promotion was ordered last.
     pub ordered: Option<String>,
+    /// Sender and time of the latest order.
+    pub last_order: Option<(String, Instant)>,
+    /// Node that last wrote a row of the table `failover`, and when.
+    pub last_lease: Option<(String, Instant)>,
+    /// Time from an order until its server leads.
+    pub promotion_time: Duration,
+    /// `None` if commits reach the replicas at once and all orders are answered.
+    pub network: Option<Network>,
     /// Ids of servers that restarted under another id, and when their entries lapse.
     pub former_ids: Vec<(String, Instant)>,
     /// Term in which each statement was committed.
@@ -182,6 +272,14 @@
             sequence: 0,
             last_report: Instant::now(),
             streams: Vec::new(),
+            deaf_until: None,
+            silent_until: None,
+            isolated_until: None,
+            cut_until: None,
+            busy_until: None,
+            lag: None,
+            cut_nodes: HashMap::new(),
+            transfers: VecDeque::new(),
         };
         Arc::new(Self {
             world: Mutex::new(World {
@@ -189,6 +287,10 @@
                 servers: zones.iter().enumerate().map(server).collect(),
                 token: 0,
                 ordered: None,
+                last_order: None,
+                last_lease: None,
+                promotion_time: PROMOTION_TIME,
+                network: None,
                 former_ids: Vec::new(),
                 committed: HashMap::new(),
                 runs: Vec::new(),
@@ -213,6 +315,10 @@
 
     /// Copies the primary's log to every replica that receives.
     pub fn replicate(&self, world: &mut World) {
+        if world.network.is_some() {
+            send_log(world);
+            return;
+        }
         let leading = world.servers.iter().enumerate();
         let leading = leading.filter(|(_, server)| server.is_up && server.is_primary);
         let Some((primary, _)) = leading.max_by_key(|(_, server)| server.term) else {
@@ -221,7 +327,7 @@
         let term = world.servers[primary].term;
         let log = std::mem::take(&mut world.servers[primary].log);
         for server in &mut world.servers {
-            if server.is_up && !server.is_primary && !server.is_deaf && server.paused_term == 0 {
+            if server.receives() {
                 server.term = term;
                 server.follow(&log);
             }
@@ -234,7 +340,8 @@
     pub fn report(&self, world: &mut World, index: usize) {
         let World { store, servers, .. } = world;
         let server = &mut servers[index];
-        if !server.is_up || server.is_store_cut || store.is_down {
+        let is_cut = server.is_store_cut || lasts(server.cut_until);
+        if !server.is_up || server.is_silent() || is_cut || store.is_unavailable() {
             return;
         }
         server.last_report = Instant::now();
@@ -310,17 +417,79 @@
         }
     }
 
-    /// Crashes a server. Its entry lapses by itself.
-    pub fn crash(&self, index: usize) {
+    /// Delivers commits that are on their way to replicas; runs until the process ends.
+    pub fn run_delivery(self: Arc<Self>) {
+        loop {
+            thread::sleep(Duration::from_millis(1));
+            let mut world = self.lock();
+            send_log(&mut world);
+            if deliver(&mut world) {
+                self.changed.notify_all();
+            }
+        }
+    }
+
+    /// Waits until a server and a node reach each other. Returns whether their connection is still
+    /// open then.
+    pub fn wait_for_link(&self, index: usize, epoch: u64, node: &str) -> bool {
+        let mut unreachable_since = None;
+        loop {
+            let mut world = self.lock();
+            let server = &mut world.servers[index];
+            if server.epoch != epoch || !server.is_up {
+                return false;
+            }
+            let is_cut = lasts(server.cut_nodes.get(node).copied());
+            if is_cut {
+                unreachable_since.get_or_insert_with(Instant::now);
+            } else if !server.is_silent() {
+                return unreachable_since.is_none_or(|since| since.elapsed() < UNREACHABLE_LIMIT);
+            }
+            drop(world);
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// Closes the connections of nodes that were unreachable for too long.
+    pub fn close_unreachable(&self, index: usize, nodes: &[String], time: Duration) {
+        if time < UNREACHABLE_LIMIT {
+            return;
+        }
+        for (node, stream) in &self.lock().servers[index].streams {
+            if nodes.contains(node) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    /// Returns how late an order is to be carried out that gets no answer.
+    pub fn draw_delay(&self) -> Option<Duration> {
+        let mut world = self.lock();
+        let network = world.network.as_mut()?;
+        if let Some(delay) = network.next_delay.take() {
+            return Some(delay);
+        }
+        let is_late = network.rng.random_bool(network.late_share);
+        is_late.then(|| Duration::from_millis(network.rng.random_range(2000..=12_000)))
+    }
+
+    /// Crashes a server. Its entry lapses by itself. Returns whether it was up.
+    pub fn crash(&self, index: usize) -> bool {
         let mut world = self.lock();
         let server = &mut world.servers[index];
+        if !server.is_up {
+            return false;
+        }
         server.is_up = false;
+        server.transfers.clear();
+        server.silent_until = None;
         server.epoch += 1;
-        for stream in server.streams.drain(..) {
+        for (_, stream) in server.streams.drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
         self.note(&format!("server {} crashes", server.id));
         self.changed.notify_all();
+        true
     }
 
     /// Lets a server report that it leaves.
@@ -334,6 +503,30 @@
     /// Ends a server that has reported that it leaves, and removes its entry.
     pub fn leave(&self, index: usize) {
         self.crash(index);
+        self.remove_entry(index);
+    }
+
+    /// Starts or ends a condition of a server.
+    pub fn disrupt(&self, index: usize, text: &str, change: impl FnOnce(&mut Server)) {
+        let mut world = self.lock();
+        change(&mut world.servers[index]);
+        self.note(&format!("server {} {text}", world.servers[index].id));
+        self.changed.notify_all();
+    }
+
+    /// Deletes the log of a server that has left. A later one gets another id.
+    pub fn clear(&self, index: usize) {
+        let mut world = self.lock();
+        let server = &mut world.servers[index];
+        server.log.clear();
+        server.is_draining = false;
+        server.is_primary = false;
+        server.paused_term = 0;
+        server.id.push('n');
+    }
+
+    /// Removes the entry of a server that has left.
+    pub fn remove_entry(&self, index: usize) {
         let mut world = self.lock();
         let id = world.servers[index].id.clone();
         world.store.put("servers", &id, None);
@@ -388,6 +581,7 @@
     /// Handles an order to promote a server and returns the status of the answer.
     pub fn order(self: &Arc<Self>, id: &str, holder: &str, token: u64) -> u16 {
         let mut world = self.lock();
+        let promotion_time = world.promotion_time;
         let status = if token < world.token {
             409
         } else {
@@ -399,7 +593,7 @@
                     world.ordered = Some(id.to_string());
                     let (site, id) = (self.clone(), id.to_string());
                     thread::spawn(move || {
-                        thread::sleep(PROMOTION_TIME);
+                        thread::sleep(promotion_time);
                         site.promote(index, &id);
                     });
                     200
@@ -423,6 +617,7 @@
         let term = world.servers.iter().map(|s| s.term).max().unwrap_or(1) + 1;
         for (other, server) in world.servers.iter_mut().enumerate() {
             server.is_primary = other == index;
+            server.transfers.clear();
             server.paused_term = 0;
         }
         let server = &mut world.servers[index];
@@ -454,3 +649,73 @@
         lost
     }
 }
+
+/// Sends the end of the primary's log to the replicas that receive and have not been sent it.
+fn send_log(world: &mut World) {
+    let Some(network) = &mut world.network else {
+        return;
+    };
+    let leading = world.servers.iter().enumerate();
+    let leading = leading.filter(|(_, s)| s.is_up && s.is_primary && s.is_linked());
+    let Some((from, primary)) = leading.max_by_key(|(_, s)| s.term) else {
+        return;
+    };
+    let (term, length) = (primary.term, primary.log.len());
+    let end = primary.log.last().map(|c| (c.term, c.number));
+    for server in &mut world.servers {
+        if !server.receives() {
+            continue;
+        }
+        let is_sent = match server.transfers.back() {
+            Some(last) => (last.from, last.term, last.length) == (from, term, length),
+            None => {
+                let own_end = server.log.last().map(|c| (c.term, c.number));
+                (server.term, own_end) == (term, end)
+            }
+        };
+        if is_sent {
+            continue;
+        }
+        let lag = server.lag.filter(|(until, _)| lasts(Some(*until)));
+        let lag = lag.map_or(Duration::ZERO, |(_, delay)| delay);
+        let delay = Duration::from_micros(network.rng.random_range(1000..=8000)) + lag;
+        let earlier = server.transfers.back().map(|last| last.arrives_at);
+        let arrives_at = earlier
+            .unwrap_or_else(Instant::now)
+            .max(Instant::now() + delay);
+        server.transfers.push_back(Transfer {
+            arrives_at,
+            from,
+            term,
+            length,
+        });
+    }
+}
+
+/// Applies what has arrived at the replicas. Returns whether anything has.
+fn deliver(world: &mut World) -> bool {
+    let mut has_arrived = false;
+    for index in 0..world.servers.len() {
+        loop {
+            let server = &mut world.servers[index];
+            let is_due = |first: &mut Transfer| first.arrives_at <= Instant::now();
+            let Some(transfer) = server.transfers.pop_front_if(is_due) else {
+                break;
+            };
+            if !server.receives() || transfer.from == index || server.term > transfer.term {
+                continue;
+            }
+            let primary = &mut world.servers[transfer.from];
+            if primary.term != transfer.term || primary.log.len() < transfer.length {
+                continue;
+            }
+            let log = std::mem::take(&mut primary.log);
+            let server = &mut world.servers[index];
+            server.term = transfer.term;
+            server.follow(&log[..transfer.length]);
+            world.servers[transfer.from].log = log;
+            has_arrived = true;
+        }
+    }
+    has_arrived
+}
