--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -247,7 +247,8 @@
     pub started: Instant,
 }
 
-fn unix_millis() -> u64 {
+/// Returns the time of the wall clock.
+pub fn unix_millis() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or_default()
 }
@@ -666,12 +667,11 @@
         if !server.receives() {
             continue;
         }
-        let is_sent = match server.transfers.back() {
-            Some(last) => (last.from, last.term, last.length) == (from, term, length),
-            None => {
-                let own_end = server.log.last().map(|c| (c.term, c.number));
-                (server.term, own_end) == (term, end)
-            }
+        let is_sent = if let Some(last) = server.transfers.back() {
+            (last.from, last.term, last.length) == (from, term, length)
+        } else {
+            let own_end = server.log.last().map(|c| (c.term, c.number));
+            (server.term, own_end) == (term, end)
         };
         if is_sent {
             continue;
