--- a/review/standin/src/drawn.rs
+++ b/review/standin/src/drawn.rs
@@ -211,7 +211,7 @@
         late_ms,
         kill_ms: rng.random_range(0..=200),
         down_ms: rng.random_range(500..8000),
-        away_ms: rng.random_range(0..5000),
+        away_ms: rng.random_range(0..3500),
         deaf: rng.random_bool(0.8).then(|| {
             let last = late_ms + 2500;
             (
@@ -219,7 +219,7 @@
                 rng.random_range(1000..last),
             )
         }),
-        again_ms: rng.random_bool(0.5).then(|| rng.random_range(100..3000)),
+        again_ms: rng.random_bool(0.7).then(|| rng.random_range(100..3000)),
     }
 }
 
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -548,6 +548,7 @@
         server.is_up = true;
         server.is_draining = false;
         server.paused_term = 0;
+        server.silent_until = None;
         server.born = unix_millis();
         server.sequence = 0;
         let (role, position) = (
