--- a/review/standin/src/disruptions.rs
+++ b/review/standin/src/disruptions.rs
@@ -15,7 +15,7 @@
     drawn::{Action, Choice, LateOrder, Plan, Target},
     node::Node,
     scenarios::{Broken, Writers, finish, millis},
-    site::{Network, Site, unix_millis},
+    site::{Delay, Network, Site, unix_millis},
 };
 
 /// Time from an order until its server leads.
@@ -222,12 +222,15 @@
             .deaf
             .map(|(nth, time)| (self.resolve(Target::Replica(nth)), time));
         let started = Instant::now();
-        let set_delay = |delay: Option<Duration>| {
+        let set_delay = |delay: Option<Delay>| {
             if let Some(network) = &mut self.site.lock().network {
                 network.next_delay = delay;
             }
         };
-        set_delay(Some(millis(order.late_ms)));
+        set_delay(Some(Delay {
+            time: millis(order.late_ms),
+            follow: order.follow_ms.map(millis),
+        }));
         if order.is_silent {
             self.site.disrupt(index, "is silent", |server| {
                 server.silent_until = Some(started + ORDER_LIMIT);
@@ -238,7 +241,9 @@
         }
         let sender = self.wait_for_sender(true, started);
         let ordered_at = Instant::now();
-        set_delay(None);
+        if sender.is_none() {
+            set_delay(None);
+        }
         if let Some((replica, time)) = deaf {
             self.site.disrupt(replica, "receives nothing", |server| {
                 server.deaf_until = Some(ordered_at + millis(time));
--- a/review/standin/src/drawn.rs
+++ b/review/standin/src/drawn.rs
@@ -114,6 +114,9 @@
     pub is_silent: bool,
     /// Time from the order until it is carried out.
     pub late_ms: u64,
+    /// If the next order is sent in the meantime, it gets no answer either, and the first one is carried
+    /// out this time after it.
+    pub follow_ms: Option<u64>,
     /// Time from the order until its sender is killed.
     pub kill_ms: u64,
     /// Time for which the sender is down.
@@ -209,6 +212,7 @@
     LateOrder {
         is_silent: rng.random_bool(0.4),
         late_ms,
+        follow_ms: rng.random_bool(0.6).then(|| rng.random_range(0..1500)),
         kill_ms: rng.random_range(0..=200),
         down_ms: rng.random_range(500..8000),
         away_ms: rng.random_range(0..3500),
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -273,17 +273,19 @@
     let token = header("fencing-token").parse().unwrap_or_default();
     let id = body["id"].as_str().unwrap_or_default();
     let holder = header("lease-holder");
-    site.lock().last_order = Some((holder.clone(), Instant::now()));
+    let sent_at = Instant::now();
+    site.lock().last_order = Some((holder.clone(), sent_at));
     let Some(delay) = site.draw_delay() else {
         return Some((site.order(id, &holder, token), json!({})));
     };
-    let millis = delay.as_millis();
+    let millis = delay.time.as_millis();
+    let follow = delay.follow.map(|time| time.as_millis());
     site.note(&format!(
-        "order: {holder} orders to promote {id} under token {token}: no answer, carried out after {millis} ms"
+        "order: {holder} orders to promote {id} under token {token}: no answer, carried out after {millis} ms, or {follow:?} ms after the next order"
     ));
     let (late, id) = (site.clone(), id.to_string());
     thread::spawn(move || {
-        thread::sleep(delay);
+        late.wait_for_delay(sent_at, delay);
         late.order(&id, &holder, token);
     });
     // The connection stays open and delivers nothing.
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -27,6 +27,9 @@
 /// Time after which a server drops a connection whose remote end is unreachable.
 const UNREACHABLE_LIMIT: Duration = Duration::from_secs(3);
 
+/// Shortest time until an order without an answer is carried out.
+const SHORTEST_DELAY: Duration = Duration::from_secs(2);
+
 /// Whether a condition that ends at a time still lasts.
 pub fn lasts(until: Option<Instant>) -> bool {
     until.is_some_and(|end| Instant::now() < end)
@@ -112,7 +115,25 @@
     /// Share of the orders that get no answer and are carried out late.
     pub late_share: f64,
     /// Delay of the next order.
-    pub next_delay: Option<Duration>,
+    pub next_delay: Option<Delay>,
+}
+
+/// When an order without an answer is carried out.
+#[derive(Clone, Copy)]
+pub struct Delay {
+    pub time: Duration,
+    /// Time after the next order, if that comes first.
+    pub follow: Option<Duration>,
+}
+
+impl Network {
+    /// Draws a delay of 2 to 12 s.
+    fn draw_delay(&mut self) -> Delay {
+        Delay {
+            time: Duration::from_millis(self.rng.random_range(2000..=12_000)),
+            follow: None,
+        }
+    }
 }
 
 /// A database server.
@@ -464,14 +485,32 @@
     }
 
     /// Returns how late an order is to be carried out that gets no answer.
-    pub fn draw_delay(&self) -> Option<Duration> {
+    pub fn draw_delay(&self) -> Option<Delay> {
         let mut world = self.lock();
         let network = world.network.as_mut()?;
         if let Some(delay) = network.next_delay.take() {
+            if delay.follow.is_some() {
+                network.next_delay = Some(network.draw_delay());
+            }
             return Some(delay);
         }
         let is_late = network.rng.random_bool(network.late_share);
-        is_late.then(|| Duration::from_millis(network.rng.random_range(2000..=12_000)))
+        is_late.then(|| network.draw_delay())
+    }
+
+    /// Waits until an order that was sent at a time is to be carried out.
+    pub fn wait_for_delay(&self, sent_at: Instant, delay: Delay) {
+        let mut end = sent_at + delay.time;
+        let mut follow = delay.follow;
+        while Instant::now() < end {
+            let last = self.lock().last_order.as_ref().map(|(_, at)| *at);
+            let next = last.filter(|at| *at > sent_at);
+            if let (Some(next_at), Some(time)) = (next, follow) {
+                follow = None;
+                end = end.min((next_at + time).max(sent_at + SHORTEST_DELAY));
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
     }
 
     /// Crashes a server. Its entry lapses by itself. Returns whether it was up.
