--- a/review/standin/src/drawn.rs
+++ b/review/standin/src/drawn.rs
@@ -1,6 +1,6 @@
 //! Disruptions drawn from a seed, as plain data.
 
-use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 
 /// Number of nodes of a run.
 pub const NODES: usize = 8;
@@ -154,6 +154,9 @@
         let pace = rng.random_range(70..200);
         let mut events = Vec::new();
         let mut at_ms = CALM_MS + rng.random_range(0..1000);
+        if rng.random_bool(0.7) {
+            at_ms += mix_orders(&mut rng, at_ms, &mut events);
+        }
         let end = (seconds * 1000).saturating_sub(CALM_MS);
         while at_ms < end {
             let action = draw_action(&mut rng);
@@ -173,6 +176,31 @@
     }
 }
 
+/// Restarts a replica, then some of the nodes. These list the servers in another order, and choose
+/// another one of two with the same log. Returns how long it takes.
+fn mix_orders(rng: &mut SmallRng, at_ms: u64, events: &mut Vec<Event>) -> u64 {
+    let action = Action::Crash {
+        target: draw_replica(rng),
+        for_ms: rng.random_range(200..500),
+    };
+    events.push(Event { at_ms, action });
+    let count = rng.random_range(2..NODES - 2);
+    let mut nodes: [usize; NODES] = std::array::from_fn(|index| index);
+    nodes.shuffle(rng);
+    for index in nodes.into_iter().take(count) {
+        let action = Action::Kill {
+            choice: Choice::Index(index),
+            after_ms: 0,
+            for_ms: rng.random_range(50..500),
+        };
+        events.push(Event {
+            at_ms: at_ms + 1000,
+            action,
+        });
+    }
+    2000
+}
+
 fn draw_target(rng: &mut SmallRng) -> Target {
     match rng.random_range(0..10) {
         0..4 => Target::Primary,
