--- a/review/standin/src/disruptions.rs
+++ b/review/standin/src/disruptions.rs
@@ -15,7 +15,7 @@
     drawn::{Action, Choice, LateOrder, Plan, Target},
     node::Node,
     scenarios::{Broken, Writers, finish, millis},
-    site::{Delay, Network, Site, unix_millis},
+    site::{Delay, Network, Server, Site, unix_millis},
 };
 
 /// Time from an order until its server leads.
@@ -279,6 +279,11 @@
     fn carry_out(&self, action: Action) {
         let site = &self.site;
         site.note(&format!("starts: {action:?}"));
+        let is_led = |server: &Server| server.is_up && server.is_primary;
+        if action.needs_primary() && !site.lock().servers.iter().any(is_led) {
+            site.note("skipped: no server leads");
+            return;
+        }
         match action {
             Action::Crash { target, for_ms } => self.crash(self.resolve(target), millis(for_ms)),
             Action::Pair {
--- a/review/standin/src/drawn.rs
+++ b/review/standin/src/drawn.rs
@@ -107,6 +107,27 @@
     LateOrder(LateOrder),
 }
 
+impl Action {
+    /// Whether the disruption concerns the primary.
+    pub fn needs_primary(&self) -> bool {
+        match self {
+            Self::Crash { target, .. }
+            | Self::Silence { target, .. }
+            | Self::Deaf { target, .. }
+            | Self::Lag { target, .. }
+            | Self::StoreCut { target, .. }
+            | Self::NodeCut { target, .. }
+            | Self::Release { target, .. } => *target == Target::Primary,
+            Self::Pair { .. } | Self::Isolate { .. } | Self::LateOrder(_) => true,
+            Self::StoreDown { .. }
+            | Self::Refuse { .. }
+            | Self::Kill { .. }
+            | Self::Stop { .. }
+            | Self::Join { .. } => false,
+        }
+    }
+}
+
 /// Fields of [`Action::LateOrder`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LateOrder {
--- a/review/standin/tests/drawn.rs
+++ b/review/standin/tests/drawn.rs
@@ -93,6 +93,16 @@
     has(|a| matches!(a, Action::Join { for_ms } if *for_ms > 0));
 }
 
+#[test]
+fn disruptions_of_the_primary_need_one() {
+    let primary = Target::Primary;
+    let crash = |target| Action::Crash { target, for_ms: 1 };
+    assert!(crash(primary).needs_primary());
+    assert!(!crash(Target::Replica(0)).needs_primary());
+    assert!(Action::Isolate { for_ms: 1 }.needs_primary());
+    assert!(!Action::Join { for_ms: 1 }.needs_primary());
+}
+
 #[test]
 fn times_and_indices_are_within_bounds() {
     for action in actions() {
