--- a/review/standin/src/disruptions.rs
+++ b/review/standin/src/disruptions.rs
@@ -256,6 +256,13 @@
                     self.kill(&[node], millis(order.down_ms));
                 });
             }
+            if let Some((from, time)) = order.hidden.filter(|_| sender.is_some()) {
+                let named = self.site.lock().last_named.clone();
+                scope.spawn(move || {
+                    sleep(millis(from));
+                    self.silence_named(&named, millis(time));
+                });
+            }
             sleep(millis(order.away_ms));
             if order.is_silent {
                 self.site
@@ -270,6 +277,18 @@
         });
     }
 
+    fn silence_named(&self, id: &str, time: Duration) {
+        let index = {
+            let world = self.site.lock();
+            world.servers.iter().position(|server| server.id == id)
+        };
+        if let Some(index) = index {
+            self.site.disrupt(index, "is silent", |server| {
+                server.silent_until = Some(Instant::now() + time);
+            });
+        }
+    }
+
     fn selected(&self, nodes: u8) -> Vec<String> {
         let names = self.names.iter().enumerate();
         let names = names.filter(|(index, _)| nodes & (1 << index) != 0);
--- a/review/standin/src/drawn.rs
+++ b/review/standin/src/drawn.rs
@@ -138,6 +138,8 @@
     /// If the next order is sent in the meantime, it gets no answer either, and the first one is carried
     /// out this time after it.
     pub follow_ms: Option<u64>,
+    /// Time from the order until its server is silent, and for how long.
+    pub hidden: Option<(u64, u64)>,
     /// Time from the order until its sender is killed.
     pub kill_ms: u64,
     /// Time for which the sender is down.
@@ -261,7 +263,10 @@
     LateOrder {
         is_silent: rng.random_bool(0.4),
         late_ms,
-        follow_ms: rng.random_bool(0.6).then(|| rng.random_range(0..1500)),
+        follow_ms: rng.random_bool(0.6).then(|| rng.random_range(0..700)),
+        hidden: rng
+            .random_bool(0.5)
+            .then(|| (rng.random_range(1500..3500), rng.random_range(500..3500))),
         kill_ms: rng.random_range(0..=200),
         down_ms: rng.random_range(500..8000),
         away_ms: rng.random_range(0..3500),
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -274,7 +274,11 @@
     let id = body["id"].as_str().unwrap_or_default();
     let holder = header("lease-holder");
     let sent_at = Instant::now();
-    site.lock().last_order = Some((holder.clone(), sent_at));
+    {
+        let mut world = site.lock();
+        world.last_order = Some((holder.clone(), sent_at));
+        world.last_named = id.to_string();
+    }
     let Some(delay) = site.draw_delay() else {
         return Some((site.order(id, &holder, token), json!({})));
     };
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -245,6 +245,8 @@
     pub ordered: Option<String>,
     /// Sender and time of the latest order.
     pub last_order: Option<(String, Instant)>,
+    /// Id of the server that the latest order names.
+    pub last_named: String,
     /// Node that last wrote a row of the table `failover`, and when.
     pub last_lease: Option<(String, Instant)>,
     /// Time from an order until its server leads.
@@ -310,6 +312,7 @@
                 token: 0,
                 ordered: None,
                 last_order: None,
+                last_named: String::new(),
                 last_lease: None,
                 promotion_time: PROMOTION_TIME,
                 network: None,
