--- a/review/standin/src/drawn.rs
+++ b/review/standin/src/drawn.rs
@@ -175,6 +175,8 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let late_share = rng.random_range(0.3..=0.7);
         let pace = rng.random_range(70..200);
+        // Half of the plans consist for the most part of late orders.
+        let is_focused = rng.random_bool(0.5);
         let mut events = Vec::new();
         let mut at_ms = CALM_MS + rng.random_range(0..1000);
         if rng.random_bool(0.7) {
@@ -182,7 +184,11 @@
         }
         let end = (seconds * 1000).saturating_sub(CALM_MS);
         while at_ms < end {
-            let action = draw_action(&mut rng);
+            let action = if is_focused && rng.random_bool(0.6) {
+                Action::LateOrder(draw_late_order(&mut rng))
+            } else {
+                draw_action(&mut rng)
+            };
             events.push(Event { at_ms, action });
             // Several start together.
             at_ms += if rng.random_bool(0.3) {
@@ -261,7 +267,7 @@
 fn draw_late_order(rng: &mut SmallRng) -> LateOrder {
     let late_ms = rng.random_range(3700..=6700);
     LateOrder {
-        is_silent: rng.random_bool(0.4),
+        is_silent: rng.random_bool(0.25),
         late_ms,
         follow_ms: rng.random_bool(0.6).then(|| rng.random_range(0..700)),
         hidden: rng
