--- a/review/standin/src/disruptions.rs
+++ b/review/standin/src/disruptions.rs
@@ -22,6 +22,8 @@
 const PROMOTION_TIME: Duration = Duration::from_millis(300);
 /// Time for which a disruption waits for an order or a row of the table `failover`.
 const ORDER_LIMIT: Duration = Duration::from_secs(6);
+/// Longest time for which the server of a late order is silent.
+const HIDDEN_LIMIT: Duration = Duration::from_secs(8);
 /// Time for which a server drains.
 const DRAIN_TIME: Duration = Duration::from_secs(7);
 /// Index of the server that joins.
@@ -256,11 +258,11 @@
                     self.kill(&[node], millis(order.down_ms));
                 });
             }
-            if let Some((from, time)) = order.hidden.filter(|_| sender.is_some()) {
+            if let Some(from) = order.hidden.filter(|_| sender.is_some()) {
                 let named = self.site.lock().last_named.clone();
                 scope.spawn(move || {
                     sleep(millis(from));
-                    self.silence_named(&named, millis(time));
+                    self.hide(&named);
                 });
             }
             sleep(millis(order.away_ms));
@@ -277,15 +279,22 @@
         });
     }
 
-    fn silence_named(&self, id: &str, time: Duration) {
+    /// Keeps a server silent until it leads.
+    fn hide(&self, id: &str) {
         let index = {
             let world = self.site.lock();
             world.servers.iter().position(|server| server.id == id)
         };
         if let Some(index) = index {
+            let end = Instant::now() + HIDDEN_LIMIT;
             self.site.disrupt(index, "is silent", |server| {
-                server.silent_until = Some(Instant::now() + time);
+                server.silent_until = Some(end);
             });
+            while Instant::now() < end && !self.site.lock().servers[index].is_primary {
+                sleep(millis(2));
+            }
+            self.site
+                .disrupt(index, "goes on", |server| server.silent_until = None);
         }
     }
 
--- a/review/standin/src/drawn.rs
+++ b/review/standin/src/drawn.rs
@@ -138,8 +138,8 @@
     /// If the next order is sent in the meantime, it gets no answer either, and the first one is carried
     /// out this time after it.
     pub follow_ms: Option<u64>,
-    /// Time from the order until its server is silent, and for how long.
-    pub hidden: Option<(u64, u64)>,
+    /// Time from the order until its server is silent; it goes on when the order takes effect.
+    pub hidden: Option<u64>,
     /// Time from the order until its sender is killed.
     pub kill_ms: u64,
     /// Time for which the sender is down.
@@ -265,14 +265,17 @@
 }
 
 fn draw_late_order(rng: &mut SmallRng) -> LateOrder {
-    let late_ms = rng.random_range(3700..=6700);
+    let follow_ms = rng.random_bool(0.6).then(|| rng.random_range(0..700));
+    let late_ms = if follow_ms.is_some() {
+        rng.random_range(6000..=11_700)
+    } else {
+        rng.random_range(3700..=6700)
+    };
     LateOrder {
         is_silent: rng.random_bool(0.25),
         late_ms,
-        follow_ms: rng.random_bool(0.6).then(|| rng.random_range(0..700)),
-        hidden: rng
-            .random_bool(0.5)
-            .then(|| (rng.random_range(1500..3500), rng.random_range(500..3500))),
+        follow_ms,
+        hidden: rng.random_bool(0.6).then(|| rng.random_range(500..3500)),
         kill_ms: rng.random_range(0..=200),
         down_ms: rng.random_range(500..8000),
         away_ms: rng.random_range(0..3500),
--- a/review/standin/tests/drawn.rs
+++ b/review/standin/tests/drawn.rs
@@ -136,14 +136,14 @@
     assert!(orders.len() * 5 > actions.len());
     for order in &orders {
         // The server leads 0.3 s after the order is carried out.
-        assert!((4000..=7000).contains(&(order.late_ms + 300)));
+        let range = match order.follow_ms {
+            Some(_) => 6300..=12_000,
+            None => 4000..=7000,
+        };
+        assert!(range.contains(&(order.late_ms + 300)));
         assert!(order.kill_ms <= 200);
         assert!(order.follow_ms.is_none_or(|ms| ms < 700));
-        assert!(
-            order
-                .hidden
-                .is_none_or(|(from, time)| from < 3500 && time < 3500)
-        );
+        assert!(order.hidden.is_none_or(|ms| ms < 3500));
         assert!(order.away_ms < 5000 && order.down_ms < 8000);
     }
     assert!(orders.iter().filter(|order| order.deaf.is_some()).count() * 2 > orders.len());
