--- a/review/standin/src/disruptions.rs
+++ b/review/standin/src/disruptions.rs
@@ -22,6 +22,8 @@
 const PROMOTION_TIME: Duration = Duration::from_millis(300);
 /// Time for which a disruption waits for an order or a row of the table `failover`.
 const ORDER_LIMIT: Duration = Duration::from_secs(6);
+/// Longest time for which a disruption waits for the order after a late one.
+const NEXT_LIMIT: Duration = Duration::from_secs(12);
 /// Longest time for which the server of a late order is silent.
 const HIDDEN_LIMIT: Duration = Duration::from_secs(8);
 /// Time for which a server drains.
@@ -265,6 +267,9 @@
                     self.hide(&named);
                 });
             }
+            if let Some(time) = order.behind_ms.filter(|_| sender.is_some()) {
+                scope.spawn(move || self.delay_next(ordered_at, millis(time)));
+            }
             sleep(millis(order.away_ms));
             if order.is_silent {
                 self.site
@@ -279,6 +284,27 @@
         });
     }
 
+    /// Lets the server of the next order receive nothing, if it is another one than that of the last.
+    fn delay_next(&self, ordered_at: Instant, time: Duration) {
+        let named = self.site.lock().last_named.clone();
+        while ordered_at.elapsed() < NEXT_LIMIT {
+            sleep(millis(2));
+            let world = self.site.lock();
+            if world.last_named == named {
+                continue;
+            }
+            let is_next = |server: &Server| server.id == world.last_named;
+            let next = world.servers.iter().position(is_next);
+            drop(world);
+            if let Some(index) = next {
+                self.site.disrupt(index, "receives nothing", |server| {
+                    server.deaf_until = Some(Instant::now() + time);
+                });
+            }
+            return;
+        }
+    }
+
     /// Keeps a server silent until it leads.
     fn hide(&self, id: &str) {
         let index = {
--- a/review/standin/src/drawn.rs
+++ b/review/standin/src/drawn.rs
@@ -140,6 +140,8 @@
     pub follow_ms: Option<u64>,
     /// Time from the order until its server is silent; it goes on when the order takes effect.
     pub hidden: Option<u64>,
+    /// How long the server of the next order receives nothing, if that names another one.
+    pub behind_ms: Option<u64>,
     /// Time from the order until its sender is killed.
     pub kill_ms: u64,
     /// Time for which the sender is down.
@@ -276,6 +278,7 @@
         late_ms,
         follow_ms,
         hidden: rng.random_bool(0.6).then(|| rng.random_range(500..3500)),
+        behind_ms: rng.random_bool(0.7).then(|| rng.random_range(500..3000)),
         kill_ms: rng.random_range(0..=200),
         down_ms: rng.random_range(500..8000),
         away_ms: rng.random_range(0..3500),
--- a/review/standin/tests/drawn.rs
+++ b/review/standin/tests/drawn.rs
@@ -150,5 +150,10 @@
     assert!(orders.iter().any(|order| order.is_silent));
     assert!(orders.iter().any(|order| order.follow_ms.is_some()));
     assert!(orders.iter().any(|order| order.hidden.is_some()));
+    assert!(
+        orders
+            .iter()
+            .any(|order| order.behind_ms.is_some_and(|ms| ms >= 500))
+    );
     assert!(orders.iter().any(|order| order.again_ms.is_some()));
 }
