Tell a server that started again without its log from its former process

Two orders of events could lose acknowledged commits, both found in review. A primary that starts again under its id is empty, but still counted as the former primary, whose log has all commits, if the only holder of some of them answers and refuses its pause. And a server that was ordered to lead and starts again under its id was still the only one that might be ordered; its late order would have promoted the empty log, which an order for another server under a higher token prevents.

The start of the process now stands beside the id in the order and in the primary that the lease row names, and a primary that starts again is forgotten as the latest one. Rows without these fields count as rows that no node wrote only if they name an order or a primary.

--- a/crates/siskinhook-gateway/src/failover/lease.rs
+++ b/crates/siskinhook-gateway/src/failover/lease.rs
@@ -62,7 +62,16 @@
     /// The latest primary that the holder knew, with its term. Once demoted it looks like a replica, but
     /// its log has all commits.
     #[serde(default)]
-    primary: Option<(ServerId, Term)>,
+    primary: Option<KnownPrimary>,
+}
+
+/// A server that led a term.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct KnownPrimary {
+    server: ServerId,
+    /// Start of the server process. One that starts again under the same id has no log.
+    started: u64,
+    term: Term,
 }
 
 /// An order as recorded before it is sent.
@@ -70,6 +79,8 @@
 struct RecordedOrder {
     server: ServerId,
     address: SocketAddr,
+    /// Start of the server process.
+    started: u64,
     /// Time of the row that first recorded it, by the table service's clock, in milliseconds.
     written: u64,
 }
@@ -220,6 +231,7 @@
             order: PendingOrder {
                 server: order.server,
                 address: order.address,
+                started: order.started,
             },
             until: Instant::now() + left,
         })
@@ -258,8 +270,10 @@
         }
         if stored.is_available_to(self.gateway.process) {
             self.adopt_order(&stored);
-            if let Some((server, term)) = &stored.record.primary {
-                self.group.record_former(server, *term);
+            if let Some(primary) = &stored.record.primary
+                && self.group.started(&primary.server) == Some(primary.started)
+            {
+                self.group.record_former(&primary.server, primary.term);
             }
             let record = self.next_record(&stored, Some(self.group.term.get()));
             // The row names this node also if only the answer to the write is lost.
@@ -297,6 +311,17 @@
         self.unanswered_order().map(|unanswered| unanswered.order)
     }
 
+    /// Returns the latest primary that this node knows, if its process has not ended.
+    fn known_primary(&self) -> Option<KnownPrimary> {
+        let (server, term) = self.group.last_primary()?;
+        let started = self.group.started(&server)?;
+        Some(KnownPrimary {
+            server,
+            started,
+            term,
+        })
+    }
+
     /// Returns the row to write after `stored`.
     fn next_record(&self, stored: &StoredLease, replaces: Option<Term>) -> LeaseRecord {
         let record = &stored.record;
@@ -315,6 +340,7 @@
             RecordedOrder {
                 server: unanswered.order.server,
                 address: unanswered.order.address,
+                started: unanswered.order.started,
                 written: stored.now.saturating_sub(age),
             }
         });
@@ -327,7 +353,7 @@
             replaces,
             former,
             order,
-            primary: self.group.last_primary(),
+            primary: self.known_primary(),
         }
     }
 
@@ -447,6 +473,7 @@
         record.order = Some(RecordedOrder {
             server: order.server.clone(),
             address: order.address,
+            started: order.started,
             written: stored.now,
         });
         self.claim(&stored, record).await
--- a/crates/siskinhook-gateway/src/failover/stop.rs
+++ b/crates/siskinhook-gateway/src/failover/stop.rs
@@ -100,8 +100,12 @@
         self.log_reports(&reports, chosen.as_ref());
         let server = chosen?;
         let report = reports.iter().find(|report| report.server == server)?;
-        let address = report.address;
-        Some(PendingOrder { server, address })
+        let (address, started) = (report.address, report.started);
+        Some(PendingOrder {
+            server,
+            address,
+            started,
+        })
     }
 
     /// Whether a primary answers this node or another one, but was not demoted. It could acknowledge
@@ -172,9 +176,9 @@
         let term = self.group.term.get() + 1;
         let deadline = Instant::now() + limit;
         let start = |target: &Rc<Target<D>>| {
-            let (server, address) = {
+            let (server, address, started) = {
                 let instance = target.instance.borrow();
-                (instance.id.clone(), instance.address)
+                (instance.id.clone(), instance.address, instance.started)
             };
             let draining = target.is_draining();
             let listed = self.group.target(&server).is_some();
@@ -186,6 +190,7 @@
             StopTask {
                 server,
                 address,
+                started,
                 listed,
                 draining,
                 reply,
@@ -199,6 +204,7 @@
 struct StopTask {
     server: ServerId,
     address: SocketAddr,
+    started: u64,
     listed: bool,
     draining: bool,
     reply: JoinHandle<Option<Stopped>>,
@@ -220,6 +226,7 @@
         stopped.push(StopReply {
             server: task.server,
             address: task.address,
+            started: task.started,
             listed: task.listed,
             draining: task.draining,
             // A task that was cancelled or panicked counts as a server that did not reply.
@@ -246,6 +253,7 @@
     stopped.push(StopReply {
         server: task.server,
         address: task.address,
+        started: task.started,
         listed: task.listed,
         draining: task.draining,
         stopped: Some(Stopped {
@@ -259,6 +267,7 @@
 struct StopReply {
     server: ServerId,
     address: SocketAddr,
+    started: u64,
     listed: bool,
     draining: bool,
     /// `None` if the server did not reply.
@@ -291,6 +300,7 @@
         former: is_former(&reply.server),
         server: reply.server.clone(),
         address: reply.address,
+        started: reply.started,
         listed: reply.listed,
         draining: reply.draining,
         status: reply.stopped.as_ref().map(|stopped| stopped.status),
@@ -299,6 +309,7 @@
         former: is_former(&task.server),
         server: task.server.clone(),
         address: task.address,
+        started: task.started,
         listed: task.listed,
         draining: task.draining,
         status: None,
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -240,6 +240,13 @@
         (term == self.term.get()).then_some(server)
     }
 
+    /// Returns when the process of a server started, if it is known.
+    pub(crate) fn started(&self, id: &ServerId) -> Option<u64> {
+        let unlisted = || self.unlisted.borrow().get(id).cloned();
+        let target = self.target(id).or_else(unlisted)?;
+        Some(target.instance.borrow().started)
+    }
+
     /// Returns the server that last showed that it is the primary, and the term of its log then.
     pub(crate) fn last_primary(&self) -> Option<(ServerId, Term)> {
         self.last_primary.borrow().clone()
@@ -256,8 +263,11 @@
             let mut departures = self.departures.borrow_mut();
             departures.add_erased(instance.address, BootInstant::now());
         }
+        // Its log is not that of the former primary.
+        self.last_primary
+            .borrow_mut()
+            .take_if(|(server, _)| *server == instance.id);
         if self.leader.borrow().as_ref() == Some(&instance.id) {
-            // Its log is not that of the former primary.
             self.leaderless_since.set(Some(Instant::now()));
             self.set_leader(None, "it started again without its log");
             self.failover_wakeup.notify_one();
--- a/crates/siskinhook-gateway/src/successor.rs
+++ b/crates/siskinhook-gateway/src/successor.rs
@@ -13,6 +13,8 @@
     pub server: ServerId,
     /// Address of the server.
     pub address: SocketAddr,
+    /// Start of its process as Unix time in milliseconds; 0 if unknown.
+    pub started: u64,
     /// Whether it is the primary that is being replaced.
     pub former: bool,
     /// Whether its entry is in the list of servers.
@@ -50,14 +52,19 @@
     pub server: ServerId,
     /// Address where it accepts connections.
     pub address: SocketAddr,
+    /// Start of its process as Unix time in milliseconds; 0 if unknown.
+    pub started: u64,
 }
 
 impl PendingOrder {
-    /// Whether the order has no effect any more, because another server replied at the address of the
-    /// one that it names.
+    /// Whether the process that the order names has ended, because another one replied at its address. A
+    /// process that started again under the id has no log, so that the order must not be repeated.
     fn is_void(&self, reports: &[Report]) -> bool {
         let mut responding = reports.iter().filter(|report| report.responds());
-        responding.any(|report| report.address == self.address && report.server != self.server)
+        responding.any(|report| {
+            let is_named = report.server == self.server && report.started == self.started;
+            report.address == self.address && !is_named
+        })
     }
 }
 
--- a/crates/siskinhook-gateway/tests/lease_row.rs
+++ b/crates/siskinhook-gateway/tests/lease_row.rs
@@ -47,9 +47,10 @@
         with("former", json!({"term": far.clone(), "written": "then"})),
         with("former", json!(3)),
         with("order", json!("s1")),
+        with("primary", json!(["s1", 1])),
         with(
             "order",
-            json!({"server": "s9", "address": "127.0.0.1:9", "written": far}),
+            json!({"server": "s9", "address": "127.0.0.1:9", "started": 1, "written": far}),
         ),
     ]
 }
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -842,3 +842,29 @@
             .await;
     }
 }
+
+/// Guards against losing commits because the empty log of a primary that started again counts as that of the former primary when the only holder refuses its pause.
+#[tokio::test(start_paused = true)]
+async fn primary_without_its_log_does_not_stand_for_a_replica_that_was_not_paused() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                world.borrow_mut()[1].deaf_until = Some(far_future());
+                sleep(Duration::from_millis(500)).await;
+                let held = world.borrow()[1].received;
+                assert!(replacement.told.get() > held, "commits rest on one replica");
+                crash(world, 0);
+                world.borrow_mut()[2].busy_controls = u32::MAX;
+                sleep(Duration::from_millis(20 * seed)).await;
+                replacement.return_without_log(0);
+                world.borrow_mut()[1].deaf_until = None;
+                sleep(Duration::from_secs(8)).await;
+                world.borrow_mut()[2].busy_controls = 0;
+                sleep(Duration::from_secs(4)).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/successor.rs
+++ b/crates/siskinhook-gateway/tests/successor.rs
@@ -19,6 +19,7 @@
     Report {
         server: server.into(),
         address: address(server),
+        started: 1,
         former,
         listed: true,
         draining,
@@ -320,6 +321,7 @@
     let order = |server: &str, at: &str| PendingOrder {
         server: server.into(),
         address: address(at),
+        started: 1,
     };
     let choose = |reports: &[Report], order: &PendingOrder| {
         choose_ordered_successor(reports, 1, Departed::default(), order)
@@ -334,6 +336,12 @@
     // Another server at its address shows that it has ended.
     let former = order("former", "b");
     assert_eq!(choose(&reports, &former).as_deref(), Some("a"));
+    let erased = PendingOrder {
+        started: 0,
+        ..ordered.clone()
+    };
+    let free = choose(&reports, &erased);
+    assert_eq!(free.as_deref(), Some("a"), "it started again");
     let reports = [lost, replica("a", Some(8)), replica("b", Some(7))];
     assert_eq!(choose(&reports, &ordered), None, "it lacks a commit");
     let demoted = report("p", true, false, Some(7));
