Read the record of a group's servers only when too few listed replicas are reached

Since evidence depends on the age of a replica's process, no replica counts before its first answer. Each node took that for a lack of replicas and read the record once for each group that it writes to. The record only helps with servers without an entry, so it is read when too few replicas are reached, as before.

--- a/crates/siskinhook-gateway/src/commit_evidence.rs
+++ b/crates/siskinhook-gateway/src/commit_evidence.rs
@@ -210,7 +210,11 @@
                 spawn_local(async move { target.probe().await });
             }
         }
-        self.evidence.requested.notify_one();
+        // Servers without an entry are looked up only if the listed ones cannot suffice: the answer of a
+        // listed one that is reached is under way, and every reading of the record is charged.
+        if self.reached_replicas(primary).len() < self.sync_replicas.get() {
+            self.evidence.requested.notify_one();
+        }
         let wait = if self.ask_uncertain(primary) {
             ADMISSION_WAIT
         } else {
