Count only writes at the primary as held back

Callers of a service were refused writes while its healthy primary was replaced every three to five seconds (reason: its former replacement was not completed). A node that holds connections to a replica relays writes of nodes that take it for the primary. It holds such writes back while a replacement is pending, and took that for writes held back at the primary, which after two seconds is a reason to replace it; each replacement was pending for the next 16 s. Writes that lack a replica whose log counts had the same effect, although they are no sign of an abandoned replacement.

The tests of the gateway give the same results.

--- a/crates/siskinhook-gateway/src/commit_evidence.rs
+++ b/crates/siskinhook-gateway/src/commit_evidence.rs
@@ -228,7 +228,6 @@
             }
             self.ask_uncertain(primary);
         }
-        self.hold_unwitnessed(primary);
         false
     }
 
--- a/crates/siskinhook-gateway/src/write_admission.rs
+++ b/crates/siskinhook-gateway/src/write_admission.rs
@@ -211,43 +211,25 @@
             admission.log_permit(target, running_since);
             return true;
         }
-        let reason = "holding writes back: the primary may have restarted during its replacement";
-        self.hold_writes(admission, target, running_since, reason);
+        self.hold_writes(admission, target, running_since);
         false
     }
 
-    /// Records that writes are held back because the logs of the replicas do not count as evidence.
-    pub(crate) fn hold_unwitnessed(&self, primary: &Target<D>) {
-        let Some(admission) = &self.admission else {
-            return;
-        };
-        let doubted = admission.doubted.borrow();
-        if let Some(doubt) = doubted.as_ref() {
-            let reason = "holding writes back: a replica may have restarted during a replacement";
-            self.hold_writes(admission, primary, doubt.running_since, reason);
-        }
-    }
-
-    /// Records that writes are held back if a replacement is pending that began before a process may
-    /// have started.
-    fn hold_writes(
-        &self,
-        admission: &WriteAdmission,
-        primary: &Target<D>,
-        running_since: Instant,
-        reason: &str,
-    ) {
+    /// Records that writes are held back at the primary if a replacement is pending that began before
+    /// its process may have started. Other nodes may relay writes to a server that does not lead; that
+    /// says nothing about the primary.
+    fn hold_writes(&self, admission: &WriteAdmission, target: &Target<D>, running_since: Instant) {
         // An outage of the table service does not show that a replacement was begun.
         let is_pending = admission.checks.borrow().needs_term(running_since);
-        if is_pending && admission.held_since.get().is_none() {
+        if is_pending && self.is_leader(target) && admission.held_since.get().is_none() {
             admission.held_since.set(Some(Instant::now()));
-            let server = primary.instance.borrow().id.clone();
+            let server = target.instance.borrow().id.clone();
             event!(
                 Event::WritesHeld,
                 service = self.service.as_str(), server = server.as_str(),
-                term = self.term.get(), led_term = primary.led_term(),
+                term = self.term.get(), led_term = target.led_term(),
                 running = running_since.elapsed().as_millis();
-                "{reason}"
+                "holding writes back: the primary may have restarted during its replacement"
             );
         }
     }
