Count on a listed server that renews its entry, though this node never reached it

Callers were told of commits that the next primary lacks. One node alone reached a listed replica and let commits rest on it; it keeps no record of the group's servers, so nobody recorded the replica. The nodes that replaced the primary had not reached it for 15 s, took its entry for one of another writer, and did not ask it.

A server goes on reporting, and the node that replaces a primary reads all entries anew. A sequence number later than the one that it read before shows that a server stands behind the entry, so the replacement waits for it. An entry that is not renewed counts as before.

Ruled out: to require that the record names each listed server before commits rest on it, which costs every node one reading for each group.

--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -181,6 +181,9 @@
             "the server's entry was added or updated"
         );
         if let Some(target) = same {
+            if instance.sequence > target.instance.borrow().sequence {
+                target.record_renewal();
+            }
             *target.instance.borrow_mut() = instance;
         } else {
             let former = self.relist(&instance);
--- a/crates/siskinhook-gateway/src/pool/mod.rs
+++ b/crates/siskinhook-gateway/src/pool/mod.rs
@@ -119,6 +119,8 @@
     paused: Cell<bool>,
     /// Whether the server ever answered this node.
     answered: Cell<bool>,
+    /// Whether the server's entry was renewed since this node first read it.
+    renewed: Cell<bool>,
     /// When the server was reachable again after its last outage.
     recovered_at: Cell<Option<Instant>>,
     lagging_until: Cell<Option<Instant>>,
@@ -165,6 +167,7 @@
             witness: Cell::new(false),
             paused: Cell::new(false),
             answered: Cell::new(false),
+            renewed: Cell::new(false),
             recovered_at: Cell::default(),
             lagging_until: Cell::default(),
             mean_latency: Cell::new(INITIAL_LATENCY_MILLIS),
@@ -265,11 +268,17 @@
         self.answered.get()
     }
 
+    /// Records that the server's entry states a later report than before.
+    pub fn record_renewal(&self) {
+        self.renewed.set(true);
+    }
+
     /// Whether a replacement has to count on the server. An entry behind which nobody ever answered
-    /// may be of another writer, and must not stop replacements for good.
+    /// may be of another writer, and must not stop replacements for good. A server renews its entry,
+    /// also one that only other nodes reach.
     pub fn may_exist(&self) -> bool {
         let unreached = self.outage().map_or(Duration::ZERO, |(time, _)| time);
-        self.has_answered() || unreached < FIRST_ANSWER_LIMIT
+        self.has_answered() || self.renewed.get() || unreached < FIRST_ANSWER_LIMIT
     }
 
     /// Continues the record of the same process, whose entry was gone for some time.
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -776,6 +776,11 @@
                     spawn_local(node.gateway.clone().sweep());
                 }
                 sleep(Duration::from_secs(20)).await;
+                // The server has gone on reporting. Only a replacement reads such reports.
+                replacement.site.entries.borrow_mut().push(Instance {
+                    sequence: 16,
+                    ..instance(3, Role::Replica)
+                });
                 for index in [1, 2] {
                     world.borrow_mut()[index].deaf_until = Some(far_future());
                 }
