--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -873,3 +873,51 @@
             .await;
     }
 }
+
+/// Guards against replacing a healthy primary because writes that other nodes relay to a replica are held back.
+#[tokio::test(start_paused = true)]
+async fn held_back_write_at_a_replica_is_no_reason_for_a_replacement() {
+    LocalSet::new()
+        .run_until(async {
+            let site = Site::new(1);
+            let gateway = site.start("n1");
+            sleep(Duration::from_secs(1)).await;
+            let row = json!({"holder": "n2", "process": 7, "token": 1, "written": clock(), "replaces": 1});
+            site.table.put("failover/svc", row).await;
+            let mut relay =
+                Relay::open(&gateway, &"svc".into(), &"s1".into()).expect("every node relays");
+            for _ in 0..80 {
+                let request = RelayedRequest {
+                    id: "q".into(),
+                    text: "WRITE 1 a".to_string().into(),
+                };
+                let replies = relay.forward(&[request]).await.expect("a reply");
+                let refused = matches!(replies[0].result, Err((TargetCode::Busy, _)));
+                assert!(refused, "{replies:?}");
+                sleep(Duration::from_millis(100)).await;
+            }
+            assert_eq!(*site.orders.seen.borrow(), [], "the primary is healthy");
+        })
+        .await;
+}
+
+/// Guards against losing commits because a store that comes back from an older copy lacks the order that takes effect during the next replacement.
+#[tokio::test(start_paused = true)]
+async fn late_order_that_a_restored_store_lacks_loses_no_commits() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                let late = Duration::from_millis(3500 + 40 * seed);
+                let (_, other) = stop_holder_after_order(&mut replacement, late).await;
+                replacement.site.table.restore_empty();
+                sleep(Duration::from_millis(4300)).await;
+                let until = Instant::now() + Duration::from_millis(2500);
+                world.borrow_mut()[other].deaf_until = Some(until);
+                sleep(REPLACEMENT_LIFETIME).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
