--- a/crates/siskinhook-gateway/tests/commit_evidence.rs
+++ b/crates/siskinhook-gateway/tests/commit_evidence.rs
@@ -275,3 +275,17 @@
             .await;
     }
 }
+
+/// Guards against a reading of the record by each node and group that writes, although its listed replicas answer.
+#[tokio::test(start_paused = true)]
+async fn first_write_of_a_healthy_group_does_not_read_the_record() {
+    LocalSet::new()
+        .run_until(async {
+            let replacement = Replacement::start(1).await;
+            sleep(Duration::from_secs(2)).await;
+            assert!(replacement.told.get() > 10, "writes are answered");
+            // Each of the three nodes records the servers once.
+            assert_eq!(replacement.site.table.reads("members/svc"), 3);
+        })
+        .await;
+}
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -921,3 +921,21 @@
             .await;
     }
 }
+
+/// Guards against a group without a primary for good because nodes that started without a record of its servers cannot tell which ones left before.
+#[tokio::test(start_paused = true)]
+async fn lost_record_does_not_stop_replacements_for_good() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                replacement.site.table.lose("members/");
+                replacement.site.table.restore_empty();
+                crash(&replacement.site.world, 0);
+                replacement.restart_nodes(&[0, 1, 2]);
+                sleep(Duration::from_secs(25)).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-gateway/tests/support/mod.rs
+++ b/crates/siskinhook-gateway/tests/support/mod.rs
@@ -655,6 +655,8 @@
     clock_back: Arc<AtomicU64>,
     /// Whether the table answers nothing.
     down: Arc<AtomicBool>,
+    /// Number of readings of each row.
+    reads: Arc<Mutex<BTreeMap<SmolStr, usize>>>,
 }
 
 impl Table {
@@ -672,6 +674,17 @@
         assert_eq!(outcome, Ok(CommitOutcome::Applied));
     }
 
+    fn count_read(&self, key: &str) {
+        let mut reads = self.reads.lock().expect("valid in this model");
+        *reads.entry(key.into()).or_default() += 1;
+    }
+
+    /// Returns how often a row was read.
+    pub fn reads(&self, key: &str) -> usize {
+        let reads = self.reads.lock().expect("valid in this model");
+        reads.get(key).copied().unwrap_or_default()
+    }
+
     /// Lets all calls fail, or succeed again.
     pub fn set_down(&self, down: bool) {
         self.down.store(down, Ordering::Relaxed);
@@ -731,6 +744,7 @@
     }
 
     async fn read(&self, key: &str) -> Result<Reading, PlatformError> {
+        self.count_read(key);
         let clock = Some(clock() - self.clock_back.load(Ordering::Relaxed));
         let row = self.get(key).await?;
         let era = *self.era.lock().expect("valid in this model");
