Complete abandoned replacements, and know a demoted primary after a restart

Callers got no writes for up to 16 s, or for good, after the node that replaced a primary had stopped.

Nodes that started since trust no replica while the replacement is pending, so they hold writes back, but since that was no reason to complete it. It is one again, in the term of the pending replacement only: a primary of a later term shows that the replacement was completed.

A primary that was demoted looks like a replica. The lease row names it, but a node that started later gave up before it read the row, and compared the term with one that it did not know yet. Such a node now reads the row first.

--- a/crates/siskinhook-gateway/src/commit_evidence.rs
+++ b/crates/siskinhook-gateway/src/commit_evidence.rs
@@ -228,6 +228,7 @@
             }
             self.ask_uncertain(primary);
         }
+        self.hold_unwitnessed(primary);
         false
     }
 
--- a/crates/siskinhook-gateway/src/failover/lease.rs
+++ b/crates/siskinhook-gateway/src/failover/lease.rs
@@ -270,11 +270,7 @@
         }
         if stored.is_available_to(self.gateway.process) {
             self.adopt_order(&stored);
-            if let Some(primary) = &stored.record.primary
-                && self.group.started(&primary.server) == Some(primary.started)
-            {
-                self.group.record_former(&primary.server, primary.term);
-            }
+            self.record_primary(&stored.record);
             let record = self.next_record(&stored, Some(self.group.term.get()));
             // The row names this node also if only the answer to the write is lost.
             self.is_unfinished.set(true);
@@ -283,6 +279,22 @@
         None
     }
 
+    /// Takes over the latest primary that the lease row names.
+    pub(super) async fn adopt_primary(&self) {
+        if let Some(stored) = self.read_lease().await {
+            self.record_primary(&stored.record);
+        }
+    }
+
+    /// Records the primary that a row names, unless its process has ended.
+    fn record_primary(&self, record: &LeaseRecord) {
+        if let Some(primary) = &record.primary
+            && self.group.started(&primary.server) == Some(primary.started)
+        {
+            self.group.record_former(&primary.server, primary.term);
+        }
+    }
+
     /// Takes over the order that may still be carried out according to the row. About orders since its
     /// own row, this process knows more than the row, and a row of a former era may lack them.
     fn adopt_order(&self, stored: &StoredLease) {
--- a/crates/siskinhook-gateway/src/failover/mod.rs
+++ b/crates/siskinhook-gateway/src/failover/mod.rs
@@ -240,6 +240,10 @@
                 self.adopt(&stored);
             }
         }
+        if self.group.latest_primary().is_none() {
+            // A primary that was demoted looks like a replica to a node that started since.
+            self.adopt_primary().await;
+        }
         if !self.is_feasible().await {
             self.log_failure("too few servers answer to be certain of every acknowledged commit");
             self.back_off();
@@ -330,7 +334,8 @@
     /// Returns whether enough servers are reachable from this node to choose a successor. Pausing
     /// servers without one would only stop commits on a primary that other nodes may still reach.
     async fn is_feasible(&self) -> bool {
-        let leader = self.group.leader_id();
+        let latest = self.group.latest_primary();
+        let leader = latest.or_else(|| self.group.leader_id());
         let targets = self.group.existing_targets();
         let deadline = Instant::now() + REACHABILITY_TIMEOUT;
         let probe = |target: Rc<Target<D>>| {
--- a/crates/siskinhook-gateway/src/group.rs
+++ b/crates/siskinhook-gateway/src/group.rs
@@ -240,7 +240,7 @@
     /// Returns the server that was the primary in the latest term that is known.
     pub(crate) fn latest_primary(&self) -> Option<ServerId> {
         let (server, term) = self.last_primary()?;
-        (term == self.term.get()).then_some(server)
+        (term >= self.term.get()).then_some(server)
     }
 
     /// Returns when the process of a server started, if it is known.
@@ -673,7 +673,7 @@
     /// Returns for how long writes have been held back at a primary that answers.
     pub(crate) fn held_duration(&self) -> Duration {
         let admission = self.admission.as_ref();
-        admission.map_or(Duration::ZERO, WriteAdmission::held_duration)
+        admission.map_or(Duration::ZERO, |a| a.held_duration(self.term.get()))
     }
 
     /// Returns for how long the group has had no known primary.
--- a/crates/siskinhook-gateway/src/write_admission.rs
+++ b/crates/siskinhook-gateway/src/write_admission.rs
@@ -75,9 +75,11 @@
         self.checked.notify_waiters();
     }
 
-    /// Returns for how long writes have been held back at a primary that answers.
-    pub fn held_duration(&self) -> Duration {
-        let since = self.held_since.get();
+    /// Returns for how long writes have been held back at a primary that answers, in the latest known
+    /// `term`. A pending replacement of an earlier term was completed.
+    pub fn held_duration(&self, term: Term) -> Duration {
+        let pending = self.checks.borrow().pending_term();
+        let since = self.held_since.get().filter(|_| pending >= Some(term));
         since.map_or(Duration::ZERO, |since| since.elapsed())
     }
 
@@ -211,14 +213,33 @@
             admission.log_permit(target, running_since);
             return true;
         }
-        self.hold_writes(admission, target, running_since);
+        let reason = "holding writes back: the primary may have restarted during its replacement";
+        self.hold_writes(admission, target, running_since, reason);
         false
     }
 
-    /// Records that writes are held back at the primary if a replacement is pending that began before
-    /// its process may have started. Other nodes may relay writes to a server that does not lead; that
-    /// says nothing about the primary.
-    fn hold_writes(&self, admission: &WriteAdmission, target: &Target<D>, running_since: Instant) {
+    /// Records that writes are held back because the logs of the replicas do not count as evidence.
+    pub(crate) fn hold_unwitnessed(&self, primary: &Target<D>) {
+        let Some(admission) = &self.admission else {
+            return;
+        };
+        let doubted = admission.doubted.borrow();
+        if let Some(doubt) = doubted.as_ref() {
+            let reason = "holding writes back: a replica may have restarted during a replacement";
+            self.hold_writes(admission, primary, doubt.running_since, reason);
+        }
+    }
+
+    /// Records that writes are held back at the primary if a replacement is pending that began before a
+    /// process may have started. Other nodes may relay writes to a server that does not lead; that says
+    /// nothing about the primary.
+    fn hold_writes(
+        &self,
+        admission: &WriteAdmission,
+        target: &Target<D>,
+        running_since: Instant,
+        reason: &str,
+    ) {
         // An outage of the table service does not show that a replacement was begun.
         let is_pending = admission.checks.borrow().needs_term(running_since);
         if is_pending && self.is_leader(target) && admission.held_since.get().is_none() {
@@ -229,7 +250,7 @@
                 service = self.service.as_str(), server = server.as_str(),
                 term = self.term.get(), led_term = target.led_term(),
                 running = running_since.elapsed().as_millis();
-                "holding writes back: the primary may have restarted during its replacement"
+                "{reason}"
             );
         }
     }
--- a/crates/siskinhook-gateway/tests/lease_row.rs
+++ b/crates/siskinhook-gateway/tests/lease_row.rs
@@ -48,6 +48,10 @@
         with("former", json!(3)),
         with("order", json!("s1")),
         with("primary", json!(["s1", 1])),
+        with(
+            "primary",
+            json!({"server": "s1", "started": 1, "term": far}),
+        ),
         with(
             "order",
             json!({"server": "s9", "address": "127.0.0.1:9", "started": 1, "written": far}),
--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -395,13 +395,16 @@
     }
 }
 
-/// Lets the order of a node that stops get no answer and take effect `late`, and other nodes, which
+/// Lets the order of a node that stops get no answer and take effect `late` or never, and other nodes, which
 /// would choose a different server, replace the lost primary meanwhile. Returns the server that was
 /// ordered to lead and the other replica.
-async fn stop_holder_after_order(replacement: &mut Replacement, late: Duration) -> (usize, usize) {
+async fn stop_holder_after_order(
+    replacement: &mut Replacement,
+    late: Option<Duration>,
+) -> (usize, usize) {
     let orders = replacement.site.orders.clone();
     orders.unanswered.set(u32::MAX);
-    orders.late.set(Some(late));
+    orders.late.set(late);
     for node in &replacement.nodes {
         // A server without an entry is not chosen while another one qualifies.
         node.gateway.forget(&"s1".into());
@@ -427,7 +430,7 @@
                 let mut replacement = Replacement::start(seed).await;
                 let world = replacement.site.world.clone();
                 let late = Duration::from_millis(3500 + 40 * seed);
-                let (_, other) = stop_holder_after_order(&mut replacement, late).await;
+                let (_, other) = stop_holder_after_order(&mut replacement, Some(late)).await;
                 sleep(Duration::from_millis(4300)).await;
                 let until = Instant::now() + Duration::from_millis(2500);
                 world.borrow_mut()[other].deaf_until = Some(until);
@@ -447,7 +450,7 @@
                 let mut replacement = Replacement::start(seed).await;
                 let world = replacement.site.world.clone();
                 let late = Duration::from_millis(3500 + 40 * seed);
-                let (ordered, other) = stop_holder_after_order(&mut replacement, late).await;
+                let (ordered, other) = stop_holder_after_order(&mut replacement, Some(late)).await;
                 sleep(Duration::from_secs(4)).await;
                 world.borrow_mut()[ordered].unresponsive = true;
                 let until = Instant::now() + Duration::from_millis(3500);
@@ -470,7 +473,7 @@
                 let mut replacement = Replacement::start(seed).await;
                 let world = replacement.site.world.clone();
                 let late = Duration::from_secs(5);
-                let (ordered, _) = stop_holder_after_order(&mut replacement, late).await;
+                let (ordered, _) = stop_holder_after_order(&mut replacement, Some(late)).await;
                 crash(&world, ordered);
                 sleep(Duration::from_secs(4)).await;
                 for node in &replacement.nodes {
@@ -910,7 +913,7 @@
                 let mut replacement = Replacement::start(seed).await;
                 let world = replacement.site.world.clone();
                 let late = Duration::from_millis(3500 + 40 * seed);
-                let (_, other) = stop_holder_after_order(&mut replacement, late).await;
+                let (_, other) = stop_holder_after_order(&mut replacement, Some(late)).await;
                 replacement.site.table.restore_empty();
                 sleep(Duration::from_millis(4300)).await;
                 let until = Instant::now() + Duration::from_millis(2500);
@@ -939,3 +942,83 @@
             .await;
     }
 }
+
+/// Guards against a group without a primary for as long as an abandoned replacement counts as pending, because the nodes that started since trust no replica yet.
+#[tokio::test(start_paused = true)]
+async fn restarted_nodes_complete_an_abandoned_replacement() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                stop_holder_after_order(&mut replacement, None).await;
+                // The lease passes on after 4.5 s, and a promotion takes a second.
+                sleep(Duration::from_secs(8)).await;
+                assert_eq!(replacement.site.primaries(), [2]);
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against a group without a primary for good because the node that demoted the former one stopped, and others take it for a replica.
+#[tokio::test(start_paused = true)]
+async fn node_that_starts_later_knows_the_demoted_primary() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                let (ordered, other) = stop_holder_after_order(&mut replacement, None).await;
+                crash(&world, ordered);
+                sleep(Duration::from_secs(10)).await;
+                assert_eq!(world.borrow()[0].role, Role::Replica, "it was demoted");
+                for name in ["n4", "n5", "n6"] {
+                    replacement.kill_node(name);
+                }
+                replacement.add_node_knowing("n7", &[0, other]);
+                sleep(REPLACEMENT_LIFETIME).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against a group without a primary for good because a primary that opens no transactions is taken for a replica after its demotion.
+#[tokio::test(start_paused = true)]
+async fn demoted_primary_is_remembered_without_a_transaction() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                world.borrow_mut()[0].busy_begins = u32::MAX;
+                let (ordered, _) = stop_holder_after_order(&mut replacement, None).await;
+                crash(&world, ordered);
+                sleep(REPLACEMENT_LIFETIME * 2).await;
+                world.borrow_mut()[0].busy_begins = 0;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
+
+/// Guards against a lost primary that is not replaced for long because an earlier order for it, which a later one has superseded, still counts.
+#[tokio::test(start_paused = true)]
+async fn accepted_order_ends_the_wait_for_earlier_ones() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let replacement = Replacement::start(seed).await;
+                let world = &replacement.site.world;
+                replacement.site.orders.unanswered.set(1);
+                let (ordered, _) = replacement.lose_primary().await;
+                restart(world, 0);
+                sleep(PROMOTION_TIME * 2).await;
+                assert_eq!(replacement.site.primaries(), [ordered]);
+                crash(world, ordered);
+                sleep(Duration::from_secs(8)).await;
+                replacement.check().await;
+            })
+            .await;
+    }
+}
--- a/crates/siskinhook-telemetry/src/events.rs
+++ b/crates/siskinhook-telemetry/src/events.rs
@@ -172,7 +172,7 @@
         "A server claims to lead a term that is over; the node demotes it.",
         "Nothing.";
     WritesHeld = 2124, Warn, "writes_held",
-        "The primary may have restarted while it was being replaced; writes to it wait for the promotion.",
+        "The primary, or the replicas that could show its commits, may have restarted while it was being replaced; writes to it wait for the promotion.",
         "Follow the service to events 2120 and 2121; if none follows within five seconds, check the store.";
     EvidenceChanged = 2125, Info, "evidence_changed",
         "The servers that show the commits of a service beside its primary have changed: listed replicas, also confirmed servers without an entry, or none; without any, commits are not acknowledged. The line states the servers that the node knows.",
