--- a/crates/siskinhook-gateway/tests/replacement.rs
+++ b/crates/siskinhook-gateway/tests/replacement.rs
@@ -1025,3 +1025,29 @@
             .await;
     }
 }
+
+/// Guards against losing commits on a listed server that nobody has recorded yet when its entry lapses and all nodes restart.
+#[tokio::test(start_paused = true)]
+async fn commits_on_a_server_that_is_not_recorded_yet_are_not_lost() {
+    for seed in SEEDS {
+        LocalSet::new()
+            .run_until(async {
+                let mut replacement = Replacement::start(seed).await;
+                let world = replacement.site.world.clone();
+                replacement.start_server();
+                sleep(Duration::from_millis(20)).await;
+                for index in [1, 2] {
+                    world.borrow_mut()[index].deaf_until = Some(far_future());
+                }
+                sleep(Duration::from_millis(5 * seed)).await;
+                replacement.restart_nodes(&[0, 1, 2]);
+                crash(&world, 0);
+                for index in [1, 2] {
+                    world.borrow_mut()[index].deaf_until = None;
+                }
+                sleep(Duration::from_secs(8)).await;
+                replacement.check_told().await;
+            })
+            .await;
+    }
+}
