--- a/review/10/run.sh
+++ b/review/reproduction-10/run.sh
@@ -9,4 +9,4 @@
 done
 # The shell's own SECONDS counts its run time.
 exec env SEED="${1:-${SEED:-0}}" SECONDS="${2:-60}" \
-    target/review/release/review-standin drawn review/10/record.txt
+    target/review/release/review-standin drawn review/reproduction-10/record.txt
--- a/review/8/run.sh
+++ b/review/reproduction-8/run.sh
@@ -6,4 +6,4 @@
 for program in target/release/siskinhook target/review/release/review-standin; do
     [ -x "$program" ] || { echo "missing: $program" >&2; exit 2; }
 done
-exec target/review/release/review-standin alone review/8/record.txt
+exec target/review/release/review-standin alone review/reproduction-8/record.txt
