--- /dev/null
+++ b/review/standin-2/src/cases.rs
@@ -0,0 +1,180 @@
+//! The cases.
+
+use std::{sync::Arc, thread::sleep, time::Duration};
+
+use crate::{
+    record::Record,
+    site::{Readers, Site, Writers},
+};
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Runs a case. Returns the exit code.
+pub fn run(case: &str, with_trouble: bool, record: &Arc<Record>) -> u8 {
+    let Some(mut site) = Site::start(record) else {
+        return 2;
+    };
+    let broken = match case {
+        "erased-replica" => erased_replica(&site, with_trouble),
+        "restarted-node" => restarted_node(&mut site, with_trouble),
+        "erased-primary" => erased_primary(&site, with_trouble),
+        "relayed-read" => relayed_read(&site, with_trouble),
+        _ => {
+            record.line("unknown case");
+            return 2;
+        }
+    };
+    if site.nodes.iter_mut().any(|node| node.has_ended()) {
+        record.line("a node ended by itself");
+        return 2;
+    }
+    u8::from(broken)
+}
+
+/// A replica receives nothing for a while. Meanwhile the primary crashes, and the other replica, which
+/// is cut off from the store, crashes and starts again under its id.
+fn erased_replica(site: &Site, with_trouble: bool) -> bool {
+    let database = &site.database;
+    let writers = Writers::start(site, 8);
+    sleep(millis(4000));
+    if with_trouble {
+        site.record.line("the second replica receives nothing for 6.5 s");
+        database.lock().servers[2].deaf = true;
+        sleep(millis(2500));
+        site.record.line("the first replica is cut off from the store for 5 s");
+        database.lock().servers[1].core_cut = true;
+        sleep(millis(500));
+        database.crash(0);
+        database.crash(1);
+        sleep(millis(300));
+        database.restart(1, false);
+        sleep(millis(3200));
+        database.lock().servers[2].deaf = false;
+        sleep(millis(1000));
+        database.lock().servers[1].core_cut = false;
+        sleep(millis(1500));
+        database.restart(0, true);
+    } else {
+        sleep(millis(9000));
+    }
+    sleep(millis(8000));
+    writers.stop();
+    has_lost_writes(site)
+}
+
+/// Whether a promotion lost acknowledged writes.
+fn has_lost_writes(site: &Site) -> bool {
+    let state = site.database.lock();
+    site.record.line(&format!(
+        "{} writes acknowledged, {} promotions, {} acknowledged writes lost by them",
+        state.acknowledged.len(),
+        state.promotions,
+        state.lost.len()
+    ));
+    !state.lost.is_empty()
+}
+
+/// A replica receives nothing for a while. Meanwhile the primary and the other replica crash; the
+/// replica starts again under its id and reports so to the store at once. Then one node is killed, and
+/// starts again; with `KILL=0` in the environment it is not.
+fn restarted_node(site: &mut Site, with_trouble: bool) -> bool {
+    let database = site.database.clone();
+    let writers = Writers::start(site, 8);
+    sleep(millis(4000));
+    if with_trouble {
+        site.record.line("the second replica receives nothing for 6.5 s");
+        database.lock().servers[2].deaf = true;
+        sleep(millis(2000));
+        database.crash(0);
+        database.crash(1);
+        sleep(millis(300));
+        database.restart(1, false);
+        sleep(millis(1200));
+        let kills = std::env::var("KILL").as_deref() != Ok("0");
+        if kills {
+            site.record.line("a node is killed and starts again after 0.5 s");
+            site.nodes[7].kill();
+        }
+        sleep(millis(500));
+        if kills && site.nodes[7].start().is_err() {
+            return false;
+        }
+        sleep(millis(2500));
+        database.lock().servers[2].deaf = false;
+        site.record.line("the second replica receives again");
+        sleep(millis(2000));
+        database.restart(0, true);
+    } else {
+        sleep(millis(8500));
+    }
+    sleep(millis(8000));
+    writers.stop();
+    has_lost_writes(site)
+}
+
+/// A node freezes for half a second while its clients read. Meanwhile the primary crashes and starts
+/// again under its id.
+fn relayed_read(site: &Site, with_trouble: bool) -> bool {
+    let database = &site.database;
+    let writers = Writers::start(site, 8);
+    sleep(millis(4000));
+    writers.stop();
+    let last = database.last_acknowledged();
+    // The servers' connections are held in the zone of each; this node is in another one.
+    let node = &site.nodes[7];
+    let readers = Readers::start(site, node.callers, 16, last);
+    sleep(millis(2000));
+    if with_trouble {
+        site.record.line("the primary is cut off from the store for 5 s");
+        database.lock().servers[0].core_cut = true;
+        sleep(millis(500));
+        site.record.line("a node freezes for 0.5 s");
+        node.signal("-STOP");
+        sleep(millis(20));
+        database.crash(0);
+        sleep(millis(200));
+        database.restart(0, false);
+        sleep(millis(280));
+        node.signal("-CONT");
+        site.record.line("the node goes on");
+        sleep(millis(4000));
+        database.lock().servers[0].core_cut = false;
+    }
+    sleep(millis(4000));
+    let stale = readers.stop();
+    site.record.line(&format!("{stale} reads returned data without acknowledged writes"));
+    stale > 0
+}
+
+/// A replica receives nothing for a while, and the other one crashes. Meanwhile the primary, which is cut
+/// off from the store, crashes and starts again under its id.
+fn erased_primary(site: &Site, with_trouble: bool) -> bool {
+    let database = &site.database;
+    let writers = Writers::start(site, 8);
+    sleep(millis(4000));
+    if with_trouble {
+        site.record.line("the second replica receives nothing for 6.5 s");
+        database.lock().servers[2].deaf = true;
+        sleep(millis(1500));
+        site.record.line("the primary is cut off from the store for 5 s");
+        database.lock().servers[0].core_cut = true;
+        sleep(millis(500));
+        database.crash(1);
+        sleep(millis(500));
+        database.crash(0);
+        sleep(millis(300));
+        database.restart(0, false);
+        sleep(millis(3700));
+        database.lock().servers[2].deaf = false;
+        database.lock().servers[0].core_cut = false;
+        sleep(millis(1500));
+        database.restart(1, true);
+    } else {
+        sleep(millis(8000));
+    }
+    sleep(millis(8000));
+    writers.stop();
+    has_lost_writes(site)
+}
