--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -20,6 +20,7 @@
         "erased-replica" => erased_replica(&site, with_trouble),
         "restarted-node" => restarted_node(&mut site, with_trouble),
         "erased-primary" => erased_primary(&site, with_trouble),
+        "repeated-order" => repeated_order(&site, with_trouble),
         "relayed-read" => relayed_read(&site, with_trouble),
         _ => {
             record.line("unknown case");
@@ -178,3 +179,42 @@
     writers.stop();
     has_lost_writes(site)
 }
+
+/// The primary is to be replaced. The order to promote its successor gets no answer, and the successor
+/// starts again under its id before the order is repeated.
+fn repeated_order(site: &Site, with_trouble: bool) -> bool {
+    let database = &site.database;
+    let writers = Writers::start(site, 8);
+    sleep(millis(4000));
+    database.add(3);
+    sleep(millis(2000));
+    site.record.line("the primary announces that it will stop");
+    {
+        let mut state = database.lock();
+        state.withholds = with_trouble;
+        state.servers[0].draining = true;
+    }
+    if with_trouble {
+        let mut waits = 0;
+        let successor = loop {
+            if let Some(index) = database.lock().withheld {
+                break index;
+            }
+            sleep(millis(5));
+            waits += 1;
+            if waits > 1000 {
+                site.record.line("no order was sent");
+                return false;
+            }
+        };
+        sleep(millis(150));
+        database.crash(successor);
+        sleep(millis(300));
+        database.restart(successor, false);
+    }
+    sleep(millis(7000));
+    database.crash(0);
+    sleep(millis(8000));
+    writers.stop();
+    has_lost_writes(site)
+}
--- a/review/standin-2/src/database.rs
+++ b/review/standin-2/src/database.rs
@@ -17,6 +17,10 @@
 pub const SERVICE: &str = "huvo11a";
 /// Connections that a server accepts.
 pub const MAX_CONNECTIONS: usize = 32;
+/// Servers that run from the start; the others start in a release.
+const RUNNING: usize = 3;
+/// Time after which an order without an answer is carried out.
+const LATE_ORDER: Duration = Duration::from_secs(8);
 /// Replicas that receive a commit before it is acknowledged.
 const SYNC_REPLICAS: usize = 1;
 /// Interval of the reports that servers write to the store, and reports that may be missed.
@@ -48,6 +52,8 @@
     pub core_cut: bool,
     /// Whether it receives nothing from the primary.
     pub deaf: bool,
+    /// Whether it has announced that it will stop.
+    pub draining: bool,
     pub is_primary: bool,
     pub term: u64,
     pub log: Vec<Entry>,
@@ -80,6 +86,10 @@
     fence: u64,
     /// Writes that a client was told of, with the time when it was told.
     pub acknowledged: Vec<(String, String, Instant)>,
+    /// Whether the next order gets no answer and is carried out late.
+    pub withholds: bool,
+    /// The server that the order without an answer named.
+    pub withheld: Option<usize>,
     /// Number of promotions that took effect.
     pub promotions: usize,
     /// Acknowledged writes that the log of a promoted server lacked.
@@ -107,9 +117,10 @@
             id: format!("i-{:x}{:04x}", 0x7f3a + index * 977, std::process::id() & 0xffff),
             address: listener.local_addr().unwrap(),
             zone,
-            up: true,
+            up: index < RUNNING,
             core_cut: false,
             deaf: false,
+            draining: false,
             is_primary: index == 0,
             term: 1,
             log: Vec::new(),
@@ -123,6 +134,8 @@
         let state = State {
             servers: servers.collect(),
             fence: 0,
+            withholds: false,
+            withheld: None,
             acknowledged: Vec::new(),
             promotions: 0,
             lost: Vec::new(),
@@ -166,6 +179,14 @@
         last
     }
 
+    /// Starts a server of a release.
+    pub fn add(&self, index: usize) {
+        let mut state = self.lock();
+        let server = &mut state.servers[index];
+        (server.up, server.born) = (true, unix_millis());
+        self.record.line(&format!("{} joins", server.id));
+    }
+
     /// Ends the process of a server. It keeps its log.
     pub fn crash(&self, index: usize) {
         let mut state = self.lock();
@@ -202,9 +223,19 @@
         ));
     }
 
-    /// Answers an order to promote a server. Returns the status.
-    pub fn promote(self: &Arc<Self>, id: &str, holder: &str, token: u64) -> u16 {
+    /// Answers an order to promote a server. Returns the status; `None` if there is no answer.
+    pub fn promote(self: &Arc<Self>, id: &str, holder: &str, token: u64) -> Option<u16> {
         let mut state = self.lock();
+        if std::mem::take(&mut state.withholds) {
+            state.withheld = state.servers.iter().position(|s| s.id == id);
+            self.record.line(&format!("promote {id} by {holder} under token {token}: no answer"));
+            let (db, id, holder) = (self.clone(), id.to_string(), holder.to_string());
+            thread::spawn(move || {
+                thread::sleep(LATE_ORDER);
+                db.promote(&id, &holder, token);
+            });
+            return None;
+        }
         let running = state.servers.iter().position(|s| s.id == id && s.up);
         let status = match running {
             _ if token < state.fence => 409,
@@ -217,14 +248,14 @@
         self.record.line(&format!("promote {id} by {holder} under token {token}: {status}"));
         let Some(index) = running.filter(|index| status == 200 && !state.servers[*index].is_primary)
         else {
-            return status;
+            return Some(status);
         };
         let db = self.clone();
         thread::spawn(move || {
             thread::sleep(PROMOTION);
             db.complete_promotion(index);
         });
-        status
+        Some(status)
     }
 
     fn complete_promotion(&self, index: usize) {
@@ -290,7 +321,8 @@
                 let server = &mut state.servers[index];
                 let content = json!({
                     "service": SERVICE, "addr": server.address.to_string(), "zone": server.zone,
-                    "version": "v1", "slots": 2, "state": "ready", "cold_left_ms": 0,
+                    "version": "v1", "slots": 2, "cold_left_ms": 0,
+                    "state": if server.draining { "draining" } else { "ready" },
                     "db_role": if server.is_primary { "primary" } else { "replica" },
                     "born": server.born,
                 });
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -22,7 +22,7 @@
     }
 }
 
-/// Serves requests on a listener; `answer` returns the status and the JSON body.
+/// Serves requests on a listener; `answer` returns the status and the JSON body; 0 closes the connection.
 pub fn serve<F>(listener: TcpListener, answer: F)
 where
     F: Fn(&Request) -> (u16, serde_json::Value) + Send + Sync + 'static,
@@ -45,6 +45,9 @@
     loop {
         let request = read_request(&mut reader)?;
         let (status, body) = answer(&request);
+        if status == 0 {
+            return None;
+        }
         let body = body.to_string();
         let head = format!(
             "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -24,10 +24,12 @@
 
 /// Zones of the nodes, two in each.
 const ZONES: [&str; 4] = ["split-a", "split-b", "sinj-a", "omis-a"];
-/// Zones of the servers.
-const SERVER_ZONES: [&str; 3] = ["split-a", "split-b", "sinj-a"];
+/// Zones of the servers; the last one starts only in a release.
+const SERVER_ZONES: [&str; 4] = ["split-a", "split-b", "sinj-a", "split-b"];
 /// Database with strong reads.
 pub const ORDERS: &str = "lepu270";
+/// Time for which the connection of an order without an answer stays open.
+const UNANSWERED: Duration = Duration::from_secs(3);
 /// Time for the nodes to be ready.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
@@ -117,7 +119,13 @@
             return (400, json!({}));
         };
         let holder = request.header("lease-holder").unwrap_or_default();
-        (database.promote(id, holder, token), json!({}))
+        match database.promote(id, holder, token) {
+            Some(status) => (status, json!({})),
+            None => {
+                thread::sleep(UNANSWERED);
+                (0, json!({}))
+            }
+        }
     });
     Some(address)
 }
