--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -41,10 +41,12 @@
     let writers = Writers::start(site, 8);
     sleep(millis(4000));
     if with_trouble {
-        site.record.line("the second replica receives nothing for 6.5 s");
+        site.record
+            .line("the second replica receives nothing for 6.5 s");
         database.lock().servers[2].deaf = true;
         sleep(millis(2500));
-        site.record.line("the first replica is cut off from the store for 5 s");
+        site.record
+            .line("the first replica is cut off from the store for 5 s");
         database.lock().servers[1].core_cut = true;
         sleep(millis(500));
         database.crash(0);
@@ -85,7 +87,8 @@
     let writers = Writers::start(site, 8);
     sleep(millis(4000));
     if with_trouble {
-        site.record.line("the second replica receives nothing for 6.5 s");
+        site.record
+            .line("the second replica receives nothing for 6.5 s");
         database.lock().servers[2].deaf = true;
         sleep(millis(2000));
         database.crash(0);
@@ -95,7 +98,8 @@
         sleep(millis(1200));
         let kills = std::env::var("KILL").as_deref() != Ok("0");
         if kills {
-            site.record.line("a node is killed and starts again after 0.5 s");
+            site.record
+                .line("a node is killed and starts again after 0.5 s");
             site.nodes[7].kill();
         }
         sleep(millis(500));
@@ -128,7 +132,8 @@
     let readers = Readers::start(site, node.callers, 16, last);
     sleep(millis(2000));
     if with_trouble {
-        site.record.line("the primary is cut off from the store for 5 s");
+        site.record
+            .line("the primary is cut off from the store for 5 s");
         database.lock().servers[0].core_cut = true;
         sleep(millis(500));
         site.record.line("a node freezes for 0.5 s");
@@ -145,7 +150,9 @@
     }
     sleep(millis(4000));
     let stale = readers.stop();
-    site.record.line(&format!("{stale} reads returned data without acknowledged writes"));
+    site.record.line(&format!(
+        "{stale} reads returned data without acknowledged writes"
+    ));
     stale > 0
 }
 
@@ -156,10 +163,12 @@
     let writers = Writers::start(site, 8);
     sleep(millis(4000));
     if with_trouble {
-        site.record.line("the second replica receives nothing for 6.5 s");
+        site.record
+            .line("the second replica receives nothing for 6.5 s");
         database.lock().servers[2].deaf = true;
         sleep(millis(1500));
-        site.record.line("the primary is cut off from the store for 5 s");
+        site.record
+            .line("the primary is cut off from the store for 5 s");
         database.lock().servers[0].core_cut = true;
         sleep(millis(500));
         database.crash(1);
--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -18,8 +18,19 @@
 impl Answer {
     /// Whether the error promises that nothing of the attempt is kept.
     pub fn is_promise(&self) -> bool {
-        let code = self.result.as_ref().err().and_then(|error| error.split(' ').next());
-        let promises = ["BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"];
+        let code = self
+            .result
+            .as_ref()
+            .err()
+            .and_then(|error| error.split(' ').next());
+        let promises = [
+            "BUSY",
+            "ABORTED",
+            "LAGGING",
+            "READONLY",
+            "MISROUTED",
+            "TOOMANY",
+        ];
         code.is_some_and(|code| promises.contains(&code))
     }
 }
@@ -38,7 +49,10 @@
         stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
         let reader = BufReader::new(stream.try_clone().ok()?);
         let mut client = Self { stream, reader };
-        client.stream.write_all(format!("START {database} client\r\n").as_bytes()).ok()?;
+        client
+            .stream
+            .write_all(format!("START {database} client\r\n").as_bytes())
+            .ok()?;
         let line = client.line()?;
         line.starts_with("READY").then_some(client)
     }
@@ -51,8 +65,14 @@
 
     /// Sends a request and returns the answer; `None` if the connection broke or no answer came.
     pub fn query(&mut self, id: &str, text: &str) -> Option<Answer> {
-        self.stream.write_all(format!("QUERY {id} {text}\r\n").as_bytes()).ok()?;
-        let mut answer = Answer { rows: Vec::new(), result: Err("none".into()), state: String::new() };
+        self.stream
+            .write_all(format!("QUERY {id} {text}\r\n").as_bytes())
+            .ok()?;
+        let mut answer = Answer {
+            rows: Vec::new(),
+            result: Err("none".into()),
+            state: String::new(),
+        };
         loop {
             let line = self.line()?;
             let (verb, rest) = line.split_once(' ').unwrap_or((&line, ""));
--- a/review/standin-2/src/database.rs
+++ b/review/standin-2/src/database.rs
@@ -111,26 +111,36 @@
 impl Database {
     /// Starts the servers; the first one is the primary.
     pub fn start(zones: &[&'static str], store: &Arc<Store>, record: Arc<Record>) -> Arc<Self> {
-        let listeners: Vec<TcpListener> =
-            zones.iter().map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-        let servers = zones.iter().zip(&listeners).enumerate().map(|(index, (zone, listener))| Server {
-            id: format!("i-{:x}{:04x}", 0x7f3a + index * 977, std::process::id() & 0xffff),
-            address: listener.local_addr().unwrap(),
-            zone,
-            up: index < RUNNING,
-            core_cut: false,
-            deaf: false,
-            draining: false,
-            is_primary: index == 0,
-            term: 1,
-            log: Vec::new(),
-            paused: 0,
-            born: unix_millis(),
-            sequence: 0,
-            process: 0,
-            streams: Vec::new(),
-            reported: None,
-        });
+        let listeners: Vec<TcpListener> = zones
+            .iter()
+            .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+            .collect();
+        let servers = zones
+            .iter()
+            .zip(&listeners)
+            .enumerate()
+            .map(|(index, (zone, listener))| Server {
+                id: format!(
+                    "i-{:x}{:04x}",
+                    0x7f3a + index * 977,
+                    std::process::id() & 0xffff
+                ),
+                address: listener.local_addr().unwrap(),
+                zone,
+                up: index < RUNNING,
+                core_cut: false,
+                deaf: false,
+                draining: false,
+                is_primary: index == 0,
+                term: 1,
+                log: Vec::new(),
+                paused: 0,
+                born: unix_millis(),
+                sequence: 0,
+                process: 0,
+                streams: Vec::new(),
+                reported: None,
+            });
         let state = State {
             servers: servers.collect(),
             fence: 0,
@@ -197,7 +207,11 @@
         for stream in server.streams.drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
-        self.record.line(&format!("{} crashes; its log ends at {}", server.id, server.position()));
+        self.record.line(&format!(
+            "{} crashes; its log ends at {}",
+            server.id,
+            server.position()
+        ));
     }
 
     /// Starts the process of a server again. With its log it comes back as a replica if another server
@@ -228,7 +242,9 @@
         let mut state = self.lock();
         if std::mem::take(&mut state.withholds) {
             state.withheld = state.servers.iter().position(|s| s.id == id);
-            self.record.line(&format!("promote {id} by {holder} under token {token}: no answer"));
+            self.record.line(&format!(
+                "promote {id} by {holder} under token {token}: no answer"
+            ));
             let (db, id, holder) = (self.clone(), id.to_string(), holder.to_string());
             thread::spawn(move || {
                 thread::sleep(LATE_ORDER);
@@ -245,8 +261,11 @@
         if status == 200 {
             state.fence = token;
         }
-        self.record.line(&format!("promote {id} by {holder} under token {token}: {status}"));
-        let Some(index) = running.filter(|index| status == 200 && !state.servers[*index].is_primary)
+        self.record.line(&format!(
+            "promote {id} by {holder} under token {token}: {status}"
+        ));
+        let Some(index) =
+            running.filter(|index| status == 200 && !state.servers[*index].is_primary)
         else {
             return Some(status);
         };
@@ -269,7 +288,9 @@
         (server.is_primary, server.term) = (true, term);
         let (id, position) = (server.id.clone(), server.position());
         state.promotions += 1;
-        self.record.line(&format!("{id} leads term {term}; its log ends at {position}"));
+        self.record.line(&format!(
+            "{id} leads term {term}; its log ends at {position}"
+        ));
         let log = &state.servers[index].log;
         let held: std::collections::HashSet<&(String, String)> =
             log.iter().flat_map(|entry| &entry.writes).collect();
@@ -336,12 +357,15 @@
                     store.put("servers", &server.id, &entry, is_change);
                     server.reported = Some((Instant::now(), content));
                     if is_change {
-                        self.record.line(&format!("entry of {}: {entry}", server.id));
+                        self.record
+                            .line(&format!("entry of {}: {entry}", server.id));
                     }
-                } else if known.is_some_and(|(at, _)| at.elapsed() >= HEARTBEAT * MISSED_HEARTBEATS) {
+                } else if known.is_some_and(|(at, _)| at.elapsed() >= HEARTBEAT * MISSED_HEARTBEATS)
+                {
                     server.reported = None;
                     store.remove("servers", &server.id);
-                    self.record.line(&format!("the entry of {} lapsed", server.id));
+                    self.record
+                        .line(&format!("the entry of {} lapsed", server.id));
                 }
             }
             thread::sleep(Duration::from_millis(10));
@@ -369,7 +393,8 @@
                 return None;
             }
             server.streams.push(stream.try_clone().ok()?);
-            out.write_all(format!("READY I {}\r\n", server.position()).as_bytes()).ok()?;
+            out.write_all(format!("READY I {}\r\n", server.position()).as_bytes())
+                .ok()?;
             server.process
         };
         let result = self.run_session(index, process, &mut reader, out);
@@ -395,10 +420,9 @@
                 return None;
             }
             let line = line.strip_suffix("\r\n")?;
-            let Some((id, text)) = line.strip_prefix("QUERY ").and_then(|rest| rest.split_once(' '))
-            else {
-                return None;
-            };
+            let (id, text) = line
+                .strip_prefix("QUERY ")
+                .and_then(|rest| rest.split_once(' '))?;
             let reply = self.run(index, process, &mut session, id, text)?;
             out.write_all(reply.as_bytes()).ok()?;
         }
@@ -417,7 +441,10 @@
             Some(rest) => {
                 let (position, text) = rest.split_once(' ')?;
                 let (term, number) = position.split_once('.')?;
-                (Some((term.parse::<u64>().ok()?, number.parse::<u64>().ok()?)), text)
+                (
+                    Some((term.parse::<u64>().ok()?, number.parse::<u64>().ok()?)),
+                    text,
+                )
             }
             None => (None, text),
         };
@@ -446,7 +473,9 @@
         let mut result = Ok("-".to_string());
         let error = |code: &str| Err(format!("{code} {}", index));
         let signature = format!("{}.{id}", server.id);
-        let lost_lead = session.plain_term.is_some_and(|t| !server.is_primary || t != server.term);
+        let lost_lead = session
+            .plain_term
+            .is_some_and(|t| !server.is_primary || t != server.term);
         match verb {
             _ if session.state == 'E' && verb != "ROLLBACK" && verb != "COMMIT" => {
                 result = error("MALFORMED");
@@ -528,7 +557,11 @@
                     "DEMOTE" if server.is_primary && term > newest => server.is_primary = false,
                     _ => {}
                 }
-                let role = if server.is_primary { "primary" } else { "replica" };
+                let role = if server.is_primary {
+                    "primary"
+                } else {
+                    "replica"
+                };
                 rows.push(format!(
                     "{role} {} {} {} 0 0 {}",
                     server.term,
@@ -537,7 +570,8 @@
                     server.streams.len()
                 ));
                 if verb != "STATUS" {
-                    self.record.line(&format!("{}: {text}: {}", server.id, rows[0]));
+                    self.record
+                        .line(&format!("{}: {text}: {}", server.id, rows[0]));
                 }
             }
             _ => result = error("MALFORMED"),
@@ -563,18 +597,27 @@
     ) -> Option<MutexGuard<'a, State>> {
         let server = &mut state.servers[index];
         let (term, position) = (server.term, server.end().1 + 1);
-        server.log.push(Entry { term, position, writes });
+        server.log.push(Entry {
+            term,
+            position,
+            writes,
+        });
         replicate(&mut state);
         loop {
             let server = &state.servers[index];
-            if !server.up || server.process != process || !server.is_primary || server.term != term {
+            if !server.up || server.process != process || !server.is_primary || server.term != term
+            {
                 return None;
             }
             let holds = |s: &&Server| !s.is_primary && s.up && s.end() >= (term, position);
             if state.servers.iter().filter(holds).count() >= SYNC_REPLICAS {
                 return Some(state);
             }
-            state = self.changed.wait_timeout(state, Duration::from_millis(50)).unwrap().0;
+            state = self
+                .changed
+                .wait_timeout(state, Duration::from_millis(50))
+                .unwrap()
+                .0;
         }
     }
 }
@@ -584,10 +627,15 @@
     let Some(primary) = state.servers.iter().position(|s| s.is_primary && s.up) else {
         return;
     };
-    let (log, term) = (state.servers[primary].log.clone(), state.servers[primary].term);
+    let (log, term) = (
+        state.servers[primary].log.clone(),
+        state.servers[primary].term,
+    );
     for (index, server) in state.servers.iter_mut().enumerate() {
         if index != primary && server.up && !server.deaf && server.paused == 0 {
-            if server.log.len() != log.len() || server.end() != log.last().map_or((0, 0), |e| (e.term, e.position)) {
+            if server.log.len() != log.len()
+                || server.end() != log.last().map_or((0, 0), |e| (e.term, e.position))
+            {
                 server.log.clone_from(&log);
             }
             server.term = term;
@@ -598,7 +646,7 @@
 impl Server {
     fn read(&self, item: &str, own: &[(String, String)]) -> String {
         let logged = self.log.iter().flat_map(|entry| &entry.writes);
-        let found = logged.chain(own).filter(|(known, _)| known == item).next_back();
+        let found = logged.chain(own).rfind(|(known, _)| known == item);
         found.map_or_else(|| "none".into(), |(_, data)| data.clone())
     }
 }
@@ -615,7 +663,12 @@
 
 impl Default for Session {
     fn default() -> Self {
-        Self { state: 'I', plain_term: None, writes: Vec::new(), prepared: HashMap::new() }
+        Self {
+            state: 'I',
+            plain_term: None,
+            writes: Vec::new(),
+            prepared: HashMap::new(),
+        }
     }
 }
 
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -74,8 +74,15 @@
         };
         headers.push((name.to_ascii_lowercase(), value.trim().to_string()));
     }
-    let mut request = Request { method, path, headers, body: Vec::new() };
-    let length = request.header("content-length").and_then(|n| n.parse().ok());
+    let mut request = Request {
+        method,
+        path,
+        headers,
+        body: Vec::new(),
+    };
+    let length = request
+        .header("content-length")
+        .and_then(|n| n.parse().ok());
     request.body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut request.body).ok()?;
     Some(request)
--- a/review/standin-2/src/node.rs
+++ b/review/standin-2/src/node.rs
@@ -40,7 +40,13 @@
 
 impl Node {
     /// Writes the settings of a node, as the platform fills in `deploy/node.jsonc`.
-    pub fn new(index: usize, zone: &str, store: SocketAddr, orders: SocketAddr, dir: &Path) -> Self {
+    pub fn new(
+        index: usize,
+        zone: &str,
+        store: SocketAddr,
+        orders: SocketAddr,
+        dir: &Path,
+    ) -> Self {
         let name = format!("edge-{zone}-{index}");
         let (callers, readiness) = (free_address(), free_address());
         let settings = dir.join(format!("{name}.jsonc"));
@@ -51,7 +57,13 @@
         });
         std::fs::write(&settings, text.to_string()).unwrap();
         let log = dir.join(format!("{name}.log"));
-        Self { callers, readiness, settings, log, child: None }
+        Self {
+            callers,
+            readiness,
+            settings,
+            log,
+            child: None,
+        }
     }
 
     /// Starts the process with the command of the deploy file.
@@ -80,7 +92,10 @@
     #[allow(dead_code)]
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(signal).arg(child.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg(signal)
+                .arg(child.id().to_string())
+                .status();
         }
     }
 
@@ -92,7 +107,8 @@
 
     pub fn is_ready(&self) -> bool {
         let ask = || -> std::io::Result<bool> {
-            let mut stream = TcpStream::connect_timeout(&self.readiness, Duration::from_millis(500))?;
+            let mut stream =
+                TcpStream::connect_timeout(&self.readiness, Duration::from_millis(500))?;
             stream.set_read_timeout(Some(Duration::from_millis(500)))?;
             stream.write_all(b"GET /ready HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n")?;
             let mut text = String::new();
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -84,7 +84,13 @@
             node.start().ok()?;
             nodes.push(node);
         }
-        let site = Self { database, store, nodes, record: record.clone(), directory };
+        let site = Self {
+            database,
+            store,
+            nodes,
+            record: record.clone(),
+            directory,
+        };
         let limit = Instant::now() + START_LIMIT;
         while !site.nodes.iter().all(Node::is_ready) {
             if Instant::now() >= limit {
@@ -114,7 +120,9 @@
     let database = database.clone();
     http::serve(listener, move |request| {
         let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
-        let token = request.header("fencing-token").and_then(|token| token.parse().ok());
+        let token = request
+            .header("fencing-token")
+            .and_then(|token| token.parse().ok());
         let (Some(id), Some(token)) = (body["id"].as_str(), token) else {
             return (400, json!({}));
         };
@@ -235,7 +243,10 @@
     /// Returns how many reads returned data that lacks an acknowledged write.
     pub fn stop(self) -> usize {
         self.stop.store(true, Ordering::Relaxed);
-        self.threads.into_iter().map(|thread| thread.join().unwrap_or(0)).sum()
+        self.threads
+            .into_iter()
+            .map(|thread| thread.join().unwrap_or(0))
+            .sum()
     }
 }
 
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -48,7 +48,10 @@
         let version = rows.version;
         let value = Some(BASE64_STANDARD.encode(value.to_string()));
         let row = rows.rows.entry((table.into(), key.into()));
-        let row = row.or_insert(StoredRow { value: None, version });
+        let row = row.or_insert(StoredRow {
+            value: None,
+            version,
+        });
         row.value = value;
         if is_change {
             row.version = version;
@@ -143,7 +146,10 @@
                     row.value.is_some().then(|| encode(&table, &name, row))
                 })
                 .collect();
-            return (412, json!({"rows": current, "row_version": rows.version, "now_ms": self.now()}));
+            return (
+                412,
+                json!({"rows": current, "row_version": rows.version, "now_ms": self.now()}),
+            );
         }
         rows.version += 1;
         let version = rows.version;
