--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -129,7 +129,7 @@
     let last = database.last_acknowledged();
     // The servers' connections are held in the zone of each; this node is in another one.
     let node = &site.nodes[7];
-    let readers = Readers::start(site, node.callers, 16, last);
+    let readers = Readers::start(site, node.callers, 48, last);
     sleep(millis(2000));
     if with_trouble {
         site.record
