--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -18,7 +18,7 @@
     };
     let broken = match case {
         "erased-replica" => erased_replica(&site, with_trouble),
-        "restarted-node" => restarted_node(&mut site, with_trouble),
+        "added-node" => added_node(&mut site, with_trouble),
         "erased-primary" => erased_primary(&site, with_trouble),
         "repeated-order" => repeated_order(&site, with_trouble),
         "relayed-read" => relayed_read(&site, with_trouble),
@@ -80,9 +80,9 @@
 }
 
 /// A replica receives nothing for a while. Meanwhile the primary and the other replica crash; the
-/// replica starts again under its id and reports so to the store at once. Then one node is killed, and
-/// starts again; with `KILL=0` in the environment it is not.
-fn restarted_node(site: &mut Site, with_trouble: bool) -> bool {
+/// replica starts again under its id and reports so to the store at once. Then a node is added; with
+/// `ADD=0` in the environment it is not.
+fn added_node(site: &mut Site, with_trouble: bool) -> bool {
     let database = site.database.clone();
     let writers = Writers::start(site, 8);
     sleep(millis(4000));
@@ -96,30 +96,28 @@
         sleep(millis(300));
         database.restart(1, false);
         sleep(millis(1200));
-        let kills = std::env::var("KILL").as_deref() != Ok("0");
-        if kills {
-            site.record
-                .line("a node is killed and starts again after 0.5 s");
-            site.nodes[7].kill();
-        }
-        sleep(millis(500));
-        if kills && site.nodes[7].start().is_err() {
-            return false;
+    } else {
+        sleep(millis(3500));
+    }
+    if std::env::var("ADD").as_deref() != Ok("0") {
+        site.record.line("a node is added");
+        if !site.add_node() {
+            site.record.line("the added node is not ready");
         }
-        sleep(millis(2500));
+    }
+    sleep(millis(2700));
+    if with_trouble {
         database.lock().servers[2].deaf = false;
         site.record.line("the second replica receives again");
         sleep(millis(2000));
         database.restart(0, true);
-    } else {
-        sleep(millis(8500));
     }
     sleep(millis(8000));
     writers.stop();
     has_lost_writes(site)
 }
 
-/// A node freezes for half a second while its clients read. Meanwhile the primary crashes and starts
+/// A node freezes for 0.65 s while its clients read. Meanwhile the primary crashes and starts
 /// again under its id.
 fn relayed_read(site: &Site, with_trouble: bool) -> bool {
     let database = &site.database;
@@ -136,13 +134,13 @@
             .line("the primary is cut off from the store for 5 s");
         database.lock().servers[0].core_cut = true;
         sleep(millis(500));
-        site.record.line("a node freezes for 0.5 s");
+        site.record.line("a node freezes for 0.65 s");
         node.signal("-STOP");
         sleep(millis(20));
         database.crash(0);
         sleep(millis(200));
         database.restart(0, false);
-        sleep(millis(280));
+        sleep(millis(430));
         node.signal("-CONT");
         site.record.line("the node goes on");
         sleep(millis(4000));
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -4,7 +4,7 @@
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::{self, JoinHandle},
@@ -40,6 +40,10 @@
     pub store: Arc<Store>,
     pub nodes: Vec<Node>,
     pub record: Arc<Record>,
+    /// Addresses of the nodes that receive clients.
+    addresses: Arc<Mutex<Vec<SocketAddr>>>,
+    /// Addresses of the store and of the promotion service.
+    platform: (SocketAddr, SocketAddr),
     directory: PathBuf,
 }
 
@@ -89,6 +93,8 @@
             store,
             nodes,
             record: record.clone(),
+            addresses: Arc::default(),
+            platform: (store_address, orders),
             directory,
         };
         let limit = Instant::now() + START_LIMIT;
@@ -100,8 +106,27 @@
             thread::sleep(Duration::from_millis(100));
         }
         record.line("all nodes are ready");
+        *site.addresses.lock().unwrap() = site.nodes.iter().map(|node| node.callers).collect();
         Some(site)
     }
+
+    /// Adds a node in the last zone. It receives clients once it is ready; returns whether it is.
+    pub fn add_node(&mut self) -> bool {
+        let (store, orders) = self.platform;
+        let (index, zone) = (self.nodes.len(), ZONES[ZONES.len() - 1]);
+        let mut node = Node::new(index, zone, store, orders, &self.directory);
+        if node.start().is_err() {
+            return false;
+        }
+        let limit = Instant::now() + START_LIMIT;
+        while !node.is_ready() && Instant::now() < limit {
+            thread::sleep(Duration::from_millis(20));
+        }
+        let is_ready = node.is_ready();
+        self.addresses.lock().unwrap().push(node.callers);
+        self.nodes.push(node);
+        is_ready
+    }
 }
 
 impl Drop for Site {
@@ -150,14 +175,17 @@
     pub fn start(site: &Site, count: usize) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let number = Arc::new(AtomicU64::new(1));
-        let addresses: Vec<SocketAddr> = site.nodes.iter().map(|node| node.callers).collect();
+        let addresses = &site.addresses;
         let threads = (0..count).map(|client| {
             let (stop, number, addresses) = (stop.clone(), number.clone(), addresses.clone());
             let (database, record) = (site.database.clone(), site.record.clone());
             thread::spawn(move || {
                 let mut node = client;
                 while !stop.load(Ordering::Relaxed) {
-                    let address = addresses[node % addresses.len()];
+                    let address = {
+                        let addresses = addresses.lock().unwrap();
+                        addresses[node % addresses.len()]
+                    };
                     node += 1;
                     let Some(mut session) = Client::open(address, ORDERS) else {
                         thread::sleep(Duration::from_millis(50));
